--- /dev/null
+++ b/pkg/pond/call.go
@@ -0,0 +1,28 @@
+package pond
+
+import "net/http"
+
+// Call is one request to a plain service behind the system.
+type Call struct {
+	Account string
+	Service string
+	Method  string
+	// Path is the path below the service's prefix, with the query string, beginning with a slash.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Key is the idempotency key that the caller sent; empty for calls that may be repeated.
+	Key string
+	// Forwarded is true if another instance received the call and sent it here.
+	Forwarded bool
+}
+
+// Answer is the response of a plain service.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Executor runs calls to plain services.
+type Executor = Handler[Call, Answer]
