spec: manifest document, accessors and version order

Cause: every module reads the manifest. Change: JSON document types, immutable accessors, and the order (number, revision) that uses no clock. Validation covers only the number so far.

--- /dev/null
+++ b/pkg/spec/manifest.go
@@ -0,0 +1,180 @@
+package spec
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+//go:generate go tool enumer -type=BackendKind -trimprefix=Backend -transform=lower -output=backendkind_enumer.go
+//go:generate go tool enumer -type=Repeat -trimprefix=Repeat -transform=title-lower -output=repeat_enumer.go
+
+// BackendKind tells what runs on a backend server.
+type BackendKind int
+
+// Kinds of backend servers.
+const (
+	BackendEngine BackendKind = iota
+	BackendService
+)
+
+// Repeat tells whether a call to a plain service may be run more than once.
+type Repeat int
+
+// Repeat rules. RepeatAtMostOnce is the zero value, so that an undeclared call is never repeated.
+const (
+	RepeatAtMostOnce Repeat = iota
+	RepeatIdempotent
+)
+
+// Manifest is one published document. It is immutable.
+type Manifest struct {
+	doc      manifestDoc
+	version  Version
+	hash     uint64
+	body     []byte
+	models   map[string]Model
+	backends map[string]Backend
+	services map[string]Service
+	accounts map[string]Account
+	regionOf map[string]string
+}
+
+// Source gives the manifest in force.
+type Source interface {
+	// Current returns the manifest in force, or nil before the first one.
+	Current() *Manifest
+	// Confirmed reports whether new work may be accepted under Current at the given time.
+	Confirmed(now time.Time) bool
+}
+
+// Decode parses and validates a manifest. revision is the number that the configuration service gave the value. The
+// error is a Faults value if the document is well-formed JSON that breaks a rule.
+func Decode(body []byte, revision uint64) (*Manifest, error) {
+	var doc manifestDoc
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&doc); err != nil {
+		return nil, errors.Wrap(err, "manifest is not valid JSON of the expected form")
+	}
+	if faults := validate(&doc); len(faults) > 0 {
+		return nil, faults
+	}
+	return newManifest(doc, body, revision), nil
+}
+
+func newManifest(doc manifestDoc, body []byte, revision uint64) *Manifest {
+	m := &Manifest{
+		doc:      doc,
+		version:  Version{Number: doc.Number, Revision: revision},
+		hash:     xxhash.Sum64(body),
+		body:     slices.Clone(body),
+		models:   make(map[string]Model, len(doc.Models)),
+		backends: make(map[string]Backend, len(doc.BackendServers)),
+		services: make(map[string]Service, len(doc.Services)),
+		accounts: make(map[string]Account, len(doc.ClientAccounts)),
+		regionOf: make(map[string]string),
+	}
+	for _, region := range doc.Regions {
+		for _, dataCentre := range region.DataCentres {
+			m.regionOf[dataCentre] = region.Name
+		}
+	}
+	for _, d := range doc.Models {
+		m.models[d.Name] = Model{doc: d}
+	}
+	for _, d := range doc.BackendServers {
+		m.backends[d.Name] = Backend{doc: d, region: m.regionOf[d.DataCentre]}
+	}
+	for _, d := range doc.Services {
+		m.services[d.Name] = Service{doc: d}
+	}
+	for _, d := range doc.ClientAccounts {
+		m.accounts[d.Name] = Account{doc: d}
+	}
+	return m
+}
+
+// Version returns the place of the manifest in the order of all manifests.
+func (m *Manifest) Version() Version { return m.version }
+
+// Hash returns the xxhash of the body.
+func (m *Manifest) Hash() uint64 { return m.hash }
+
+// Body returns the published bytes. The caller must not change them.
+func (m *Manifest) Body() []byte { return m.body }
+
+// Deployment returns the name of the deployment.
+func (m *Manifest) Deployment() string { return m.doc.Deployment }
+
+// Region returns the region of a data centre, or "" if the manifest does not name it.
+func (m *Manifest) Region(dataCentre string) string { return m.regionOf[dataCentre] }
+
+// Model returns a model by name.
+func (m *Manifest) Model(name string) (Model, bool) {
+	model, ok := m.models[name]
+	return model, ok
+}
+
+// Models returns all models in the order of the document.
+func (m *Manifest) Models() []Model {
+	models := make([]Model, 0, len(m.doc.Models))
+	for _, d := range m.doc.Models {
+		models = append(models, m.models[d.Name])
+	}
+	return models
+}
+
+// Backend returns a backend server by name.
+func (m *Manifest) Backend(name string) (Backend, bool) {
+	backend, ok := m.backends[name]
+	return backend, ok
+}
+
+// Backends returns all backend servers in the order of the document.
+func (m *Manifest) Backends() []Backend {
+	backends := make([]Backend, 0, len(m.doc.BackendServers))
+	for _, d := range m.doc.BackendServers {
+		backends = append(backends, m.backends[d.Name])
+	}
+	return backends
+}
+
+// Service returns a plain service by name.
+func (m *Manifest) Service(name string) (Service, bool) {
+	service, ok := m.services[name]
+	return service, ok
+}
+
+// Account returns a client account by name.
+func (m *Manifest) Account(name string) (Account, bool) {
+	account, ok := m.accounts[name]
+	return account, ok
+}
+
+// Accounts returns all client accounts in the order of the document.
+func (m *Manifest) Accounts() []Account {
+	accounts := make([]Account, 0, len(m.doc.ClientAccounts))
+	for _, d := range m.doc.ClientAccounts {
+		accounts = append(accounts, m.accounts[d.Name])
+	}
+	return accounts
+}
+
+// Policy returns the policy weights of the deployment.
+func (m *Manifest) Policy() Policy { return Policy{doc: m.doc.Policy} }
+
+// WeightStore returns the address, the data centre and the allowed loads per minute of the weight store.
+func (m *Manifest) WeightStore() (address, dataCentre string, loadsPerMinute int) {
+	w := m.doc.WeightStore
+	return w.Address, w.DataCentre, w.LoadsPerMinute
+}
+
+// LinkBytes returns the capacity of the link between regions in bytes per second and its budget in bytes per hour.
+func (m *Manifest) LinkBytes() (perSecond, perHour int64) {
+	return m.doc.Link.BytesPerSecond, m.doc.Link.BytesPerHour
+}
