sched: learned output lengths in fixed buckets

Cause: admission needs the quantile of an output's length given what it has shown, for each request and each growth. Change: lengths keeps 128 buckets of 12.5 % width and halves old counts. A DDSketch of the same accuracy answers the question only through a walk over its bins with a callback. Measured: go test ./internal/sched -bench ConditionalQuantile: buckets 85 ns, 0 allocations; DDSketch 1,493 ns, 5 allocations. The property test compares with the exact quantile (rapid).

--- /dev/null
+++ b/internal/sched/lengths.go
@@ -0,0 +1,84 @@
+package sched
+
+import "math/bits"
+
+const (
+	// Lengths below 2^subBits have a bucket each; above, each octave has 2^subBits buckets, so a bucket's upper edge
+	// is at most 12.5 % above a length in it.
+	subBits       = 3
+	lengthOctaves = 15
+	lengthBuckets = (lengthOctaves + 1) << subBits
+
+	// Halving all counts at this total makes the sketch follow a change of the workload within some thousand outputs.
+	maxLengthSamples = 2048
+
+	// Fewer samples than this say too little about a high quantile.
+	minLengthSamples = 20
+
+	// The remainder of an output that is longer than every learned one is assumed to be half of what was shown.
+	unseenRemainderDivisor = 2
+	minUnseenRemainder     = 32
+)
+
+// lengths is a sketch of finished output lengths with relative accuracy. It takes the place of a DDSketch, whose
+// conditional quantile allocates and takes 1.5 µs against 0.09 µs here (BenchmarkConditionalQuantile).
+type lengths struct {
+	counts [lengthBuckets]float32
+	total  float32
+}
+
+func lengthBucket(tokens int) int {
+	if tokens < 1<<subBits {
+		return max(tokens, 0)
+	}
+	octave := bits.Len(uint(tokens)) - subBits - 1
+	sub := tokens>>octave - 1<<subBits
+	return min((octave+1)<<subBits+sub, lengthBuckets-1)
+}
+
+// bucketEdge returns the greatest length in a bucket.
+func bucketEdge(bucket int) int {
+	if bucket < 1<<subBits {
+		return bucket
+	}
+	octave := bucket>>subBits - 1
+	sub := bucket&(1<<subBits-1) + 1<<subBits
+	return (sub+1)<<octave - 1
+}
+
+func (l *lengths) add(tokens int) {
+	if l.total >= maxLengthSamples {
+		for i := range l.counts {
+			l.counts[i] /= 2
+		}
+		l.total /= 2
+	}
+	l.counts[lengthBucket(tokens)]++
+	l.total++
+}
+
+// known reports whether the sketch holds enough samples for a prediction.
+func (l *lengths) known() bool { return l != nil && l.total >= minLengthSamples }
+
+// quantile returns the quantile of the whole length given that shown tokens were generated without an end.
+func (l *lengths) quantile(q float64, shown int) int {
+	first := 0
+	if shown > 0 {
+		first = lengthBucket(shown)
+	}
+	tail := float32(0)
+	for _, count := range l.counts[first:] {
+		tail += count
+	}
+	if tail < 1 {
+		return shown + max(shown/unseenRemainderDivisor, minUnseenRemainder)
+	}
+	rank := float32(q) * tail
+	sum := float32(0)
+	for i, count := range l.counts[first:] {
+		if sum += count; sum >= rank && count > 0 {
+			return max(bucketEdge(first+i), shown+1)
+		}
+	}
+	return max(bucketEdge(lengthBuckets-1), shown+1)
+}
--- /dev/null
+++ b/internal/sched/lengths_test.go
@@ -0,0 +1,96 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+	"pgregory.net/rapid"
+)
+
+// TestLengthBuckets guards against bucket edges that overlap, leave gaps or understate a length.
+func TestLengthBuckets(t *testing.T) {
+	for bucket := 1; bucket < lengthBuckets; bucket++ {
+		if got := lengthBucket(bucketEdge(bucket)); got != bucket {
+			t.Fatalf("edge %d of bucket %d is in bucket %d", bucketEdge(bucket), bucket, got)
+		}
+		if got := lengthBucket(bucketEdge(bucket-1) + 1); got != bucket {
+			t.Fatalf("length %d after bucket %d is in bucket %d", bucketEdge(bucket-1)+1, bucket-1, got)
+		}
+	}
+}
+
+// TestConditionalQuantile guards against a remainder that ignores what a generation has already shown, and against an
+// estimate further from the exact conditional quantile than the bucket width.
+func TestConditionalQuantile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		samples := rapid.SliceOfN(rapid.IntRange(1, 40_000), 1, 300).Draw(t, "samples")
+		q := rapid.Float64Range(0.05, 0.99).Draw(t, "quantile")
+		shown := rapid.IntRange(0, 40_000).Draw(t, "shown")
+		var l lengths
+		var tail []int
+		first := bucketEdge(max(lengthBucket(shown)-1, 0))
+		for _, sample := range samples {
+			l.add(sample)
+			if shown == 0 || sample > first {
+				tail = append(tail, sample)
+			}
+		}
+		got := l.quantile(q, shown)
+		if got <= shown {
+			t.Fatalf("whole length %d is not above the shown %d", got, shown)
+		}
+		if len(tail) == 0 {
+			return
+		}
+		slices.Sort(tail)
+		rank := 0
+		for float32(rank+1) < float32(q)*float32(len(tail)) {
+			rank++
+		}
+		exact := tail[rank]
+		if got < exact || float64(got) > max(1.125*float64(exact), float64(shown+1)) {
+			t.Fatalf("quantile %.2f given %d: %d, exact %d", q, shown, got, exact)
+		}
+	})
+}
+
+// BenchmarkConditionalQuantile compares the fixed buckets with a DDSketch of the same accuracy.
+func BenchmarkConditionalQuantile(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var l lengths
+	sketch, err := ddsketch.LogCollapsingLowestDenseDDSketch(0.0625, 256)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for range 2000 {
+		tokens := int(random.ExpFloat64() * 600)
+		l.add(tokens)
+		if err := sketch.Add(float64(tokens)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.Run("buckets", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			l.quantile(0.8, 300)
+		}
+	})
+	b.Run("ddsketch", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			below := 0.0
+			sketch.ForEach(func(value, count float64) bool {
+				if value <= 300 {
+					below += count
+				}
+				return false
+			})
+			all := sketch.GetCount()
+			if _, err := sketch.GetValueAtQuantile((below + 0.8*(all-below)) / all); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -14,6 +14,7 @@
 	flag.Parse()
 	// A fixed seed gives the same verdict in every run.
 	_ = flag.Set("rapid.seed", "20261203")
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
