spec: validation that reports every fault, and one example manifest for each deployment

Cause: only the number was checked; encoding/json alone stops at the first unknown field. Change: a walk over the document reports unknown fields and wrong types with their paths, rules for each section report the rest; examples/dosis.json and examples/dentinho.json have the sizes of the two deployments.

--- a/pkg/spec/manifest.go
+++ b/pkg/spec/manifest.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"reflect"
 	"slices"
 	"time"
 
@@ -55,13 +56,21 @@
 // Decode parses and validates a manifest. revision is the number that the configuration service gave the value. The
 // error is a Faults value if the document is well-formed JSON that breaks a rule.
 func Decode(body []byte, revision uint64) (*Manifest, error) {
-	var doc manifestDoc
+	if len(body) > MaxBodyBytes {
+		return nil, Faults{{path: "", rule: "manifest exceeds 1 MB"}}
+	}
+	var value any
 	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&doc); err != nil {
-		return nil, errors.Wrap(err, "manifest is not valid JSON of the expected form")
+	decoder.UseNumber()
+	if err := decoder.Decode(&value); err != nil {
+		return nil, errors.Wrap(err, "manifest is not valid JSON")
+	}
+	faults := checkShape(value, reflect.TypeFor[manifestDoc](), "")
+	var doc manifestDoc
+	if err := json.Unmarshal(body, &doc); err != nil && len(faults) == 0 {
+		return nil, errors.Wrap(err, "decode manifest")
 	}
-	if faults := validate(&doc); len(faults) > 0 {
+	if faults = append(faults, validate(&doc)...); len(faults) > 0 {
 		return nil, faults
 	}
 	return newManifest(doc, body, revision), nil
--- /dev/null
+++ b/pkg/spec/manifest_test.go
@@ -0,0 +1,139 @@
+package spec
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+// TestExamples guards against example manifests that the program itself refuses.
+func TestExamples(t *testing.T) {
+	tests := []struct {
+		file     string
+		backends int
+		service  string
+		charge   string
+	}{
+		{file: "dosis.json", backends: 15, service: "portal", charge: "/confirmations"},
+		{file: "dentinho.json", backends: 17, service: "shop", charge: "/charges"},
+	}
+	for _, test := range tests {
+		t.Run(test.file, func(t *testing.T) {
+			manifest, err := Decode(readExample(t, test.file), 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := len(manifest.Backends()); got != test.backends {
+				t.Errorf("backend servers: got %d, want %d", got, test.backends)
+			}
+			service, ok := manifest.Service(test.service)
+			if !ok {
+				t.Fatalf("service %s is missing", test.service)
+			}
+			if repeat, ok := service.Repeat("POST", test.charge); !ok || repeat != RepeatAtMostOnce {
+				t.Errorf("POST %s: got %v, %t; want at most once", test.charge, repeat, ok)
+			}
+		})
+	}
+}
+
+// TestFaults guards against a check that accepts a broken rule or stops at the first fault.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name    string
+		old     string
+		new     string
+		faultAt string
+	}{
+		{name: "number zero", old: `"number": 1`, new: `"number": 0`, faultAt: "number"},
+		{name: "unknown field", old: `"deployment"`, new: `"extra": 1, "deployment"`, faultAt: "extra"},
+		{name: "unknown nested field", old: `"loadsPerMinute"`, new: `"x": 1, "loadsPerMinute"`, faultAt: "weightStore.x"},
+		{name: "wrong type", old: `"maxTokens": 24000`, new: `"maxTokens": "many"`, faultAt: "models[0].maxTokens"},
+		{name: "output above context", old: `"maxTokens": 24000`, new: `"maxTokens": 40000`, faultAt: "models[0].maxTokens"},
+		{name: "host name", old: `10.20.1.10:8000`, new: `engine.example:8000`, faultAt: "backendServers[0].address"},
+		{name: "repeated name", old: `"drafting-02"`, new: `"drafting-01"`, faultAt: "backendServers[1].name"},
+		{name: "unknown version", old: `"version": "4"`, new: `"version": "9"`, faultAt: "backendServers[0].placement.version"},
+		{name: "unknown data centre", old: `"dataCentre": "makedonia-1"`, new: `"dataCentre": "x"`, faultAt: "backendServers[2].dataCentre"},
+		{name: "unknown repeat rule", old: `"repeat": "atMostOnce"`, new: `"repeat": "twice"`, faultAt: "services[0].routes[2].repeat"},
+		{name: "zero weight", old: `"weight": 40`, new: `"weight": 0`, faultAt: "clientAccounts[0].weight"},
+		{name: "bad duration", old: `"420ms"`, new: `"fast"`, faultAt: "policy.firstTokenTarget"},
+		{name: "share of one", old: `"shortShare": 0.2`, new: `"shortShare": 1`, faultAt: "policy.shortShare"},
+	}
+	body := string(readExample(t, "dosis.json"))
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			broken := strings.Replace(body, test.old, test.new, 1)
+			if broken == body {
+				t.Fatalf("example does not contain %s", test.old)
+			}
+			if !hasFault(t, broken, test.faultAt) {
+				t.Errorf("no fault at %s", test.faultAt)
+			}
+		})
+	}
+	all := body
+	for _, test := range tests[2:4] {
+		all = strings.Replace(all, test.old, test.new, 1)
+	}
+	for _, test := range tests[2:4] {
+		if !hasFault(t, all, test.faultAt) {
+			t.Errorf("two faults in one manifest: no fault at %s", test.faultAt)
+		}
+	}
+}
+
+// TestVersionOrder guards against a manifest that replaces a newer one.
+func TestVersionOrder(t *testing.T) {
+	tests := []struct {
+		name string
+		v, w Version
+		want int
+	}{
+		{name: "number decides", v: Version{Number: 8, Revision: 1}, w: Version{Number: 7, Revision: 9}, want: 1},
+		{name: "revision breaks a tie", v: Version{Number: 7, Revision: 1}, w: Version{Number: 7, Revision: 2}, want: -1},
+		{name: "equal", v: Version{Number: 7, Revision: 2}, w: Version{Number: 7, Revision: 2}, want: 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.v.Compare(test.w); got != test.want {
+				t.Errorf("Compare(%v, %v): got %d, want %d", test.v, test.w, got, test.want)
+			}
+		})
+	}
+}
+
+// FuzzDecode guards against a manifest that crashes the decoder.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"number": 1}`))
+	f.Add([]byte(`{"models": [{"versions": [null]}], "regions": 3}`))
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		_, _ = Decode(body, 1)
+	})
+}
+
+func hasFault(t *testing.T, body, path string) bool {
+	t.Helper()
+	_, err := Decode([]byte(body), 1)
+	var faults Faults
+	if !errors.As(err, &faults) {
+		t.Fatalf("got error %v, want Faults", err)
+	}
+	for _, fault := range faults {
+		if fault.Path() == path {
+			return true
+		}
+	}
+	return false
+}
+
+func readExample(t *testing.T, file string) []byte {
+	t.Helper()
+	body, err := os.ReadFile(filepath.Join("..", "..", "examples", file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
