config: checked settings from flags and environment

Cause: a bad setting must be reported at start, in one line that names the flag, its value and what is allowed. Change: internal/config declares the settings of serve and checks them by a table of rules; ff/v3 reads the environment.

--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,204 @@
+package config
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypond/dragonflypond/internal/peer"
+)
+
+// EnvPrefix precedes each environment variable of a setting.
+const EnvPrefix = "DRAGONFLYPOND"
+
+const (
+	defaultDrainLimit    = 10 * time.Minute
+	defaultEntryValidity = 15 * time.Second
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+
+// Settings are the checked settings of one entry instance.
+type Settings struct {
+	instance      string
+	dataCentre    string
+	region        string
+	httpAddress   string
+	peerAddress   string
+	configAddress string
+	listAddress   string
+	seeds         string
+	secret        string
+	secretFile    string
+	logLevel      string
+	logFormat     string
+	drainLimit    time.Duration
+	entryValidity time.Duration
+	placer        string
+}
+
+// Register declares the settings as flags.
+func (s *Settings) Register(flags *flag.FlagSet) {
+	flags.StringVar(&s.instance, "instance", "", "name of this instance, unique in the deployment")
+	flags.StringVar(&s.dataCentre, "data-centre", "", "data centre of this instance")
+	flags.StringVar(&s.region, "region", "", "region of the data centre")
+	flags.StringVar(&s.httpAddress, "http-address", "127.0.0.1:7000", "`IP:PORT` for callers")
+	flags.StringVar(&s.peerAddress, "peer-address", "127.0.0.1:7100", "`IP:PORT` for other instances, TCP and UDP")
+	flags.StringVar(&s.configAddress, "config-address", "", "`IP:PORT` of the configuration service")
+	flags.StringVar(&s.listAddress, "list-address", "", "`IP:PORT` of the instance list")
+	flags.StringVar(&s.seeds, "seeds", "", "peer addresses to contact first, separated by commas")
+	flags.StringVar(&s.secret, "secret", "", "cluster secret; prefer -secret-file or the environment")
+	flags.StringVar(&s.secretFile, "secret-file", "", "file that holds the cluster secret")
+	flags.StringVar(&s.logLevel, "log-level", "info", "debug, info, warning or error")
+	flags.StringVar(&s.logFormat, "log-format", "json", "json or text")
+	flags.DurationVar(&s.drainLimit, "drain-limit", defaultDrainLimit, "time after which a shutdown hands streams over")
+	flags.DurationVar(&s.entryValidity, "entry-validity", defaultEntryValidity, "time for which callers may keep addresses")
+	flags.StringVar(&s.placer, "placer", "home", "home (shared decisions) or naive (round robin, for comparisons)")
+}
+
+// Parse reads args and the environment into the registered flags and checks every setting.
+func (s *Settings) Parse(flags *flag.FlagSet, args []string) error {
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+		return err
+	}
+	if err := s.readSecret(); err != nil {
+		return err
+	}
+	return s.check()
+}
+
+// Fault is a setting with a value that is not allowed.
+type Fault struct {
+	name    string
+	value   string
+	allowed string
+}
+
+// Error implements error with one line that names the flag, its value and what is allowed.
+func (f *Fault) Error() string {
+	return fmt.Sprintf("flag -%s has the value %q; allowed: %s", f.name, f.value, f.allowed)
+}
+
+func (s *Settings) readSecret() error {
+	if s.secretFile == "" {
+		return nil
+	}
+	content, err := os.ReadFile(s.secretFile)
+	if err != nil {
+		return &Fault{name: "secret-file", value: s.secretFile, allowed: "a readable file"}
+	}
+	s.secret = strings.TrimSpace(string(content))
+	return nil
+}
+
+type rule struct {
+	name    string
+	value   string
+	allowed string
+	ok      bool
+}
+
+func (s *Settings) check() error {
+	_, levelErr := logrus.ParseLevel(s.logLevel)
+	rules := []rule{
+		{"instance", s.instance, "lower-case letters, digits and hyphens, at most 63", namePattern.MatchString(s.instance)},
+		{"data-centre", s.dataCentre, "the name of a data centre", namePattern.MatchString(s.dataCentre)},
+		{"region", s.region, "the name of a region", namePattern.MatchString(s.region)},
+		{"http-address", s.httpAddress, "IP:PORT", isAddress(s.httpAddress)},
+		{"peer-address", s.peerAddress, "IP:PORT", isAddress(s.peerAddress)},
+		{"config-address", s.configAddress, "IP:PORT", isAddress(s.configAddress)},
+		{"list-address", s.listAddress, "IP:PORT or empty", s.listAddress == "" || isAddress(s.listAddress)},
+		{"seeds", s.seeds, "IP:PORT,IP:PORT,... or empty", areAddresses(s.Seeds())},
+		{"secret", "(hidden)", fmt.Sprintf("at least %d bytes", peer.MinSecretBytes), len(s.secret) >= peer.MinSecretBytes},
+		{"log-level", s.logLevel, "debug, info, warning or error", levelErr == nil},
+		{"log-format", s.logFormat, "json or text", s.logFormat == "json" || s.logFormat == "text"},
+		{"drain-limit", s.drainLimit.String(), "a duration of at least 0s", s.drainLimit >= 0},
+		{"entry-validity", s.entryValidity.String(), "1s to 5m", inRange(s.entryValidity, time.Second, 5*time.Minute)},
+		{"placer", s.placer, "home or naive", s.placer == "home" || s.placer == "naive"},
+	}
+	for _, r := range rules {
+		if !r.ok {
+			return &Fault{name: r.name, value: r.value, allowed: r.allowed}
+		}
+	}
+	return nil
+}
+
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
+func areAddresses(addresses []string) bool {
+	for _, address := range addresses {
+		if !isAddress(address) {
+			return false
+		}
+	}
+	return true
+}
+
+func inRange(d, low, high time.Duration) bool { return d >= low && d <= high }
+
+// Instance returns the name of this instance.
+func (s *Settings) Instance() string { return s.instance }
+
+// DataCentre returns the data centre of this instance.
+func (s *Settings) DataCentre() string { return s.dataCentre }
+
+// Region returns the region of this instance.
+func (s *Settings) Region() string { return s.region }
+
+// HTTPAddress returns the IP:PORT for callers.
+func (s *Settings) HTTPAddress() string { return s.httpAddress }
+
+// PeerAddress returns the IP:PORT for other instances.
+func (s *Settings) PeerAddress() string { return s.peerAddress }
+
+// ConfigAddress returns the IP:PORT of the configuration service.
+func (s *Settings) ConfigAddress() string { return s.configAddress }
+
+// ListAddress returns the IP:PORT of the instance list, or "".
+func (s *Settings) ListAddress() string { return s.listAddress }
+
+// Seeds returns the peer addresses to contact first.
+func (s *Settings) Seeds() []string {
+	if s.seeds == "" {
+		return nil
+	}
+	return strings.Split(s.seeds, ",")
+}
+
+// Secret returns the cluster secret.
+func (s *Settings) Secret() []byte { return []byte(s.secret) }
+
+// DrainLimit returns the time after which a shutdown hands streams over instead of waiting for their end.
+func (s *Settings) DrainLimit() time.Duration { return s.drainLimit }
+
+// EntryValidity returns the time for which callers may keep the addresses of a lookup.
+func (s *Settings) EntryValidity() time.Duration { return s.entryValidity }
+
+// Naive reports whether the naive placer is used, which serves only as a baseline in measurements.
+func (s *Settings) Naive() bool { return s.placer == "naive" }
+
+// NewLogger returns a logger with the level and format of the settings.
+func (s *Settings) NewLogger() (*logrus.Logger, error) {
+	logger := logrus.New()
+	level, err := logrus.ParseLevel(s.logLevel)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	logger.SetLevel(level)
+	if s.logFormat == "json" {
+		logger.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return logger, nil
+}
