--- a/cmd/dragonflypond/main.go
+++ b/cmd/dragonflypond/main.go
@@ -5,14 +5,19 @@
 	"context"
 	"flag"
 	"os"
-	_ "runtime/cgo" // Links the C library as usual, whatever else the program imports.
 
 	"github.com/google/subcommands"
 )
 
+// exitUsage is the exit status after a bad flag or argument.
+const exitUsage = subcommands.ExitUsageError
+
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(new(checkCommand), "operators")
+	subcommands.Register(new(versionCommand), "operators")
+	subcommands.Register(new(lookupCommand), "callers")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -69,6 +69,9 @@
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
 		return err
 	}
+	if flags.NArg() > 0 {
+		return errors.Errorf("unexpected argument %q; allowed: flags only", flags.Arg(0))
+	}
 	if err := s.readSecret(); err != nil {
 		return err
 	}
