member, watch: membership, manifest source and backend server view

Cause: other modules need the live instances, the manifest in effect and the backend servers that accept work; nothing provided them. Change: add internal/member (probe protocol as a state machine, UDP loop, full synchronisation over drpc, rendezvous ranks) and internal/watch (adoption rules, service reads and watches, fetch from peers, confirmation, instance list, backend server view).

--- /dev/null
+++ b/internal/member/machine.go
@@ -0,0 +1,365 @@
+package member
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// TickInterval is the time between calls of Machine.Tick.
+const TickInterval = 100 * time.Millisecond
+
+const (
+	probeInterval = time.Second
+	// directTimeout leaves room for ten times the round trip between regions of a busy link.
+	directTimeout = 300 * time.Millisecond
+	probeTimeout  = 900 * time.Millisecond
+	// indirectProbes is the number of members asked to probe a silent member.
+	indirectProbes = 3
+	// pushFanout sends of each of n members reach all but about e^-4 of them; probes reach the rest.
+	pushFanout        = 4
+	goneProbeInterval = 10 * time.Second
+	// aloneProbeInterval is the time between probes of seeds while no other member is live.
+	aloneProbeInterval = 500 * time.Millisecond
+	aloneProbes        = 4
+	syncInterval       = 30 * time.Second
+	// hintInterval limits probes caused by contradicting reports to a few hundred bytes a second. After a partition
+	// each instance has about one hint for each member of the other region.
+	hintInterval    = 200 * time.Millisecond
+	hintRepeat      = 10 * time.Second
+	maxHints        = 1024
+	suspicionBase   = 3 * time.Second
+	suspicionPerLog = 500 * time.Millisecond
+	// forgetAfter keeps gone members as candidates over the longest expected partition of regions.
+	forgetAfter = 24 * time.Hour
+	// maxNotices bounds the table of notices at several times the expected number of backend servers.
+	maxNotices = 8192
+	// pauseLimit is the lateness of a tick that counts as a pause of the process. What was pending then proves nothing
+	// about other members.
+	pauseLimit = 2 * time.Second
+)
+
+// Outgoing is a datagram to send.
+type Outgoing struct {
+	Address  string
+	Datagram *peerpb.Datagram
+}
+
+// Machine is the membership protocol of one instance. It is not safe for concurrent use.
+type Machine struct {
+	random  *rand.Rand
+	self    *record
+	records map[pond.InstanceID]*record
+	order   []pond.InstanceID
+	next    int
+
+	sequence uint64
+	probes   map[uint64]*probe
+	relays   map[uint64]relay
+	hints    []hint
+	seeds    []string
+
+	updates  updateQueue
+	notices  map[string]*peerpb.BackendNotice
+	manifest *peerpb.ManifestVersion
+	out      []Outgoing
+
+	lastTick      time.Time
+	nextProbe     time.Time
+	nextGoneProbe time.Time
+	nextAlone     time.Time
+	nextHint      time.Time
+	nextSync      time.Time
+	syncWith      string
+	changes       uint64
+}
+
+// probe is a probe that waits for its ack. ref is zero if only the address is known.
+type probe struct {
+	ref      pond.InstanceRef
+	address  string
+	indirect time.Time
+	deadline time.Time
+}
+
+// hint is a member that should be probed, at the address that a report gave.
+type hint struct {
+	id      pond.InstanceID
+	address string
+}
+
+// relay is a probe made for another member.
+type relay struct {
+	address  string
+	sequence uint64
+	target   string
+	deadline time.Time
+}
+
+// NewMachine returns the machine of an instance that knows only itself.
+func NewMachine(self pond.Instance, random *rand.Rand, now time.Time) *Machine {
+	own := &record{instance: self, version: 1}
+	own.setState(pond.InstanceLive)
+	jitter := time.Duration(random.Int64N(int64(probeInterval)))
+	return &Machine{
+		random:        random,
+		self:          own,
+		records:       make(map[pond.InstanceID]*record),
+		probes:        make(map[uint64]*probe),
+		relays:        make(map[uint64]relay),
+		notices:       make(map[string]*peerpb.BackendNotice),
+		lastTick:      now,
+		nextProbe:     now.Add(jitter),
+		nextGoneProbe: now.Add(goneProbeInterval + jitter),
+		nextAlone:     now,
+		nextSync:      now.Add(syncInterval + jitter),
+		changes:       1,
+	}
+}
+
+// Self returns this instance.
+func (m *Machine) Self() pond.Instance { return m.self.instance }
+
+// Changes returns a number that grows whenever Instances or Backends may give another result.
+func (m *Machine) Changes() uint64 { return m.changes }
+
+// Instances returns this instance and all members that are not gone, ordered by name.
+func (m *Machine) Instances() []pond.Instance {
+	instances := []pond.Instance{m.self.instance}
+	for _, r := range m.records {
+		if r.state() != pond.InstanceGone {
+			instances = append(instances, r.instance)
+		}
+	}
+	slices.SortFunc(instances, func(a, b pond.Instance) int { return compareID(a.ID(), b.ID()) })
+	return instances
+}
+
+// Tick advances timers. It must be called every TickInterval.
+func (m *Machine) Tick(now time.Time) []Outgoing {
+	if now.Sub(m.lastTick) > pauseLimit {
+		m.resume(now)
+	}
+	m.lastTick = now
+	m.expireProbes(now)
+	m.expireRecords(now)
+	if !now.Before(m.nextProbe) {
+		m.nextProbe = later(m.nextProbe, probeInterval, now)
+		m.probeNext(now)
+	}
+	if !now.Before(m.nextGoneProbe) {
+		m.nextGoneProbe = now.Add(goneProbeInterval)
+		m.probeAbsent(now)
+	}
+	if !now.Before(m.nextAlone) && m.alone() {
+		m.nextAlone = now.Add(aloneProbeInterval)
+		m.probeSeeds(now)
+	}
+	m.probeHint(now)
+	return m.drain()
+}
+
+// Receive handles a datagram that arrived from the given peer address.
+func (m *Machine) Receive(now time.Time, from string, d *peerpb.Datagram) []Outgoing {
+	sender := d.GetSender()
+	if !validState(sender) || pond.InstanceID(sender.GetId()) == m.self.id() {
+		return nil
+	}
+	answered := m.answered(from, d)
+	m.merge(now, sender, answered)
+	m.mergeAll(now, d.GetMembers(), d.GetBackends(), true)
+	m.dispatch(now, from, d)
+	return m.drain()
+}
+
+func (m *Machine) dispatch(now time.Time, from string, d *peerpb.Datagram) {
+	switch d.GetKind() {
+	case peerpb.Datagram_KIND_PROBE:
+		m.send(from, &peerpb.Datagram{Kind: peerpb.Datagram_KIND_ACK, Sequence: d.GetSequence()},
+			m.records[pond.InstanceID(d.GetSender().GetId())])
+	case peerpb.Datagram_KIND_PROBE_VIA:
+		m.relayProbe(now, from, d)
+	case peerpb.Datagram_KIND_ACK:
+		m.acknowledge(from, d)
+	}
+}
+
+// Leave announces that this instance is shutting down.
+func (m *Machine) Leave() []Outgoing {
+	if m.self.state() == pond.InstanceLeaving {
+		return nil
+	}
+	m.self.setState(pond.InstanceLeaving)
+	m.self.version++
+	m.changes++
+	m.queueMember(m.self, false)
+	m.push()
+	return m.drain()
+}
+
+// AnnounceManifest sets the manifest version that all datagrams carry. It is pushed at once if the version differs.
+func (m *Machine) AnnounceManifest(v *peerpb.ManifestVersion) []Outgoing {
+	old := m.manifest
+	m.manifest = v
+	if old.GetNumber() == v.GetNumber() && old.GetRevision() == v.GetRevision() && old.GetHash() == v.GetHash() {
+		return nil
+	}
+	m.push()
+	return m.drain()
+}
+
+// NoticeBackend tells all members about a backend server. A notice that repeats what is known is dropped.
+func (m *Machine) NoticeBackend(backend string, state BackendState) []Outgoing {
+	known := m.notices[backend]
+	if known == nil && len(m.notices) >= maxNotices {
+		return nil
+	}
+	if BackendState(known.GetState()) == state || known == nil && state == BackendAccepting {
+		return nil
+	}
+	m.setNotice(&peerpb.BackendNotice{
+		Backend: backend,
+		State:   uint32(state),
+		Origin:  string(m.self.id()),
+		Serial:  known.GetSerial() + 1,
+	})
+	m.push()
+	return m.drain()
+}
+
+// BackendState returns what members told about a backend server.
+func (m *Machine) BackendState(backend string) BackendState {
+	return BackendState(m.notices[backend].GetState())
+}
+
+// Backends returns what members told about backend servers.
+func (m *Machine) Backends() map[string]BackendState {
+	backends := make(map[string]BackendState, len(m.notices))
+	for name, n := range m.notices {
+		backends[name] = BackendState(n.GetState())
+	}
+	return backends
+}
+
+// SetSeeds replaces the peer addresses that may be probed without being in the table.
+func (m *Machine) SetSeeds(addresses []string) { m.seeds = slices.Clone(addresses) }
+
+// Seeds returns the addresses given to SetSeeds.
+func (m *Machine) Seeds() []string { return m.seeds }
+
+// alone reports whether no other member is live or suspect.
+func (m *Machine) alone() bool {
+	for _, r := range m.records {
+		if r.state() != pond.InstanceGone {
+			return false
+		}
+	}
+	return true
+}
+
+// resume forgets what was pending before a pause of the process and restarts suspicion deadlines.
+func (m *Machine) resume(now time.Time) {
+	clear(m.probes)
+	clear(m.relays)
+	for _, r := range m.records {
+		if !r.deadline.IsZero() {
+			r.deadline = now.Add(m.suspicionTimeout())
+		}
+	}
+}
+
+func (m *Machine) suspicionTimeout() time.Duration {
+	return suspicionBase + time.Duration(math.Log2(float64(m.size()))*float64(suspicionPerLog))
+}
+
+func (m *Machine) size() int { return len(m.records) + 1 }
+
+// push sends the pending updates to random live members.
+func (m *Machine) push() {
+	for _, r := range m.sample(pushFanout, nil) {
+		m.send(r.address(), &peerpb.Datagram{Kind: peerpb.Datagram_KIND_PUSH}, r)
+	}
+}
+
+// send completes a datagram and adds it to the output. A receiver that is not live in the table is told so first, so
+// that it can refute.
+func (m *Machine) send(address string, d *peerpb.Datagram, to *record) {
+	d.Sender = m.self.full()
+	d.Manifest = m.manifest
+	if to != nil {
+		d.Members = appendDoubt(d.Members, to)
+	}
+	m.updates.fill(d)
+	m.out = append(m.out, Outgoing{Address: address, Datagram: d})
+}
+
+func appendDoubt(members []*peerpb.Member, to *record) []*peerpb.Member {
+	if !to.doubted && to.state() != pond.InstanceSuspect && to.state() != pond.InstanceGone {
+		return members
+	}
+	e := to.compact()
+	if to.doubted {
+		e.State = uint32(pond.InstanceGone)
+	}
+	return append(members, e)
+}
+
+func (m *Machine) drain() []Outgoing {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// sample returns up to n random members that are live or suspect, live ones first, without the excluded one.
+func (m *Machine) sample(n int, except *record) []*record {
+	if len(m.order) == 0 {
+		return nil
+	}
+	var chosen []*record
+	start := m.random.IntN(len(m.order))
+	// A random start and a random odd step visit members in a different order for each call without a shuffle.
+	step := 1 + m.random.IntN(len(m.order))
+	for gcd(step, len(m.order)) != 1 {
+		step++
+	}
+	for i := range m.order {
+		r := m.records[m.order[(start+i*step)%len(m.order)]]
+		if r == nil || r == except || r.state() != pond.InstanceLive {
+			continue
+		}
+		if chosen = append(chosen, r); len(chosen) == n {
+			break
+		}
+	}
+	return chosen
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// later returns the next time of a periodic action, without catching up after a delay.
+func later(due time.Time, interval time.Duration, now time.Time) time.Time {
+	if next := due.Add(interval); next.After(now) {
+		return next
+	}
+	return now.Add(interval)
+}
+
+func compareID(a, b pond.InstanceID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/member/probe.go
@@ -0,0 +1,262 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// probeNext probes the next member of the shuffled order that is not gone.
+func (m *Machine) probeNext(now time.Time) {
+	for range len(m.order) {
+		if m.next >= len(m.order) {
+			m.random.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+			m.next = 0
+		}
+		r := m.records[m.order[m.next]]
+		m.next++
+		if r.state() != pond.InstanceGone {
+			m.probeMember(now, r)
+			return
+		}
+	}
+}
+
+// probeAbsent probes one gone member or one seed that is no member, so that parts of a partition find each other.
+func (m *Machine) probeAbsent(now time.Time) {
+	var gone []*record
+	known := make(map[string]bool, len(m.records)+1)
+	known[m.self.address()] = true
+	for _, id := range m.order {
+		r := m.records[id]
+		known[r.address()] = true
+		if r.state() == pond.InstanceGone {
+			gone = append(gone, r)
+		}
+	}
+	var unknown []string
+	for _, seed := range m.seeds {
+		if !known[seed] {
+			unknown = append(unknown, seed)
+		}
+	}
+	if n := len(gone) + len(unknown); n > 0 {
+		if i := m.random.IntN(n); i < len(gone) {
+			m.probeMember(now, gone[i])
+		} else {
+			m.probeAddress(now, unknown[i-len(gone)])
+		}
+	}
+}
+
+// probeSeeds looks for any other instance.
+func (m *Machine) probeSeeds(now time.Time) {
+	addresses := slices.Clone(m.seeds)
+	for _, id := range m.order {
+		addresses = append(addresses, m.records[id].address())
+	}
+	m.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(aloneProbes, len(addresses))] {
+		if address != m.self.address() {
+			m.probeAddress(now, address)
+		}
+	}
+}
+
+func (m *Machine) probeMember(now time.Time, r *record) {
+	m.sequence++
+	m.probes[m.sequence] = &probe{
+		ref:      r.instance.Ref(),
+		address:  r.address(),
+		indirect: now.Add(directTimeout),
+		deadline: now.Add(probeTimeout),
+	}
+	m.send(r.address(), &peerpb.Datagram{Kind: peerpb.Datagram_KIND_PROBE, Sequence: m.sequence}, r)
+}
+
+func (m *Machine) probeAddress(now time.Time, address string) {
+	m.sequence++
+	m.probes[m.sequence] = &probe{address: address, deadline: now.Add(probeTimeout)}
+	m.send(address, &peerpb.Datagram{Kind: peerpb.Datagram_KIND_PROBE, Sequence: m.sequence}, nil)
+}
+
+// hint asks for a direct probe of a member about which reports contradict each other.
+func (m *Machine) hint(now time.Time, r *record, address string) {
+	if address == "" {
+		address = r.address()
+	}
+	if now.Before(r.nextHint) || len(m.hints) >= maxHints {
+		return
+	}
+	r.nextHint = now.Add(hintRepeat)
+	m.hints = append(m.hints, hint{id: r.id(), address: address})
+}
+
+// probeHint probes one member that reports contradict. The probe names the member's state in this table.
+func (m *Machine) probeHint(now time.Time) {
+	if len(m.hints) == 0 || now.Before(m.nextHint) {
+		return
+	}
+	m.nextHint = now.Add(hintInterval)
+	h := m.hints[0]
+	m.hints = m.hints[1:]
+	if r := m.records[h.id]; r != nil && r.address() == h.address {
+		m.probeMember(now, r)
+		return
+	}
+	m.probeAddress(now, h.address)
+}
+
+func (m *Machine) relayProbe(now time.Time, from string, d *peerpb.Datagram) {
+	m.sequence++
+	m.relays[m.sequence] = relay{
+		address:  from,
+		sequence: d.GetSequence(),
+		target:   d.GetTarget(),
+		deadline: now.Add(probeTimeout),
+	}
+	m.send(d.GetTarget(), &peerpb.Datagram{Kind: peerpb.Datagram_KIND_PROBE, Sequence: m.sequence}, nil)
+}
+
+// answered reports whether the datagram is the direct answer to a probe or relayed probe of this instance.
+func (m *Machine) answered(from string, d *peerpb.Datagram) bool {
+	if d.GetKind() != peerpb.Datagram_KIND_ACK {
+		return false
+	}
+	if p := m.probes[d.GetSequence()]; p != nil && p.address == from {
+		return true
+	}
+	r, ok := m.relays[d.GetSequence()]
+	return ok && r.target == from
+}
+
+// acknowledge ends the probe that the ack answers, or passes it on to the member that asked for the probe.
+func (m *Machine) acknowledge(from string, d *peerpb.Datagram) {
+	if r, ok := m.relays[d.GetSequence()]; ok && r.target == from {
+		delete(m.relays, d.GetSequence())
+		m.send(r.address, &peerpb.Datagram{
+			Kind:     peerpb.Datagram_KIND_ACK,
+			Sequence: r.sequence,
+			Members:  []*peerpb.Member{d.GetSender()},
+		}, nil)
+		return
+	}
+	p := m.probes[d.GetSequence()]
+	if p == nil {
+		return
+	}
+	direct := p.address == from && (p.ref.ID == "" || p.ref == refOf(d.GetSender()))
+	if direct || relayedFor(p.ref, d) {
+		delete(m.probes, d.GetSequence())
+	}
+}
+
+// relayedFor reports whether a relayed ack proves that the probed incarnation is alive.
+func relayedFor(ref pond.InstanceRef, d *peerpb.Datagram) bool {
+	members := d.GetMembers()
+	return len(members) > 0 && refOf(members[0]) == ref
+}
+
+func (m *Machine) expireProbes(now time.Time) {
+	for _, sequence := range sortedKeys(m.probes) {
+		p := m.probes[sequence]
+		if !p.indirect.IsZero() && !now.Before(p.indirect) {
+			p.indirect = time.Time{}
+			m.probeVia(sequence, p)
+		}
+		if !now.Before(p.deadline) {
+			delete(m.probes, sequence)
+			m.unanswered(now, p)
+		}
+	}
+	for sequence, r := range m.relays {
+		if !now.Before(r.deadline) {
+			delete(m.relays, sequence)
+		}
+	}
+}
+
+// probeVia asks other members to probe a silent one. A gone member is not worth their effort.
+func (m *Machine) probeVia(sequence uint64, p *probe) {
+	target := m.records[p.ref.ID]
+	if target == nil || target.state() == pond.InstanceGone {
+		return
+	}
+	for _, r := range m.sample(indirectProbes, target) {
+		m.send(r.address(), &peerpb.Datagram{
+			Kind:     peerpb.Datagram_KIND_PROBE_VIA,
+			Sequence: sequence,
+			Target:   p.address,
+		}, r)
+	}
+}
+
+// unanswered starts the suspicion of a member that answered neither directly nor through others.
+func (m *Machine) unanswered(now time.Time, p *probe) {
+	r := m.records[p.ref.ID]
+	if r == nil || r.instance.Ref() != p.ref || !r.deadline.IsZero() {
+		return
+	}
+	switch r.state() {
+	case pond.InstanceLive:
+		r.deadline = now.Add(m.suspicionTimeout())
+		m.changeState(r, pond.InstanceSuspect)
+	case pond.InstanceLeaving:
+		// A leaving member keeps its state, so that no lookup names it, until the deadline.
+		r.deadline = now.Add(m.suspicionTimeout())
+	}
+}
+
+func (m *Machine) expireRecords(now time.Time) {
+	for _, id := range m.order {
+		r := m.records[id]
+		if r.state() != pond.InstanceGone && !r.deadline.IsZero() && !now.Before(r.deadline) {
+			m.markGone(now, r)
+		}
+	}
+	m.forget(now)
+}
+
+func (m *Machine) forget(now time.Time) {
+	expired := func(id pond.InstanceID) bool {
+		r := m.records[id]
+		return r.state() == pond.InstanceGone && !now.Before(r.forget)
+	}
+	if !slices.ContainsFunc(m.order, expired) {
+		return
+	}
+	m.order = slices.DeleteFunc(m.order, func(id pond.InstanceID) bool {
+		if !expired(id) {
+			return false
+		}
+		delete(m.records, id)
+		return true
+	})
+	m.next = min(m.next, len(m.order))
+}
+
+func (m *Machine) markGone(now time.Time, r *record) {
+	r.deadline = time.Time{}
+	r.forget = now.Add(forgetAfter)
+	m.changeState(r, pond.InstanceGone)
+}
+
+func (m *Machine) changeState(r *record, state pond.InstanceState) {
+	r.setState(state)
+	m.changes++
+	m.queueMember(r, false)
+}
+
+func sortedKeys[V any](values map[uint64]V) []uint64 {
+	if len(values) == 0 {
+		return nil
+	}
+	keys := make([]uint64, 0, len(values))
+	for key := range values {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/member/rank.go
@@ -0,0 +1,72 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// Filter selects instances.
+type Filter func(pond.Instance) bool
+
+// InRegion selects the instances of a region.
+func InRegion(region string) Filter {
+	return func(i pond.Instance) bool { return i.Region() == region }
+}
+
+// InDataCentre selects the instances of a data centre.
+func InDataCentre(dataCentre string) Filter {
+	return func(i pond.Instance) bool { return i.DataCentre() == dataCentre }
+}
+
+// Rank returns the live instances that pass all filters, ordered by their rendezvous weight for the key; the winner is
+// first. Instances with equal tables get equal ranks. A suspect instance counts as live, because most suspicions are
+// refuted and a change of rank moves work.
+func Rank(directory pond.Directory, key string, filters ...Filter) []pond.Instance {
+	type ranked struct {
+		instance pond.Instance
+		weight   uint64
+	}
+	var candidates []ranked
+	for _, instance := range directory.Instances() {
+		if !serving(instance.State()) || !passes(instance, filters) {
+			continue
+		}
+		candidates = append(candidates, ranked{instance: instance, weight: Weight(key, instance.ID())})
+	}
+	slices.SortFunc(candidates, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.instance.ID(), b.instance.ID()))
+	})
+	instances := make([]pond.Instance, 0, len(candidates))
+	for _, c := range candidates {
+		instances = append(instances, c.instance)
+	}
+	return instances
+}
+
+// Weight returns the rendezvous weight of an instance for a key. It depends on the name only, so a restart of an
+// instance does not change ranks.
+func Weight(key string, id pond.InstanceID) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(string(id))
+	return digest.Sum64()
+}
+
+func serving(state pond.InstanceState) bool {
+	return state == pond.InstanceLive || state == pond.InstanceSuspect
+}
+
+func passes(instance pond.Instance, filters []Filter) bool {
+	for _, filter := range filters {
+		if !filter(instance) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/member/sync.go
@@ -0,0 +1,110 @@
+package member
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// syncSoon schedules a full synchronisation with a member that was just found. Several such members within a second
+// cause one synchronisation only.
+func (m *Machine) syncSoon(now time.Time, r *record) {
+	m.syncWith = r.address()
+	if soon := now.Add(probeInterval / 4); soon.Before(m.nextSync) {
+		m.nextSync = soon
+	}
+}
+
+// SyncDue returns the peer address of the member to synchronise with, if it is time to do so.
+func (m *Machine) SyncDue(now time.Time) (address string, ok bool) {
+	if now.Before(m.nextSync) {
+		return "", false
+	}
+	m.nextSync = now.Add(syncInterval)
+	if address = m.syncWith; address != "" {
+		m.syncWith = ""
+		return address, true
+	}
+	r := m.syncPartner()
+	if r == nil {
+		return "", false
+	}
+	return r.address(), true
+}
+
+// syncPartner returns a random live member, preferably of another data centre.
+func (m *Machine) syncPartner() *record {
+	candidates := m.sample(len(m.order), nil)
+	for _, r := range candidates {
+		if r.instance.DataCentre() != m.self.instance.DataCentre() {
+			return r
+		}
+	}
+	if len(candidates) > 0 {
+		return candidates[0]
+	}
+	return nil
+}
+
+// SyncRequest returns the table in compact form.
+func (m *Machine) SyncRequest() *peerpb.SyncMembersRequest {
+	req := &peerpb.SyncMembersRequest{Members: []*peerpb.Member{m.self.full()}}
+	for _, id := range m.order {
+		req.Members = append(req.Members, m.records[id].compact())
+	}
+	for _, backend := range slices.Sorted(maps.Keys(m.notices)) {
+		req.Backends = append(req.Backends, m.notices[backend])
+	}
+	return req
+}
+
+// SyncAnswer applies the table of another member and returns what that member does not know.
+func (m *Machine) SyncAnswer(now time.Time, req *peerpb.SyncMembersRequest) (*peerpb.SyncMembersResponse, []Outgoing) {
+	resp := m.difference(req)
+	m.mergeAll(now, req.GetMembers(), req.GetBackends(), false)
+	return resp, m.drain()
+}
+
+// SyncApply applies the answer of another member.
+func (m *Machine) SyncApply(now time.Time, resp *peerpb.SyncMembersResponse) []Outgoing {
+	m.mergeAll(now, resp.GetMembers(), resp.GetBackends(), false)
+	return m.drain()
+}
+
+// difference returns full records of members that the request lacks or knows in an older or contradicting state.
+func (m *Machine) difference(req *peerpb.SyncMembersRequest) *peerpb.SyncMembersResponse {
+	theirs := make(map[pond.InstanceID]*peerpb.Member, len(req.GetMembers()))
+	for _, e := range req.GetMembers() {
+		theirs[pond.InstanceID(e.GetId())] = e
+	}
+	resp := new(peerpb.SyncMembersResponse)
+	if e := theirs[m.self.id()]; !sameReport(m.self, e) {
+		resp.Members = append(resp.Members, m.self.full())
+	}
+	for _, id := range m.order {
+		if r := m.records[id]; !sameReport(r, theirs[id]) {
+			resp.Members = append(resp.Members, r.full())
+		}
+	}
+	known := make(map[string]*peerpb.BackendNotice, len(req.GetBackends()))
+	for _, n := range req.GetBackends() {
+		known[n.GetBackend()] = n
+	}
+	for _, backend := range slices.Sorted(maps.Keys(m.notices)) {
+		n := m.notices[backend]
+		if theirs := known[backend]; theirs == nil || newer(n, theirs) {
+			resp.Backends = append(resp.Backends, n)
+		}
+	}
+	return resp
+}
+
+func sameReport(r *record, e *peerpb.Member) bool {
+	if e == nil {
+		return r.state() == pond.InstanceGone
+	}
+	return r.instance.Ref() == refOf(e) && r.version == e.GetVersion() && uint32(r.state()) == e.GetState()
+}
--- /dev/null
+++ b/internal/watch/codec.go
@@ -0,0 +1,89 @@
+package watch
+
+import (
+	"sync"
+
+	"github.com/klauspost/compress/zstd"
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+const (
+	// maxBodyBytes bounds a manifest; the configuration service holds values up to 1 MB.
+	maxBodyBytes = 2 << 20
+	// dictionaryID is any number that both ends use; the base itself is agreed by version and hash.
+	dictionaryID = 1
+	// windowBytes covers a body and a base of the greatest size, so that the whole base can be referred to.
+	windowBytes = 4 << 20
+	// maxCompressed is the number of compressed forms kept: without base and for the usual bases.
+	maxCompressed = 4
+)
+
+// compress returns the body in zstd form, with the base's body as dictionary if there is one.
+func compress(body, base []byte) ([]byte, error) {
+	options := []zstd.EOption{
+		zstd.WithEncoderConcurrency(1),
+		zstd.WithWindowSize(windowBytes),
+		zstd.WithLowerEncoderMem(true),
+	}
+	if base != nil {
+		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base))
+	}
+	encoder, err := zstd.NewWriter(nil, options...)
+	if err != nil {
+		return nil, errors.Wrap(err, "create manifest compressor")
+	}
+	defer func() { _ = encoder.Close() }()
+	return encoder.EncodeAll(body, nil), nil
+}
+
+// decompress is the inverse of compress.
+func decompress(compressed, base []byte) ([]byte, error) {
+	options := []zstd.DOption{
+		zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderMaxMemory(maxBodyBytes),
+		zstd.WithDecoderMaxWindow(windowBytes),
+	}
+	if base != nil {
+		options = append(options, zstd.WithDecoderDictRaw(dictionaryID, base))
+	}
+	decoder, err := zstd.NewReader(nil, options...)
+	if err != nil {
+		return nil, errors.Wrap(err, "create manifest decompressor")
+	}
+	defer decoder.Close()
+	body, err := decoder.DecodeAll(compressed, nil)
+	return body, errors.Wrap(err, "decompress manifest")
+}
+
+// compressor keeps the compressed forms of one manifest, because several instances ask for the same form.
+type compressor struct {
+	mu       sync.Mutex
+	manifest *spec.Manifest
+	forms    map[uint64][]byte
+}
+
+// get returns the manifest compressed against a base, which may be nil.
+func (c *compressor) get(manifest, base *spec.Manifest) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.manifest != manifest || len(c.forms) >= maxCompressed {
+		c.manifest = manifest
+		c.forms = make(map[uint64][]byte)
+	}
+	var key uint64
+	var dictionary []byte
+	if base != nil {
+		key, dictionary = base.Hash(), base.Body()
+	}
+	if form, ok := c.forms[key]; ok {
+		return form, nil
+	}
+	form, err := compress(manifest.Body(), dictionary)
+	if err != nil {
+		return nil, err
+	}
+	c.forms[key] = form
+	return form, nil
+}
--- /dev/null
+++ b/internal/watch/fetcher.go
@@ -0,0 +1,149 @@
+package watch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+const (
+	// fetchTimeout bounds one fetch. It leaves time for another instance within the three seconds that a change has.
+	fetchTimeout = time.Second
+	// secondFetch is the age of a fetch after which another instance is asked too, because the first may be paused.
+	secondFetch  = 300 * time.Millisecond
+	maxFetches   = 2
+	maxSources   = 32
+	otherRegion  = 400 * time.Millisecond
+	rejectedKept = 16
+)
+
+// fetcher gets newer manifests from other instances.
+type fetcher struct {
+	sources map[string]source
+	// inFlight holds the start of each fetch by address.
+	inFlight map[string]time.Time
+	// rejected are versions whose body is invalid here.
+	rejected []reported
+}
+
+// source is an instance that announced a version newer than the one in effect.
+type source struct {
+	version spec.Version
+	hash    uint64
+	// due is the earliest time of a fetch. Only the watchers of a data centre fetch from another region at once; the
+	// others wait for an announcement from their own region, which saves the narrow link.
+	due time.Time
+}
+
+// offer records that an instance holds a version.
+func (m *Machine) offer(now time.Time, address string, near bool, v *peerpb.ManifestVersion) {
+	s := source{version: versionOf(v), hash: v.GetHash(), due: now}
+	current := m.Current()
+	if current != nil {
+		m.compare(s.version, s.hash)
+		if !s.version.After(current.Version()) {
+			return
+		}
+		if s.hash == current.Hash() && s.version.Number == current.Version().Number {
+			m.readopt(now, s.version)
+			return
+		}
+	}
+	old, known := m.fetcher.sources[address]
+	if slices.Contains(m.fetcher.rejected, reported{version: s.version, hash: s.hash}) ||
+		known && !s.version.After(old.version) || !known && len(m.fetcher.sources) >= maxSources {
+		return
+	}
+	if !near && !m.reader.watching && m.phase != PhaseStarting {
+		s.due = now.Add(otherRegion)
+	}
+	m.fetcher.sources[address] = s
+}
+
+// readopt gives the manifest in effect the greater revision that the service assigned to the same content.
+func (m *Machine) readopt(now time.Time, v spec.Version) {
+	if manifest, err := spec.Decode(m.Current().Body(), v.Revision); err == nil {
+		m.adopt(now, manifest)
+	}
+}
+
+// fetch starts a fetch if a newer version is known.
+func (m *Machine) fetch(now time.Time) {
+	f := &m.fetcher
+	if len(f.sources) == 0 {
+		return
+	}
+	recent := false
+	for address, started := range f.inFlight {
+		if now.Sub(started) > 2*fetchTimeout {
+			delete(f.inFlight, address)
+		} else if now.Sub(started) < secondFetch {
+			recent = true
+		}
+	}
+	if recent || len(f.inFlight) >= maxFetches {
+		return
+	}
+	if address, ok := m.bestSource(now); ok {
+		f.inFlight[address] = now
+		m.actions = append(m.actions, Fetch{Address: address, Base: m.Current()})
+	}
+}
+
+// bestSource returns the due source with the greatest version; among equals one at random, to spread the load.
+func (m *Machine) bestSource(now time.Time) (string, bool) {
+	f := &m.fetcher
+	var best []string
+	for _, address := range slices.Sorted(maps.Keys(f.sources)) {
+		if _, busy := f.inFlight[address]; busy || now.Before(f.sources[address].due) {
+			continue
+		}
+		order := 1
+		if len(best) > 0 {
+			order = f.sources[address].version.Compare(f.sources[best[0]].version)
+		}
+		if order > 0 {
+			best = best[:0]
+		}
+		if order >= 0 {
+			best = append(best, address)
+		}
+	}
+	if len(best) == 0 {
+		return "", false
+	}
+	return best[m.random.IntN(len(best))], true
+}
+
+// FetchDone handles the result of a Fetch.
+func (m *Machine) FetchDone(now time.Time, fetch Fetch, result FetchResult) []Action {
+	f := &m.fetcher
+	delete(f.inFlight, fetch.Address)
+	delete(f.sources, fetch.Address)
+	if result.Invalid != nil {
+		m.reject(versionOf(result.Version), result.Version.GetHash(), result.Invalid)
+	}
+	if result.Manifest != nil {
+		m.adopt(now, result.Manifest)
+	}
+	m.fetch(now)
+	return m.drain()
+}
+
+func (m *Machine) reject(v spec.Version, hash uint64, reason error) {
+	f := &m.fetcher
+	f.rejected = append(f.rejected, reported{version: v, hash: hash})
+	f.rejected = f.rejected[max(0, len(f.rejected)-rejectedKept):]
+	m.reportInvalid(v, hash, reason)
+}
+
+// prune drops sources that hold nothing newer than the manifest in effect.
+func (m *Machine) prune() {
+	current := m.Current().Version()
+	maps.DeleteFunc(m.fetcher.sources, func(_ string, s source) bool {
+		return !s.version.After(current)
+	})
+}
--- /dev/null
+++ b/internal/watch/list.go
@@ -0,0 +1,66 @@
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/member"
+)
+
+// followList reads the instance list at jittered times until ctx ends. A list that cannot be read leaves the last view
+// in place.
+func (w *Watch) followList(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		entries, err := w.platform.readList(ctx)
+		if err != nil {
+			w.options.Logger.WithError(err).Debug("read of the instance list failed")
+		} else {
+			w.applyList(entries)
+		}
+		timer.Reset(listInterval + rand.N(listSpan))
+	}
+}
+
+func (w *Watch) applyList(entries []listEntry) {
+	seeds, backends := splitList(entries)
+	w.options.Member.AddSeeds(seeds...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backends.SetList(backends)
+	w.listRead = time.Now()
+}
+
+// splitList separates entry instances, which are only candidates to probe, from backend servers.
+func splitList(entries []listEntry) (seeds []string, backends map[string]member.BackendState) {
+	backends = make(map[string]member.BackendState)
+	for _, e := range entries {
+		switch {
+		case e.Kind == listInstance && e.PeerAddress != "":
+			seeds = append(seeds, e.PeerAddress)
+		case e.Kind != listInstance:
+			backends[e.Name] = listedState(e.State)
+		}
+	}
+	return seeds, backends
+}
+
+// listedState maps the list's words. A word that is not known counts as leaving, because work sent to a server that is
+// going away may be lost and work sent elsewhere is not.
+func listedState(state string) member.BackendState {
+	switch state {
+	case listLive:
+		return member.BackendAccepting
+	case "gone":
+		return member.BackendGone
+	default:
+		return member.BackendLeaving
+	}
+}
--- /dev/null
+++ b/internal/watch/machine.go
@@ -0,0 +1,192 @@
+package watch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/member"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+// TickInterval is the time between calls of Machine.Tick.
+const TickInterval = 100 * time.Millisecond
+
+const (
+	// pauseLimit is the lateness of a tick that counts as a pause of the process. It is also how long a confirmation
+	// holds after a tick, so that work that resumes before the first tick is not accepted.
+	pauseLimit = 2 * time.Second
+	// peersLimit is the time without word from a confirmed instance after which this one reports that it is alone.
+	peersLimit = 10 * time.Second
+	// keptManifests are the manifests whose bodies may serve as dictionary for instances that are behind.
+	keptManifests = 3
+)
+
+// Peers is the part of the membership that the machine reads.
+type Peers interface {
+	pond.Directory
+	// Seeds returns peer addresses of possible instances.
+	Seeds() []string
+}
+
+// Machine holds the rules of one instance for the manifest in effect. It is not safe for concurrent use.
+type Machine struct {
+	random  *rand.Rand
+	peers   Peers
+	kept    []*spec.Manifest
+	actions []Action
+	reports Reports
+
+	phase      Phase
+	lastTick   time.Time
+	validUntil time.Time
+	peersUntil time.Time
+
+	confirm confirmation
+	reader  reader
+	fetcher fetcher
+}
+
+// NewMachine returns a machine without a manifest that starts its confirmation.
+func NewMachine(peers Peers, random *rand.Rand, now time.Time) *Machine {
+	m := &Machine{random: random, peers: peers}
+	m.fetcher.inFlight = make(map[string]time.Time)
+	m.fetcher.sources = make(map[string]source)
+	m.restart(now)
+	return m
+}
+
+// Current returns the manifest in effect, or nil before the first one.
+func (m *Machine) Current() *spec.Manifest {
+	if len(m.kept) == 0 {
+		return nil
+	}
+	return m.kept[0]
+}
+
+// Kept returns the manifest with the given version and hash if its body is still held.
+func (m *Machine) Kept(v *peerpb.ManifestVersion) *spec.Manifest {
+	for _, manifest := range m.kept {
+		if versionOf(v) == manifest.Version() && v.GetHash() == manifest.Hash() {
+			return manifest
+		}
+	}
+	return nil
+}
+
+// Phase returns how far the manifest is confirmed.
+func (m *Machine) Phase() Phase { return m.phase }
+
+// ValidUntil returns the time until which Confirmed holds unless a tick extends it. It is zero if the manifest is not
+// confirmed.
+func (m *Machine) ValidUntil() time.Time { return m.validUntil }
+
+// Confirmed reports whether new work may be accepted under Current.
+func (m *Machine) Confirmed(now time.Time) bool {
+	return m.Current() != nil && now.Before(m.validUntil) && !paused(m.lastTick, now)
+}
+
+// Reports returns the faults of received manifests.
+func (m *Machine) Reports() Reports { return m.reports }
+
+// Version returns what this instance announces, or nil before the first manifest.
+func (m *Machine) Version() *peerpb.ManifestVersion {
+	current := m.Current()
+	if current == nil {
+		return nil
+	}
+	return &peerpb.ManifestVersion{
+		Number:    current.Version().Number,
+		Revision:  current.Version().Revision,
+		Hash:      current.Hash(),
+		Confirmed: m.phase != PhaseStarting,
+	}
+}
+
+// Tick advances timers. It must be called every TickInterval.
+func (m *Machine) Tick(now time.Time) []Action {
+	if paused(m.lastTick, now) {
+		m.restart(now)
+	}
+	m.lastTick = now
+	if m.phase == PhaseStarting {
+		m.askPeers(now)
+		m.settle(now)
+	}
+	if m.phase == PhaseConfirmed && now.After(m.peersUntil) {
+		m.setPhase(PhaseAlone)
+	}
+	if m.phase != PhaseStarting {
+		m.validUntil = now.Add(pauseLimit)
+	}
+	m.read(now)
+	m.fetch(now)
+	return m.drain()
+}
+
+// Announced handles the manifest version that another instance sent with a datagram.
+func (m *Machine) Announced(now time.Time, from pond.Instance, v *peerpb.ManifestVersion) []Action {
+	if v.GetNumber() == 0 {
+		return nil
+	}
+	if v.GetConfirmed() && m.phase != PhaseStarting {
+		m.peersUntil = now.Add(peersLimit)
+		if m.phase == PhaseAlone {
+			m.setPhase(PhaseConfirmed)
+		}
+	}
+	m.offer(now, from.PeerAddress(), from.Region() == m.peers.Self().Region(), v)
+	m.fetch(now)
+	return m.drain()
+}
+
+// paused reports whether the process stood still between two ticks. Both clocks are compared, because the monotonic
+// clock of some platforms stands still with the process. A step of the wall clock only causes a confirmation too many.
+func paused(last, now time.Time) bool {
+	return now.Sub(last) > pauseLimit || now.Round(0).Sub(last.Round(0)) > pauseLimit
+}
+
+func (m *Machine) setPhase(phase Phase) {
+	if m.phase == phase {
+		return
+	}
+	m.phase = phase
+	m.announce()
+}
+
+func (m *Machine) announce() {
+	if v := m.Version(); v != nil {
+		m.actions = append(m.actions, Announce{Version: v})
+	}
+}
+
+func (m *Machine) drain() []Action {
+	actions := m.actions
+	m.actions = nil
+	return actions
+}
+
+func (m *Machine) within(limit time.Duration) time.Duration {
+	return time.Duration(m.random.Int64N(int64(limit)))
+}
+
+// watches reports whether this instance is one of those of its data centre that watch the service.
+func (m *Machine) watches() bool {
+	self := m.peers.Self()
+	own := member.Weight(watchKey, self.ID())
+	better := 0
+	for _, i := range m.peers.Instances() {
+		if i.DataCentre() != self.DataCentre() || i.ID() == self.ID() || i.State() != pond.InstanceLive {
+			continue
+		}
+		if w := member.Weight(watchKey, i.ID()); w > own || w == own && i.ID() < self.ID() {
+			better++
+		}
+	}
+	return better < watchersPerDataCentre
+}
+
+func versionOf(v *peerpb.ManifestVersion) spec.Version {
+	return spec.Version{Number: v.GetNumber(), Revision: v.GetRevision()}
+}
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,305 @@
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"github.com/dragonflypond/dragonflypond/internal/member"
+	"github.com/dragonflypond/dragonflypond/internal/peer"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+const (
+	askTimeout = 500 * time.Millisecond
+	// listInterval is the mean time between reads of the instance list; reads are spread by listSpan.
+	listInterval = 8 * time.Second
+	listSpan     = 4 * time.Second
+)
+
+// Options configure a Watch. Member, Network and ServiceURL are required.
+type Options struct {
+	Member  *member.Member
+	Network *peer.Network
+	// ServiceURL is the base URL of the configuration service, ListURL that of the instance list; without ListURL no
+	// list is read.
+	ServiceURL string
+	ListURL    string
+	Client     *http.Client
+	Random     *rand.Rand
+	Logger     logrus.FieldLogger
+}
+
+// Watch keeps the manifest in effect and the view of backend servers of one instance. It implements spec.Source and
+// pond.BackendView and is safe for concurrent use.
+type Watch struct {
+	options    Options
+	platform   *platform
+	compressor compressor
+	group      *errgroup.Group
+	ctx        context.Context
+
+	mu       sync.RWMutex
+	machine  *Machine
+	backends *Backends
+	onChange []func(*spec.Manifest)
+	reads    uint64
+	listRead time.Time
+}
+
+// Snapshot is the state of the watch for the status page.
+type Snapshot struct {
+	// Version is zero before the first manifest.
+	Version spec.Version
+	Hash    uint64
+	Phase   Phase
+	// Confirmed reports whether new work is accepted.
+	Confirmed bool
+	Reports   Reports
+	// ServiceReads counts calls to the configuration service since the start.
+	ServiceReads uint64
+	// ListRead is the time of the last successful read of the list; zero for none.
+	ListRead time.Time
+	// Closed are the backend servers of the manifest that accept no work.
+	Closed []string
+}
+
+// New returns a watch without a manifest.
+func New(options Options) (*Watch, error) {
+	if options.Member == nil || options.Network == nil || options.ServiceURL == "" {
+		return nil, errors.New("watch options need Member, Network and ServiceURL")
+	}
+	if options.Client == nil {
+		options.Client = &http.Client{}
+	}
+	if options.Random == nil {
+		options.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if options.Logger == nil {
+		options.Logger = logrus.StandardLogger()
+	}
+	w := &Watch{
+		options:  options,
+		platform: newPlatform(options),
+		backends: NewBackends(options.Member),
+	}
+	w.machine = NewMachine(options.Member, options.Random, time.Now())
+	options.Member.OnManifest(w.announced)
+	return w, nil
+}
+
+// Register adds the manifest service to the drpc server of this instance.
+func (w *Watch) Register(mux drpc.Mux) error {
+	return errors.Wrap(peerpb.DRPCRegisterManifests(mux, &server{watch: w}), "register manifest service")
+}
+
+// Run reads the platform and follows other instances until ctx ends. Member.Run must run at the same time.
+func (w *Watch) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	w.mu.Lock()
+	w.group, w.ctx = group, ctx
+	w.machine.restart(time.Now())
+	w.mu.Unlock()
+	group.Go(func() error {
+		<-ctx.Done()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.group = nil
+		return nil
+	})
+	group.Go(func() error { return w.tick(ctx) })
+	if w.options.ListURL != "" {
+		group.Go(func() error { return w.followList(ctx) })
+	}
+	return group.Wait()
+}
+
+// Current returns the manifest in effect, or nil before the first one.
+func (w *Watch) Current() *spec.Manifest {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.machine.Current()
+}
+
+// Confirmed reports whether new work may be accepted under Current.
+func (w *Watch) Confirmed(now time.Time) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.machine.Confirmed(now)
+}
+
+// Accepting reports whether a backend server may receive new work.
+func (w *Watch) Accepting(backend string) bool {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.backends.Accepting(time.Now(), backend)
+}
+
+// Leaving records that a backend server itself said that it is leaving, and tells all instances.
+func (w *Watch) Leaving(backend string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backends.Leaving(backend)
+}
+
+// Returned withdraws notices about a backend server whose name a new process answers for; see Backends.Returned.
+func (w *Watch) Returned(backend string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backends.Returned(backend)
+}
+
+// Refused records that a backend server refused a connection from this instance.
+func (w *Watch) Refused(backend string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backends.Refused(time.Now(), backend)
+}
+
+// OnChange adds a function that is called after each change of the manifest. It must be added before Run and must not
+// block.
+func (w *Watch) OnChange(f func(*spec.Manifest)) { w.onChange = append(w.onChange, f) }
+
+// Snapshot returns the state for the status page.
+func (w *Watch) Snapshot() Snapshot {
+	now := time.Now()
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	s := Snapshot{
+		Phase:        w.machine.Phase(),
+		Confirmed:    w.machine.Confirmed(now),
+		Reports:      w.machine.Reports(),
+		ServiceReads: w.reads,
+		ListRead:     w.listRead,
+		Closed:       w.backends.Closed(now),
+	}
+	if current := w.machine.Current(); current != nil {
+		s.Version, s.Hash = current.Version(), current.Hash()
+	}
+	return s
+}
+
+func (w *Watch) announced(from pond.Instance, v *peerpb.ManifestVersion) {
+	w.do(func(m *Machine, now time.Time) []Action { return m.Announced(now, from, v) })
+}
+
+// do runs one step of the machine and starts the actions that it returns.
+func (w *Watch) do(step func(*Machine, time.Time) []Action) {
+	w.mu.Lock()
+	before, reports := w.machine.Current(), w.machine.Reports()
+	actions := step(w.machine, time.Now())
+	current := w.machine.Current()
+	if current != before {
+		w.backends.SetManifest(current)
+	}
+	w.logReports(reports, w.machine.Reports())
+	w.mu.Unlock()
+	if current != before {
+		w.changed(current)
+	}
+	w.start(actions)
+}
+
+func (w *Watch) changed(current *spec.Manifest) {
+	w.options.Logger.WithField("version", current.Version().String()).Info("manifest adopted")
+	for _, f := range w.onChange {
+		f(current)
+	}
+}
+
+func (w *Watch) logReports(before, after Reports) {
+	if after.Invalid != before.Invalid {
+		w.options.Logger.Warn(after.LastInvalid)
+	}
+	if after.Conflicts != before.Conflicts {
+		w.options.Logger.Warn(after.LastConflict)
+	}
+	if after.Rollbacks != before.Rollbacks {
+		w.options.Logger.Warn(after.LastRollback)
+	}
+}
+
+func (w *Watch) start(actions []Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Announce:
+			w.options.Member.AnnounceManifest(a.Version)
+		case Read:
+			w.spawn(func() { w.performRead(a) })
+		case Ask:
+			w.spawn(func() { w.performAsk(a) })
+		case Fetch:
+			w.spawn(func() { w.performFetch(a) })
+		}
+	}
+}
+
+// spawn runs f in a goroutine that Run waits for. Nothing is started before Run and after its end.
+func (w *Watch) spawn(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.group == nil {
+		return
+	}
+	w.group.Go(func() error {
+		f()
+		return nil
+	})
+}
+
+func (w *Watch) tick(ctx context.Context) error {
+	ticker := time.NewTicker(TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			w.do(func(m *Machine, now time.Time) []Action { return m.Tick(now) })
+		}
+	}
+}
+
+func (w *Watch) performRead(read Read) {
+	w.mu.Lock()
+	w.reads++
+	w.mu.Unlock()
+	result := w.platform.readManifest(w.ctx, read)
+	if result.Err != nil {
+		w.options.Logger.WithError(result.Err).Debug("read of the configuration service failed")
+	}
+	w.do(func(m *Machine, now time.Time) []Action { return m.ReadDone(now, result) })
+}
+
+func (w *Watch) performAsk(ask Ask) {
+	ctx, cancel := context.WithTimeout(w.ctx, askTimeout)
+	defer cancel()
+	client := peerpb.NewDRPCManifestsClient(w.options.Network.Conn(ask.Address))
+	resp, err := client.Confirm(ctx, &peerpb.ConfirmRequest{})
+	w.do(func(m *Machine, now time.Time) []Action { return m.AskDone(now, ask, resp.GetManifest(), err) })
+}
+
+func (w *Watch) performFetch(fetch Fetch) {
+	ctx, cancel := context.WithTimeout(w.ctx, fetchTimeout)
+	defer cancel()
+	req := new(peerpb.FetchManifestRequest)
+	if fetch.Base != nil {
+		v := fetch.Base.Version()
+		req.Base = &peerpb.ManifestVersion{Number: v.Number, Revision: v.Revision, Hash: fetch.Base.Hash()}
+	}
+	resp, err := peerpb.NewDRPCManifestsClient(w.options.Network.Conn(fetch.Address)).FetchManifest(ctx, req)
+	result := FetchResult{Err: err}
+	if err == nil {
+		result = decodeFetched(resp, fetch.Base)
+	}
+	w.do(func(m *Machine, now time.Time) []Action { return m.FetchDone(now, fetch, result) })
+}
