once: executor for calls to plain services

Cause: calls that may not be repeated need one owner; idempotent calls need retries and hedging within budgets.

--- /dev/null
+++ b/internal/once/doc.go
@@ -0,0 +1,32 @@
+// Package once runs calls to plain services. A call whose route is declared idempotent runs on any replica and may be
+// retried and hedged. Every other call runs at most once.
+//
+// A call that may not be repeated carries a run key. The key names the incarnation of the instance that issued it, and
+// only that incarnation ever runs the call; other instances forward it. The executor records a call before it sends
+// it. A repeat attaches to the record and gets the same result. There is no other owner that could run the key, so
+// neither divergent membership views nor a paused process can cause a second run.
+//
+// A refusal with "run: no" is a promise. Only the executor gives it for a valid key, and it keeps a record or a
+// tombstone of the key until the key has expired, so a copy of the request that arrives later is refused as well.
+//
+// The rules are in core, which takes the current time as a parameter and starts no goroutine. Executor adds locking,
+// the connections to plain services and the drpc service for forwarded calls.
+//
+// # Usage
+//
+//	executor := once.New(once.Options{
+//		Source:    manifests,
+//		Directory: members,
+//		Backends:  backends,
+//		Conn:      network.Conn,
+//		MACKey:    network.MACKey(),
+//		Clock:     time.Now,
+//		Logger:    logger,
+//	})
+//	peerpb.DRPCRegisterCalls(server.Mux(), executor)
+//
+//	prefix := executor.Issue(account, time.Now()) // returned to the caller as runKey
+//	answer, err := executor.Handle(ctx, call)     // the error is a *pond.Refusal
+//
+//	err = executor.Drain(ctx) // at shutdown, before the process exits
+package once
--- /dev/null
+++ b/internal/once/executor_test.go
@@ -0,0 +1,214 @@
+package once
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypond/dragonflypond/internal/peer"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+const testAccount = "acme"
+
+// source is a spec.Source with a fixed manifest.
+type source struct {
+	manifest    *spec.Manifest
+	unconfirmed atomic.Bool
+}
+
+func (s *source) Current() *spec.Manifest  { return s.manifest }
+func (s *source) Confirmed(time.Time) bool { return !s.unconfirmed.Load() }
+
+// directory is a pond.Directory with fixed content.
+type directory struct {
+	self      pond.Instance
+	instances []pond.Instance
+}
+
+func (d *directory) Self() pond.Instance        { return d.self }
+func (d *directory) Instances() []pond.Instance { return d.instances }
+
+func instance(name string, incarnation pond.Incarnation, peerAddress string) pond.Instance {
+	ref := pond.InstanceRef{ID: pond.InstanceID(name), Incarnation: incarnation}
+	return pond.NewInstance(ref, pond.InstanceLive, "", peerAddress, "a1", "a")
+}
+
+// manifestOf returns a manifest with the service "shop" on replicas with the given addresses, named r0, r1 and so on.
+func manifestOf(t testing.TB, maxRecords int, addresses ...string) *spec.Manifest {
+	t.Helper()
+	type object = map[string]any
+	var backends []object
+	var names []string
+	for i, address := range addresses {
+		names = append(names, "r"+string(rune('0'+i)))
+		backends = append(backends, object{"name": names[i], "address": address, "dataCentre": "a1", "kind": "service"})
+	}
+	body, err := json.Marshal(object{
+		"number":         1,
+		"deployment":     "test",
+		"regions":        []object{{"name": "a", "dataCentres": []string{"a1"}}},
+		"backendServers": backends,
+		"services": []object{{"name": "shop", "backendServers": names, "routes": []object{
+			{"method": "POST", "path": "/charge", "repeat": "atMostOnce"},
+			{"method": "GET", "path": "/status", "repeat": "idempotent"},
+		}}},
+		"clientAccounts": []object{{"name": testAccount, "keyHashes": []string{}, "weight": 1}},
+		"policy":         object{"maxServiceRecords": maxRecords, "hedgeBudget": 1, "retryBudget": 1},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	manifest, err := spec.Decode(body, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return manifest
+}
+
+func newTestExecutor(t testing.TB, dir pond.Directory, src spec.Source, network *peer.Network) *Executor {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return New(Options{
+		Source:    src,
+		Directory: dir,
+		Backends:  pond.BackendViewFunc(func(string) bool { return true }),
+		Conn:      network.Conn,
+		MACKey:    network.MACKey(),
+		Logger:    logger,
+	})
+}
+
+func newNetwork(t testing.TB) *peer.Network {
+	t.Helper()
+	network, err := peer.NewNetwork([]byte("0123456789abcdef"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { network.Close() })
+	return network
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// pair starts the instances x and y, which serve forwarded calls on loopback.
+func pair(t testing.TB, manifest *spec.Manifest) (x, y *Executor) {
+	t.Helper()
+	network := newNetwork(t)
+	listeners := []net.Listener{listen(t), listen(t)}
+	instances := []pond.Instance{
+		instance("x", 1, listeners[0].Addr().String()),
+		instance("y", 2, listeners[1].Addr().String()),
+	}
+	var executors []*Executor
+	for i, listener := range listeners {
+		dir := &directory{self: instances[i], instances: instances}
+		executor := newTestExecutor(t, dir, &source{manifest: manifest}, network)
+		server := network.NewServer()
+		if err := peerpb.DRPCRegisterCalls(server.Mux(), executor); err != nil {
+			t.Fatal(err)
+		}
+		go server.Serve(t.Context(), listener)
+		executors = append(executors, executor)
+	}
+	return executors[0], executors[1]
+}
+
+func charge(key, body string) pond.Call {
+	return pond.Call{
+		Account: testAccount, Service: "shop", Method: http.MethodPost, Path: "/charge", Body: []byte(body), Key: key,
+	}
+}
+
+// TestForward guards against a call that runs at the instance that received it instead of the one that its key names.
+func TestForward(t *testing.T) {
+	var runs atomic.Int32
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		io.Copy(w, r.Body)
+	}))
+	defer service.Close()
+	x, y := pair(t, manifestOf(t, 100, service.Listener.Addr().String()))
+	key := x.Issue(testAccount, time.Now()) + ":1"
+	for _, executor := range []*Executor{y, x, y} {
+		answer, err := executor.Handle(t.Context(), charge(key, "5 euros"))
+		if err != nil || string(answer.Body) != "5 euros" {
+			t.Fatalf("answer %q, error %v", answer.Body, err)
+		}
+	}
+	if got := runs.Load(); got != 1 {
+		t.Errorf("the service ran the call %d times, want 1", got)
+	}
+	if records, _, _ := y.Counts(); records != 0 {
+		t.Errorf("the receiving instance has %d records, want 0", records)
+	}
+}
+
+// TestRefusals guards against a wrong reason or a false "run: no" for keys that this instance does not own.
+func TestRefusals(t *testing.T) {
+	x, y := pair(t, manifestOf(t, 100))
+	now := time.Now()
+	otherIncarnation := &keyring{
+		ref:      pond.InstanceRef{ID: "x", Incarnation: 99},
+		macKey:   x.keys.macKey,
+		started:  x.keys.started,
+		validity: DefaultKeyValidity,
+	}
+	tests := []struct {
+		name   string
+		key    string
+		reason pond.Reason
+		run    pond.RunState
+	}{
+		{name: "no key", key: "", reason: pond.ReasonKeyMissing, run: pond.RunNo},
+		{name: "no suffix", key: x.Issue(testAccount, now), reason: pond.ReasonKeyInvalid, run: pond.RunNo},
+		{name: "other account", key: x.Issue("other", now) + ":1", reason: pond.ReasonKeyInvalid, run: pond.RunNo},
+		{name: "changed MAC", key: x.Issue(testAccount, now) + "A:1", reason: pond.ReasonKeyInvalid, run: pond.RunNo},
+		{
+			name:   "expired",
+			key:    x.Issue(testAccount, now.Add(-DefaultKeyValidity-time.Second)) + ":1",
+			reason: pond.ReasonKeyExpired, run: pond.RunUnknown,
+		},
+		{
+			name:   "incarnation gone",
+			key:    otherIncarnation.issue(testAccount, now) + ":1",
+			reason: pond.ReasonExecutorGone, run: pond.RunUnknown,
+		},
+		{name: "no replica", key: x.Issue(testAccount, now) + ":1", reason: pond.ReasonNoBackend, run: pond.RunNo},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, executor := range []*Executor{x, y} {
+				_, err := executor.Handle(context.Background(), charge(test.key, ""))
+				wantRefusal(t, err, test.reason, test.run)
+			}
+		})
+	}
+}
+
+func wantRefusal(t testing.TB, err error, reason pond.Reason, run pond.RunState) {
+	t.Helper()
+	var refusal *pond.Refusal
+	if !errors.As(err, &refusal) || refusal.Reason() != reason || refusal.Run() != run {
+		t.Errorf("error %v, want a refusal with reason %s and run %s", err, reason, run)
+	}
+}
--- /dev/null
+++ b/internal/once/forward.go
@@ -0,0 +1,145 @@
+package once
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"storj.io/drpc/drpcmetadata"
+
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+const (
+	// forwardAttempts is the number of times a call is forwarded. The executor attaches copies to one record, so a copy
+	// is safe; the second attempt covers a pooled connection that broke while it was idle.
+	forwardAttempts = 2
+	// remainingKey is the metadata key of the time left until the deadline in milliseconds. A duration is sent, so that
+	// clock differences do not matter.
+	remainingKey = "remaining-milli"
+)
+
+// forward sends the call to the instance that may run it. A failure says nothing about the run.
+func (e *Executor) forward(ctx context.Context, address string, call *pond.Call) (pond.Answer, error) {
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining := deadline.Sub(e.options.Clock()).Milliseconds()
+		ctx = drpcmetadata.Add(ctx, remainingKey, strconv.FormatInt(remaining, 10))
+	}
+	for range forwardAttempts {
+		response, err := peerpb.NewDRPCCallsClient(e.options.Conn(address)).Execute(ctx, encodeCall(call))
+		if err == nil {
+			return decodeResponse(response)
+		}
+		if ctx.Err() != nil {
+			return pond.Answer{}, refuseEnded(ctx, pond.RunUnknown)
+		}
+		e.logger.WithError(err).WithField("peer", address).Warn("forwarding a call failed")
+	}
+	return pond.Answer{}, refuseUnknown(pond.ReasonExecutorGone, "the instance named in the key cannot be reached")
+}
+
+// Execute implements peerpb.DRPCCallsServer for calls that another instance received.
+func (e *Executor) Execute(ctx context.Context, req *peerpb.ExecuteRequest) (*peerpb.ExecuteResponse, error) {
+	ctx, cancel := e.withRemaining(ctx)
+	defer cancel()
+	answer, err := e.Handle(ctx, decodeCall(req))
+	if err != nil {
+		return &peerpb.ExecuteResponse{Refusal: encodeRefusal(asRefusal(err))}, nil
+	}
+	return &peerpb.ExecuteResponse{
+		Status: int32(answer.Status),
+		Header: encodeHeader(answer.Header),
+		Body:   answer.Body,
+	}, nil
+}
+
+func (e *Executor) withRemaining(ctx context.Context) (context.Context, context.CancelFunc) {
+	metadata, _ := drpcmetadata.Get(ctx)
+	milli, err := strconv.ParseInt(metadata[remainingKey], 10, 64)
+	if err != nil {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, e.options.Clock().Add(time.Duration(milli)*time.Millisecond))
+}
+
+func encodeCall(call *pond.Call) *peerpb.ExecuteRequest {
+	return &peerpb.ExecuteRequest{
+		Account: call.Account,
+		Service: call.Service,
+		Method:  call.Method,
+		Path:    call.Path,
+		Header:  encodeHeader(call.Header),
+		Body:    call.Body,
+		Key:     call.Key,
+	}
+}
+
+func decodeCall(req *peerpb.ExecuteRequest) pond.Call {
+	return pond.Call{
+		Account:   req.GetAccount(),
+		Service:   req.GetService(),
+		Method:    req.GetMethod(),
+		Path:      req.GetPath(),
+		Header:    decodeHeader(req.GetHeader()),
+		Body:      req.GetBody(),
+		Key:       req.GetKey(),
+		Forwarded: true,
+	}
+}
+
+func encodeHeader(header http.Header) []*peerpb.HeaderField {
+	fields := make([]*peerpb.HeaderField, 0, len(header))
+	for name, values := range header {
+		fields = append(fields, &peerpb.HeaderField{Name: name, Values: slices.Clone(values)})
+	}
+	return fields
+}
+
+func decodeHeader(fields []*peerpb.HeaderField) http.Header {
+	header := make(http.Header, len(fields))
+	for _, field := range fields {
+		header[field.GetName()] = field.GetValues()
+	}
+	return header
+}
+
+func encodeRefusal(refusal *pond.Refusal) *peerpb.RefusalInfo {
+	info := &peerpb.RefusalInfo{
+		Reason: refusal.Reason().String(),
+		Run:    uint32(refusal.Run()),
+		Detail: refusal.Detail(),
+	}
+	if !refusal.RetryAt().IsZero() {
+		info.RetryAtUnixMilli = refusal.RetryAt().UnixMilli()
+	}
+	return info
+}
+
+// decodeResponse returns the answer or the refusal of the executor. Values that this version does not know become
+// ReasonInternal and RunUnknown.
+func decodeResponse(response *peerpb.ExecuteResponse) (pond.Answer, error) {
+	info := response.GetRefusal()
+	if info == nil {
+		return pond.Answer{
+			Status: int(response.GetStatus()),
+			Header: decodeHeader(response.GetHeader()),
+			Body:   response.GetBody(),
+		}, nil
+	}
+	reason, err := pond.ReasonString(info.GetReason())
+	if err != nil {
+		reason = pond.ReasonInternal
+	}
+	run := pond.RunState(info.GetRun())
+	if !run.IsARunState() {
+		run = pond.RunUnknown
+	}
+	var retryAt time.Time
+	if milli := info.GetRetryAtUnixMilli(); milli != 0 {
+		retryAt = time.UnixMilli(milli)
+	}
+	return pond.Answer{}, pond.NewRefusal(reason, run, retryAt, info.GetDetail())
+}
--- /dev/null
+++ b/internal/once/options.go
@@ -0,0 +1,60 @@
+package once
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+const (
+	// DefaultKeyValidity is the time during which a run key may be used. Callers look up addresses every 15 s and get a
+	// new prefix with every response, so five minutes leaves room for many repeats of one call.
+	DefaultKeyValidity = 5 * time.Minute
+	// DefaultMaxAnswerBytes bounds the kept answers of one instance.
+	DefaultMaxAnswerBytes = 64 << 20
+
+	// answerRetention is the time after a key's expiry during which the answer is kept for repeats.
+	answerRetention = 10 * time.Minute
+)
+
+// Options configures an Executor. Source, Directory, Backends, Conn and MACKey are required.
+type Options struct {
+	// Source gives the manifest in force.
+	Source spec.Source
+	// Directory gives the addresses of other instances. Self must be valid when New is called.
+	Directory pond.Directory
+	// Backends is consulted directly before each send.
+	Backends pond.BackendView
+	// Conn returns a connection to the instance with the given peer address.
+	Conn func(address string) drpc.Conn
+	// MACKey authenticates run keys. All instances of a deployment use the same key.
+	MACKey []byte
+	// Clock returns the current time with a monotonic reading; nil means time.Now.
+	Clock func() time.Time
+	// Logger receives failures of backend servers and peers; nil means logrus.StandardLogger.
+	Logger logrus.FieldLogger
+	// KeyValidity is the time during which an issued key may be used; zero means DefaultKeyValidity.
+	KeyValidity time.Duration
+	// MaxAnswerBytes bounds the kept answers; zero means DefaultMaxAnswerBytes. A new call is refused above it.
+	MaxAnswerBytes int64
+}
+
+func (o Options) withDefaults() Options {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.Logger == nil {
+		o.Logger = logrus.StandardLogger()
+	}
+	if o.KeyValidity == 0 {
+		o.KeyValidity = DefaultKeyValidity
+	}
+	if o.MaxAnswerBytes == 0 {
+		o.MaxAnswerBytes = DefaultMaxAnswerBytes
+	}
+	return o
+}
--- /dev/null
+++ b/internal/once/send.go
@@ -0,0 +1,150 @@
+package once
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+const (
+	// maxAnswerBodyBytes bounds one answer. It fits a drpc message, which may have 4 MiB.
+	maxAnswerBodyBytes = 2 << 20
+	// dialTimeout leaves time for another replica within usual deadlines.
+	dialTimeout = time.Second
+)
+
+// errTooLarge is returned for an answer of more than maxAnswerBodyBytes bytes. The call ran.
+var errTooLarge = errors.Errorf("answer exceeds %d bytes", maxAnswerBodyBytes)
+
+// sender sends a call to one replica. check runs after the connection stands and directly before the first byte is
+// written; its error prevents the send. The outcome is OutcomeNotSent only if no byte was written, that is after a
+// failed dial or check.
+type sender interface {
+	send(ctx context.Context, address string, call *pond.Call, check func() error) (pond.Answer, pond.Outcome, error)
+}
+
+// singleSender uses a new connection for each call and writes the request itself. http.Transport is not used because
+// it replays a request that carries an Idempotency-Key when a reused connection fails.
+type singleSender struct {
+	dialer net.Dialer
+}
+
+func newSingleSender() *singleSender {
+	return &singleSender{dialer: net.Dialer{Timeout: dialTimeout}}
+}
+
+func (s *singleSender) send(
+	ctx context.Context, address string, call *pond.Call, check func() error,
+) (pond.Answer, pond.Outcome, error) {
+	req, err := newRequest(ctx, address, call)
+	if err != nil {
+		return pond.Answer{}, pond.OutcomeNotSent, err
+	}
+	req.Close = true
+	conn, err := s.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return pond.Answer{}, pond.OutcomeNotSent, errors.Wrap(err, "dial replica")
+	}
+	defer conn.Close()
+	// A deadline in the past ends reads and writes that are in progress.
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := check(); err != nil {
+		return pond.Answer{}, pond.OutcomeNotSent, err
+	}
+	return exchange(conn, req)
+}
+
+// exchange writes the request and reads the answer. Every error after the first write leaves open whether the replica
+// got the request.
+func exchange(conn net.Conn, req *http.Request) (pond.Answer, pond.Outcome, error) {
+	if err := req.Write(conn); err != nil {
+		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "write request")
+	}
+	response, err := readFinal(bufio.NewReader(conn), req)
+	if err != nil {
+		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "read answer")
+	}
+	defer response.Body.Close()
+	answer, err := readAnswer(response)
+	if errors.Is(err, errTooLarge) {
+		return pond.Answer{}, pond.OutcomeAnswered, err
+	}
+	if err != nil {
+		return pond.Answer{}, pond.OutcomeMaybeSent, err
+	}
+	return answer, pond.OutcomeAnswered, nil
+}
+
+// readFinal skips informational responses.
+func readFinal(reader *bufio.Reader, req *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			return response, nil
+		}
+	}
+}
+
+func readAnswer(response *http.Response) (pond.Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBodyBytes+1))
+	if err != nil {
+		return pond.Answer{}, errors.Wrap(err, "read answer body")
+	}
+	if len(body) > maxAnswerBodyBytes {
+		return pond.Answer{}, errTooLarge
+	}
+	header := response.Header.Clone()
+	removeConnectionHeaders(header)
+	return pond.Answer{Status: response.StatusCode, Header: header, Body: body}, nil
+}
+
+// newRequest builds the request to a replica. It has no GetBody, so no transport can replay it with its body.
+func newRequest(ctx context.Context, address string, call *pond.Call) (*http.Request, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		// Without the slash the path would become a part of the address.
+		return nil, errors.New("path does not begin with a slash")
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	req.GetBody = nil
+	if call.Header != nil {
+		req.Header = call.Header.Clone()
+	}
+	removeConnectionHeaders(req.Header)
+	// The key of the client account is meant for this system only.
+	req.Header.Del("Authorization")
+	return req, nil
+}
+
+// removeConnectionHeaders removes the fields that concern one connection (RFC 9110, section 7.6.1).
+func removeConnectionHeaders(header http.Header) {
+	for _, field := range header["Connection"] {
+		for name := range strings.SplitSeq(field, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+}
+
+// connectionHeaders also has Content-Length, which follows from the body.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	"Content-Length",
+}
