once: keep deadlines monotonic and withdraw promises for keyed idempotent calls

Cause: a deadline stated as a time of day has no monotonic reading; an instance that refuses a keyed idempotent call does not know whether another instance ran a copy. Change: the deadline is converted once at the start of the run; such refusals say "run: unknown". Measured: go test -race ./internal/once passes; speed not measured, no change on the hot path is expected.

--- a/internal/once/executor.go
+++ b/internal/once/executor.go
@@ -68,7 +68,8 @@
 	manifest := e.options.Source.Current()
 	repeat, declared := repeatRule(manifest, &call)
 	if declared && repeat == spec.RepeatIdempotent && !call.Forwarded {
-		return e.handleIdempotent(ctx, manifest, &call)
+		answer, err := e.handleIdempotent(ctx, manifest, &call)
+		return answer, withoutPromise(err, call.Key)
 	}
 	if call.Key == "" {
 		return pond.Answer{}, refuseKeyless(manifest, declared)
@@ -76,6 +77,15 @@
 	return e.handleKeyed(ctx, &call)
 }
 
+// withoutPromise withdraws "run: no" from an idempotent call with a key, because another instance may have run a copy.
+func withoutPromise(err error, key string) error {
+	var refusal *pond.Refusal
+	if key == "" || !errors.As(err, &refusal) || refusal.Run() != pond.RunNo {
+		return err
+	}
+	return pond.NewRefusal(refusal.Reason(), pond.RunUnknown, refusal.RetryAt(), refusal.Detail())
+}
+
 func repeatRule(manifest *spec.Manifest, call *pond.Call) (spec.Repeat, bool) {
 	if manifest == nil {
 		return spec.RepeatAtMostOnce, false
@@ -136,7 +146,9 @@
 	select {
 	case <-r.done:
 	case <-ctx.Done():
-		return pond.Answer{}, refuseEnded(ctx, pond.RunUnknown)
+		if !r.ended() {
+			return pond.Answer{}, refuseEnded(ctx, pond.RunUnknown)
+		}
 	}
 	if r.result.refusal != nil {
 		return pond.Answer{}, r.result.refusal
@@ -169,12 +181,14 @@
 	}()
 }
 
-// deadline returns the deadline of the call, or the default of the manifest.
+// deadline returns the deadline of the call, or the default of the manifest, with a monotonic reading. A deadline that
+// the caller stated as a time of day has none, so a step of the wall clock could move it.
 func (e *Executor) deadline(ctx context.Context) time.Time {
+	now := e.options.Clock()
 	if deadline, ok := ctx.Deadline(); ok {
-		return deadline
+		return now.Add(deadline.Sub(now))
 	}
-	return e.options.Clock().Add(e.options.Source.Current().Policy().DefaultDeadline())
+	return now.Add(e.options.Source.Current().Policy().DefaultDeadline())
 }
 
 // run sends a recorded call to replicas until one may have got it.
--- a/internal/once/table.go
+++ b/internal/once/table.go
@@ -36,7 +36,16 @@
 	done      chan struct{}
 	result    result
 	tombstone bool
-	finished  bool
+}
+
+// ended reports whether the result is set.
+func (r *record) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // table keeps the records of one incarnation. Its methods do not lock.
@@ -85,7 +94,6 @@
 
 func (t *table) finish(r *record, end result) {
 	r.result = end
-	r.finished = true
 	t.running--
 	t.openOf[r.account]--
 	if t.openOf[r.account] == 0 {
@@ -98,7 +106,7 @@
 
 // bury adds a tombstone. After its expiry a key is refused anyway, so a tombstone is dropped then.
 func (t *table) bury(key string, expiry time.Time, refusal *pond.Refusal) {
-	r := &record{key: key, expiry: expiry, dropAt: expiry, tombstone: true, finished: true}
+	r := &record{key: key, expiry: expiry, dropAt: expiry, tombstone: true}
 	r.result = result{refusal: refusal}
 	t.records[key] = r
 	t.tombstones++
