fakes: stand-ins for engines, plain services and the platform

Cause: the system needs engines, services, a configuration service, an instance list and a weight store to run against, in one process for tests and the demo and as processes of their own.

--- /dev/null
+++ b/internal/fakes/doc.go
@@ -0,0 +1,18 @@
+// Package fakes provides small stand-ins for the systems outside dragonflypond: model engines, plain services, the
+// configuration service, the instance list and the weight store.
+//
+// Each stand-in is a type with an http.Handler, so that tests and the demo command run them in one process and
+// cmd/standin runs each as a process of its own. Faults are switched by POST /faults, and POST /reset restores the
+// initial state.
+//
+// # Usage
+//
+//	engine := fakes.NewEngine(fakes.DefaultEngineConfig("draft-1"))
+//	defer engine.Close()
+//	server, err := fakes.Serve("127.0.0.1:0", engine)
+//	if err != nil {
+//		return err
+//	}
+//	defer server.Close()
+//	// Requests go to http://SERVER.Address()/v1/generations.
+package fakes
--- /dev/null
+++ b/internal/fakes/prompt.go
@@ -0,0 +1,62 @@
+package fakes
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"regexp"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// promptBytesPerToken is the number of prompt bytes that the stand-in counts as one token.
+const promptBytesPerToken = 4
+
+// Lengths that are not set by a directive follow a log-normal distribution with this median and spread: most outputs
+// are short and a few are many times longer.
+const (
+	medianLength = 120
+	lengthSigma  = 1.1
+)
+
+var lengthDirective = regexp.MustCompile(`\blength=(\d+)\b`)
+
+// PromptTokens returns the number of tokens of a prompt as the stand-in counts them, at least 1.
+func PromptTokens(prompt string) int {
+	return max(1, (len(prompt)+promptBytesPerToken-1)/promptBytesPerToken)
+}
+
+// OutputLength returns the number of tokens that a generation will have. A directive "length=N" in the prompt sets it;
+// otherwise it is drawn from a distribution seeded by seed and the generation ID. maxTokens bounds it unless zero.
+func OutputLength(prompt, generation string, maxTokens int, seed uint64) int {
+	length := directedLength(prompt)
+	if length == 0 {
+		random := rand.New(rand.NewPCG(seed, xxhash.Sum64String(generation)))
+		length = int(medianLength * math.Exp(lengthSigma*random.NormFloat64()))
+	}
+	length = max(1, length)
+	if maxTokens > 0 {
+		length = min(length, maxTokens)
+	}
+	return length
+}
+
+func directedLength(prompt string) int {
+	match := lengthDirective.FindStringSubmatch(prompt)
+	if match == nil {
+		return 0
+	}
+	length, err := strconv.Atoi(match[1])
+	if err != nil {
+		return 0
+	}
+	return length
+}
+
+// Tokens returns the function from an offset to the text of the token at that offset. The text names the prompt, the
+// generation and the offset, so that a reader can find lost, repeated and mixed tokens.
+func Tokens(prompt, generation string) func(offset int) string {
+	prefix := fmt.Sprintf("%08x.%08x:", uint32(xxhash.Sum64String(prompt)), uint32(xxhash.Sum64String(generation)))
+	return func(offset int) string { return prefix + strconv.Itoa(offset) + " " }
+}
