--- /dev/null
+++ b/internal/fakes/engine_test.go
@@ -0,0 +1,416 @@
+package fakes
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// answer is what a handler did with a request.
+type answer struct {
+	*httptest.ResponseRecorder
+	aborted bool
+}
+
+// call runs a request in this goroutine; a handler that closes the connection is reported as aborted.
+func call(ctx context.Context, h http.Handler, method, path, body string) (a answer) {
+	a.ResponseRecorder = httptest.NewRecorder()
+	defer func() {
+		if r := recover(); r != nil {
+			if r != http.ErrAbortHandler {
+				panic(r)
+			}
+			a.aborted = true
+		}
+	}()
+	h.ServeHTTP(a, httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body)))
+	return a
+}
+
+// start runs a request in a goroutine of its own.
+func start(ctx context.Context, h http.Handler, method, path, body string) <-chan answer {
+	done := make(chan answer, 1)
+	go func() { done <- call(ctx, h, method, path, body) }()
+	return done
+}
+
+func decode[T any](t *testing.T, a answer) T {
+	t.Helper()
+	var value T
+	if err := json.Unmarshal(a.Body.Bytes(), &value); err != nil {
+		t.Fatalf("status %d, body %q: %v", a.Code, a.Body, err)
+	}
+	return value
+}
+
+// texts returns the token texts of a stream and whether it ended with "done".
+func texts(t *testing.T, a answer) (tokens []string, done bool) {
+	t.Helper()
+	scanner := bufio.NewScanner(a.Body)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if line == "event: done" {
+			done = true
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || done {
+			continue
+		}
+		var event struct{ Text string }
+		if err := json.Unmarshal([]byte(data), &event); err != nil {
+			t.Fatal(err)
+		}
+		tokens = append(tokens, event.Text)
+	}
+	return tokens, done
+}
+
+func wantTexts(prompt, generation string, from, to int) []string {
+	text := Tokens(prompt, generation)
+	var want []string
+	for offset := from; offset < to; offset++ {
+		want = append(want, text(offset))
+	}
+	return want
+}
+
+func request(generation string, length int) string {
+	return fmt.Sprintf(`{"generation":%q,"prompt":"length=%d"}`, generation, length)
+}
+
+// withEngine runs f with an engine on virtual time. A step of one generation takes 11 ms.
+func withEngine(t *testing.T, change func(*EngineConfig), f func(ctx context.Context, e *Engine)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		config := DefaultEngineConfig("e")
+		config.Batch = testBatch
+		config.EventGap = 0
+		if change != nil {
+			change(&config)
+		}
+		e := NewEngine(config)
+		defer e.Close()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f(ctx, e)
+	})
+}
+
+func inject(t *testing.T, ctx context.Context, h http.Handler, fault string) {
+	t.Helper()
+	if a := call(ctx, h, "POST", "/faults", fault); a.Code != http.StatusNoContent {
+		t.Fatalf("fault %s: status %d: %s", fault, a.Code, a.Body)
+	}
+}
+
+// Guards against a stream that loses, repeats or reorders tokens, at first reading and after a resume.
+func TestEngineStreamAndResume(t *testing.T) {
+	withEngine(t, nil, func(ctx context.Context, e *Engine) {
+		a := call(ctx, e, "POST", "/v1/generations", request("g", 8))
+		if tokens, done := texts(t, a); !done || !slices.Equal(tokens, wantTexts("length=8", "g", 0, 8)) {
+			t.Errorf("stream: done %v, tokens %q", done, tokens)
+		}
+		for _, offset := range []int{0, 3, 8} {
+			a := call(ctx, e, "GET", fmt.Sprintf("/v1/generations/g?offset=%d", offset), "")
+			if tokens, done := texts(t, a); !done || !slices.Equal(tokens, wantTexts("length=8", "g", offset, 8)) {
+				t.Errorf("resume at %d: done %v, tokens %q", offset, done, tokens)
+			}
+		}
+	})
+}
+
+// Guards against answers to invalid requests that a caller can't tell from a lost generation.
+func TestEngineRefusals(t *testing.T) {
+	tests := []struct {
+		name, method, path, body string
+		status                   int
+	}{
+		{"unknown generation", "GET", "/v1/generations/none?offset=0", "", http.StatusNotFound},
+		{"cancel of an unknown generation", "DELETE", "/v1/generations/none", "", http.StatusNotFound},
+		{"offset beyond the output", "GET", "/v1/generations/g?offset=9", "", http.StatusRequestedRangeNotSatisfiable},
+		{"no offset", "GET", "/v1/generations/g", "", http.StatusBadRequest},
+		{"same ID twice", "POST", "/v1/generations", request("g", 1), http.StatusConflict},
+		{"no ID", "POST", "/v1/generations", `{"prompt":"x"}`, http.StatusBadRequest},
+		{"prompt larger than the memory", "POST", "/v1/generations",
+			`{"generation":"h","prompt":"` + strings.Repeat("x", 400) + `"}`, http.StatusRequestEntityTooLarge},
+		{"unknown fault", "POST", "/faults", `{"kind":"sleepy"}`, http.StatusBadRequest},
+		{"slow without a factor", "POST", "/faults", `{"kind":"slow"}`, http.StatusBadRequest},
+	}
+	withEngine(t, nil, func(ctx context.Context, e *Engine) {
+		call(ctx, e, "POST", "/v1/generations", request("g", 8))
+		for _, test := range tests {
+			if a := call(ctx, e, test.method, test.path, test.body); a.Code != test.status {
+				t.Errorf("%s: status %d, want %d: %s", test.name, a.Code, test.status, a.Body)
+			}
+		}
+	})
+}
+
+// Guards against two readers of one generation at the same time.
+func TestEngineNewReaderEndsOlder(t *testing.T) {
+	withEngine(t, nil, func(ctx context.Context, e *Engine) {
+		first := start(ctx, e, "POST", "/v1/generations", request("g", 20))
+		time.Sleep(115 * time.Millisecond)
+		second := start(ctx, e, "GET", "/v1/generations/g?offset=2", "")
+		a := <-first
+		if tokens, done := texts(t, a); !a.aborted || done || !slices.Equal(tokens, wantTexts("length=20", "g", 0, 10)) {
+			t.Errorf("older reader: aborted %v, done %v, %d tokens", a.aborted, done, len(tokens))
+		}
+		if tokens, done := texts(t, <-second); !done || !slices.Equal(tokens, wantTexts("length=20", "g", 2, 20)) {
+			t.Errorf("new reader: done %v, %d tokens", done, len(tokens))
+		}
+	})
+}
+
+// Guards against a cancelled generation that keeps its memory or can still be read.
+func TestEngineCancel(t *testing.T) {
+	withEngine(t, nil, func(ctx context.Context, e *Engine) {
+		stream := start(ctx, e, "POST", "/v1/generations", request("g", 20))
+		time.Sleep(50 * time.Millisecond)
+		if a := call(ctx, e, "DELETE", "/v1/generations/g", ""); a.Code != http.StatusNoContent {
+			t.Errorf("cancel: status %d", a.Code)
+		}
+		if a := <-stream; !a.aborted {
+			t.Error("the stream of a cancelled generation ended as if it were whole")
+		}
+		if a := call(ctx, e, "GET", "/v1/generations/g?offset=0", ""); a.Code != http.StatusNotFound {
+			t.Errorf("resume after cancel: status %d", a.Code)
+		}
+		if report := e.Report(); report.Running != 0 || report.UsedTokens != 0 {
+			t.Errorf("after cancel: %+v", report)
+		}
+	})
+}
+
+// Guards against a generation whose reader is gone and which the load report does not list.
+func TestEngineListsUnread(t *testing.T) {
+	withEngine(t, nil, func(ctx context.Context, e *Engine) {
+		readCtx, leave := context.WithCancel(ctx)
+		stream := start(readCtx, e, "POST", "/v1/generations", request("g", 50))
+		time.Sleep(50 * time.Millisecond)
+		if unread := e.Report().Unread; len(unread) != 0 {
+			t.Errorf("unread while read: %q", unread)
+		}
+		leave()
+		<-stream
+		if unread := e.Report().Unread; !slices.Equal(unread, []string{"g"}) {
+			t.Errorf("unread after the reader left: %q", unread)
+		}
+	})
+}
+
+// Guards against load reports that are newer than the configured lag, which would hide stale decisions.
+func TestEngineReportLags(t *testing.T) {
+	withEngine(t, nil, func(ctx context.Context, e *Engine) {
+		begin := time.Now()
+		start(ctx, e, "POST", "/v1/generations", request("g", 10))
+		for _, test := range []struct {
+			at      time.Duration
+			running int
+		}{{400 * time.Millisecond, 0}, {560 * time.Millisecond, 1}, {900 * time.Millisecond, 0}} {
+			time.Sleep(test.at - time.Since(begin))
+			report := decode[LoadReport](t, call(ctx, e, "GET", "/v1/load", ""))
+			if report.Running != test.running {
+				t.Errorf("at %v: %d running, want %d", test.at, report.Running, test.running)
+			}
+		}
+	})
+}
+
+// Guards against cache events that come early or without the configured gaps.
+func TestEngineCacheEvents(t *testing.T) {
+	prompt := strings.Repeat("p", 10*cacheBlockBytes)
+	body := `{"generation":"g","maxTokens":1,"prompt":"` + prompt + `"}`
+	for _, test := range []struct {
+		gap    float64
+		events int
+	}{{0, 10}, {1, 0}} {
+		withEngine(t, func(c *EngineConfig) {
+			c.EventGap = test.gap
+			c.Batch.MemoryTokens = 2000
+		}, func(ctx context.Context, e *Engine) {
+			call(ctx, e, "POST", "/v1/generations", body)
+			if events := decode[[]CacheEvent](t, call(ctx, e, "GET", "/v1/events?after=0", "")); len(events) != 0 {
+				t.Errorf("gap %g: %d events before the delay", test.gap, len(events))
+			}
+			time.Sleep(e.config.EventDelay)
+			events := decode[[]CacheEvent](t, call(ctx, e, "GET", "/v1/events?after=0", ""))
+			if len(events) != test.events {
+				t.Errorf("gap %g: %d events, want %d", test.gap, len(events), test.events)
+			}
+			rest := decode[[]CacheEvent](t, call(ctx, e, "GET", "/v1/events?after=4", ""))
+			if want := max(0, test.events-4); len(rest) != want {
+				t.Errorf("gap %g: %d events after 4, want %d", test.gap, len(rest), want)
+			}
+		})
+	}
+}
+
+// Guards against an old order that takes effect on an engine that checks fencing tokens, and against an engine that
+// should ignore the token but checks it.
+func TestEngineFencing(t *testing.T) {
+	const newer, older = `{"fence":5,"model":"m","version":"2","role":"serve"}`, `{"fence":4,"model":"m","version":"1","role":"serve"}`
+	for _, test := range []struct {
+		checks  bool
+		status  int
+		version string
+	}{{true, http.StatusConflict, "2"}, {false, http.StatusOK, "1"}} {
+		withEngine(t, func(c *EngineConfig) { c.ChecksFencing = test.checks }, func(ctx context.Context, e *Engine) {
+			call(ctx, e, "POST", "/v1/orders", newer)
+			if a := call(ctx, e, "POST", "/v1/orders", older); a.Code != test.status {
+				t.Errorf("checks %v: status %d, want %d", test.checks, a.Code, test.status)
+			}
+			if state := decode[EngineState](t, call(ctx, e, "GET", "/v1/state", "")); state.Version != test.version {
+				t.Errorf("checks %v: version %s, want %s", test.checks, state.Version, test.version)
+			}
+		})
+	}
+}
+
+// Guards against an engine that serves a model before it is loaded or one that it was not ordered to serve.
+func TestEngineLoadsModel(t *testing.T) {
+	withEngine(t, nil, func(ctx context.Context, e *Engine) {
+		generate := func(id, model string) int {
+			body := fmt.Sprintf(`{"generation":%q,"model":%q,"prompt":"length=1"}`, id, model)
+			return call(ctx, e, "POST", "/v1/generations", body).Code
+		}
+		order := `{"fence":1,"model":"m","version":"1","role":"serve"}`
+		call(ctx, e, "POST", "/v1/orders", order)
+		if got := generate("a", "m"); got != http.StatusServiceUnavailable {
+			t.Errorf("while loading: status %d", got)
+		}
+		time.Sleep(e.config.LoadTime)
+		if got := generate("b", "m"); got != http.StatusOK {
+			t.Errorf("after loading: status %d", got)
+		}
+		if got := generate("c", "other"); got != http.StatusNotFound {
+			t.Errorf("other model: status %d", got)
+		}
+		call(ctx, e, "POST", "/v1/orders", order)
+		if got := generate("d", "m"); got != http.StatusOK {
+			t.Errorf("after the same order: status %d", got)
+		}
+	})
+}
+
+// Guards against fault switches that do nothing or can't be cleared.
+func TestEngineFaults(t *testing.T) {
+	t.Run("leave", func(t *testing.T) {
+		withEngine(t, nil, func(ctx context.Context, e *Engine) {
+			stream := start(ctx, e, "POST", "/v1/generations", request("g", 8))
+			time.Sleep(20 * time.Millisecond)
+			inject(t, ctx, e, `{"kind":"leave"}`)
+			a := call(ctx, e, "POST", "/v1/generations", request("h", 8))
+			if a.Code != http.StatusServiceUnavailable || a.Header().Get("X-Leaving") != "true" {
+				t.Errorf("new work: status %d, X-Leaving %q", a.Code, a.Header().Get("X-Leaving"))
+			}
+			if tokens, done := texts(t, <-stream); !done || len(tokens) != 8 {
+				t.Errorf("running work: done %v, %d tokens", done, len(tokens))
+			}
+			inject(t, ctx, e, `{"kind":"none"}`)
+			if a := call(ctx, e, "POST", "/v1/generations", request("h", 8)); a.Code != http.StatusOK {
+				t.Errorf("after the fault: status %d", a.Code)
+			}
+		})
+	})
+	t.Run("slow", func(t *testing.T) {
+		withEngine(t, nil, func(ctx context.Context, e *Engine) {
+			inject(t, ctx, e, `{"kind":"slow","factor":10,"duration":"300ms"}`)
+			begin := time.Now()
+			call(ctx, e, "POST", "/v1/generations", request("g", 10))
+			// Steps that begin within 300 ms take 110 ms, the others 11 ms; the first one adds 3 prompt tokens.
+			if got, want := time.Since(begin), 3*110*time.Millisecond+3*time.Millisecond+7*11*time.Millisecond; got != want {
+				t.Errorf("took %v, want %v", got, want)
+			}
+		})
+	})
+	t.Run("freeze", func(t *testing.T) {
+		withEngine(t, nil, func(ctx context.Context, e *Engine) {
+			begin := time.Now()
+			stream := start(ctx, e, "POST", "/v1/generations", request("g", 4))
+			time.Sleep(30 * time.Millisecond)
+			inject(t, ctx, e, `{"kind":"freeze","duration":"2s"}`)
+			a := call(ctx, e, "GET", "/v1/load?lag=0", "")
+			if time.Since(begin) < 2*time.Second || a.Code != http.StatusOK {
+				t.Errorf("load report: status %d after %v", a.Code, time.Since(begin))
+			}
+			if tokens, done := texts(t, <-stream); !done || len(tokens) != 4 || time.Since(begin) < 2*time.Second {
+				t.Errorf("stream: done %v, %d tokens after %v", done, len(tokens), time.Since(begin))
+			}
+		})
+	})
+	t.Run("drop once", func(t *testing.T) {
+		withEngine(t, nil, func(ctx context.Context, e *Engine) {
+			stream := start(ctx, e, "POST", "/v1/generations", request("g", 20))
+			time.Sleep(50 * time.Millisecond)
+			inject(t, ctx, e, `{"kind":"drop"}`)
+			if a := <-stream; !a.aborted {
+				t.Error("the open stream was not dropped")
+			}
+			a := call(ctx, e, "GET", "/v1/generations/g?offset=0", "")
+			if tokens, done := texts(t, a); !done || len(tokens) != 20 {
+				t.Errorf("resume: done %v, %d tokens", done, len(tokens))
+			}
+		})
+	})
+	t.Run("drop by share", func(t *testing.T) {
+		withEngine(t, nil, func(ctx context.Context, e *Engine) {
+			inject(t, ctx, e, `{"kind":"drop","share":1}`)
+			if a := call(ctx, e, "POST", "/v1/generations", request("g", 20)); !a.aborted {
+				t.Error("the stream was not dropped")
+			}
+		})
+	})
+	t.Run("duplicate", func(t *testing.T) {
+		withEngine(t, nil, func(ctx context.Context, e *Engine) {
+			inject(t, ctx, e, `{"kind":"duplicate"}`)
+			tokens, done := texts(t, call(ctx, e, "POST", "/v1/generations", request("g", 5)))
+			if !done || len(tokens) != 10 || tokens[0] != tokens[1] || tokens[8] != tokens[9] {
+				t.Errorf("done %v, tokens %q", done, tokens)
+			}
+		})
+	})
+	t.Run("die", func(t *testing.T) {
+		withEngine(t, nil, func(ctx context.Context, e *Engine) {
+			died := false
+			e.OnDie(func() { died = true })
+			stream := start(ctx, e, "POST", "/v1/generations", request("g", 20))
+			time.Sleep(50 * time.Millisecond)
+			inject(t, ctx, e, `{"kind":"die"}`)
+			if a := <-stream; !a.aborted || !died {
+				t.Errorf("open stream aborted %v, server closed %v", a.aborted, died)
+			}
+			if a := call(ctx, e, "GET", "/v1/load", ""); !a.aborted {
+				t.Error("a dead engine answered")
+			}
+		})
+	})
+}
+
+// Guards against a second run of the same arrivals that begins with the state of the first.
+func TestEngineReset(t *testing.T) {
+	withEngine(t, nil, func(ctx context.Context, e *Engine) {
+		stream := start(ctx, e, "POST", "/v1/generations", request("g", 1000))
+		time.Sleep(50 * time.Millisecond)
+		inject(t, ctx, e, `{"kind":"leave"}`)
+		call(ctx, e, "POST", "/reset", "")
+		if a := <-stream; !a.aborted {
+			t.Error("the open stream was not closed")
+		}
+		report := e.Report()
+		if report.Running != 0 || report.Tokens != 0 || report.State != "ready" {
+			t.Errorf("after the reset: %+v", report)
+		}
+		if tokens, done := texts(t, call(ctx, e, "POST", "/v1/generations", request("g", 3))); !done || len(tokens) != 3 {
+			t.Errorf("new generation: done %v, %d tokens", done, len(tokens))
+		}
+	})
+}
