entry: one instance from its settings to its shutdown; serve and status commands

Cause: the modules need one owner that assembles them and passes an instance's phases in order. Change: internal/entry opens the sockets, registers the peer services and runs the shutdown: leaving, draining, stopped. The engine role of the stand-ins' manifest is "generate", the name that pkg/spec checks.

--- a/cmd/dragonflypond/main.go
+++ b/cmd/dragonflypond/main.go
@@ -16,6 +16,8 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(new(checkCommand), "operators")
+	subcommands.Register(new(serveCommand), "operators")
+	subcommands.Register(new(statusCommand), "operators")
 	subcommands.Register(new(versionCommand), "operators")
 	subcommands.Register(new(lookupCommand), "callers")
 	flag.Parse()
--- /dev/null
+++ b/cmd/dragonflypond/status.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+
+	"github.com/dragonflypond/dragonflypond/internal/entry"
+)
+
+// statusCommand asks an instance for what it knows and why.
+type statusCommand struct {
+	address string
+	asJSON  bool
+}
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "ask an instance for its state" }
+func (*statusCommand) Usage() string    { return "status [-address IP:PORT] [-json]\n" }
+
+func (c *statusCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.address, "address", "127.0.0.1:7000", "`IP:PORT` of the instance")
+	flags.BoolVar(&c.asJSON, "json", false, "print JSON")
+}
+
+func (c *statusCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var status entry.Status
+	if err := fetchJSON(ctx, c.address, "/v1/status", &status); err != nil {
+		printError("status", err)
+		return subcommands.ExitFailure
+	}
+	print := printStatus
+	if c.asJSON {
+		print = func(out io.Writer, status entry.Status) error { return printJSON(out, status) }
+	}
+	if err := print(os.Stdout, status); err != nil {
+		printError("status", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func printStatus(out io.Writer, s entry.Status) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(format string, values ...any) { fmt.Fprintf(table, format+"\n", values...) }
+	row("instance\t%s\t%s since %s", s.Instance, s.Phase, s.Started.Format("2006-01-02 15:04:05"))
+	row("manifest\t%d at revision %d\t%s, confirmed: %t", s.Manifest.Number, s.Manifest.Revision, s.Manifest.Phase, s.Manifest.Confirmed)
+	row("reports\t%+v\t", s.Manifest.Reports)
+	row("platform\t%d reads of the configuration service\tlist read %s", s.Manifest.ServiceReads, s.Manifest.ListRead.Format("15:04:05"))
+	row("work\t%d open generations, %d placements\t%d call records, %d tombstones, %d running", s.Work.OpenGenerations,
+		s.Work.Placements, s.Work.CallRecords, s.Work.CallTombstones, s.Work.CallsRunning)
+	row("closed\t%s\t", strings.Join(s.Closed, ", "))
+	for _, instance := range s.Instances {
+		row("member\t%s\t%s %s %s", instance.Instance, instance.State, instance.HTTPAddress, instance.DataCentre)
+	}
+	return table.Flush()
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -19,10 +19,7 @@
 // EnvPrefix precedes each environment variable of a setting.
 const EnvPrefix = "DRAGONFLYPOND"
 
-const (
-	defaultDrainLimit    = 10 * time.Minute
-	defaultEntryValidity = 15 * time.Second
-)
+const defaultDrainLimit = 10 * time.Minute
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
@@ -41,7 +38,6 @@
 	logLevel      string
 	logFormat     string
 	drainLimit    time.Duration
-	entryValidity time.Duration
 	placer        string
 }
 
@@ -60,7 +56,6 @@
 	flags.StringVar(&s.logLevel, "log-level", "info", "debug, info, warning or error")
 	flags.StringVar(&s.logFormat, "log-format", "json", "json or text")
 	flags.DurationVar(&s.drainLimit, "drain-limit", defaultDrainLimit, "time after which a shutdown hands streams over")
-	flags.DurationVar(&s.entryValidity, "entry-validity", defaultEntryValidity, "time for which callers may keep addresses")
 	flags.StringVar(&s.placer, "placer", "home", "home (shared decisions) or naive (round robin, for comparisons)")
 }
 
@@ -124,7 +119,6 @@
 		{"log-level", s.logLevel, "debug, info, warning or error", levelErr == nil},
 		{"log-format", s.logFormat, "json or text", s.logFormat == "json" || s.logFormat == "text"},
 		{"drain-limit", s.drainLimit.String(), "a duration of at least 0s", s.drainLimit >= 0},
-		{"entry-validity", s.entryValidity.String(), "1s to 5m", inRange(s.entryValidity, time.Second, 5*time.Minute)},
 		{"placer", s.placer, "home or naive", s.placer == "home" || s.placer == "naive"},
 	}
 	for _, r := range rules {
@@ -149,8 +143,6 @@
 	return true
 }
 
-func inRange(d, low, high time.Duration) bool { return d >= low && d <= high }
-
 // Instance returns the name of this instance.
 func (s *Settings) Instance() string { return s.instance }
 
@@ -186,9 +178,6 @@
 // DrainLimit returns the time after which a shutdown hands streams over instead of waiting for their end.
 func (s *Settings) DrainLimit() time.Duration { return s.drainLimit }
 
-// EntryValidity returns the time for which callers may keep the addresses of a lookup.
-func (s *Settings) EntryValidity() time.Duration { return s.entryValidity }
-
 // Naive reports whether the naive placer is used, which serves only as a baseline in measurements.
 func (s *Settings) Naive() bool { return s.placer == "naive" }
 
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,273 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+
+	"github.com/dragonflypond/dragonflypond/internal/config"
+	"github.com/dragonflypond/dragonflypond/internal/front"
+	"github.com/dragonflypond/dragonflypond/internal/grant"
+	"github.com/dragonflypond/dragonflypond/internal/member"
+	"github.com/dragonflypond/dragonflypond/internal/metric"
+	"github.com/dragonflypond/dragonflypond/internal/naive"
+	"github.com/dragonflypond/dragonflypond/internal/once"
+	"github.com/dragonflypond/dragonflypond/internal/peer"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/internal/watch"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// Entry is one entry instance.
+type Entry struct {
+	settings   *config.Settings
+	log        *logrus.Logger
+	lifecycle  lifecycle
+	started    time.Time
+	network    *peer.Network
+	listeners  listeners
+	members    *member.Member
+	watch      *watch.Watch
+	placer     *grant.Placer
+	executor   *once.Executor
+	front      *front.Front
+	metrics    *metric.Metrics
+	peerServer *peer.Server
+	httpServer *http.Server
+
+	shutdownOnce sync.Once
+	shutdown     chan struct{}
+	handOverOnce sync.Once
+	handOver     chan struct{}
+}
+
+// listeners are the sockets of an instance.
+type listeners struct {
+	http     net.Listener
+	peer     net.Listener
+	datagram net.PacketConn
+}
+
+// New opens the sockets and assembles an instance. Nothing is served before Run.
+func New(settings *config.Settings, log *logrus.Logger) (*Entry, error) {
+	network, err := peer.NewNetwork(settings.Secret())
+	if err != nil {
+		return nil, err
+	}
+	sockets, err := listen(settings)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		settings:  settings,
+		log:       log,
+		started:   time.Now(),
+		network:   network,
+		listeners: sockets,
+		metrics:   metric.New(),
+		shutdown:  make(chan struct{}),
+		handOver:  make(chan struct{}),
+	}
+	if err := e.assemble(); err != nil {
+		sockets.close()
+		return nil, err
+	}
+	return e, nil
+}
+
+func listen(settings *config.Settings) (listeners, error) {
+	var l listeners
+	var err error
+	if l.http, err = net.Listen("tcp", settings.HTTPAddress()); err != nil {
+		return l, errors.Wrap(err, "listen for callers")
+	}
+	if l.peer, err = net.Listen("tcp", settings.PeerAddress()); err != nil {
+		l.close()
+		return l, errors.Wrap(err, "listen for instances")
+	}
+	// The TCP listener decides the port if the setting leaves it open, so that both protocols share one address.
+	if l.datagram, err = net.ListenPacket("udp", l.peer.Addr().String()); err != nil {
+		l.close()
+		return l, errors.Wrap(err, "listen for datagrams")
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	if l.http != nil {
+		_ = l.http.Close()
+	}
+	if l.peer != nil {
+		_ = l.peer.Close()
+	}
+	if l.datagram != nil {
+		_ = l.datagram.Close()
+	}
+}
+
+// HTTPAddress returns the address on which callers reach the instance.
+func (e *Entry) HTTPAddress() string { return e.listeners.http.Addr().String() }
+
+// PeerAddress returns the address on which other instances reach it.
+func (e *Entry) PeerAddress() string { return e.listeners.peer.Addr().String() }
+
+// Phase returns the state of the instance's life.
+func (e *Entry) Phase() Phase { return e.lifecycle.current() }
+
+func (e *Entry) assemble() error {
+	self, err := e.self()
+	if err != nil {
+		return err
+	}
+	if err := e.assembleMembership(self); err != nil {
+		return err
+	}
+	e.assembleWork()
+	e.assembleFront()
+	return e.assembleServers()
+}
+
+func (e *Entry) self() (pond.Instance, error) {
+	var number [8]byte
+	if _, err := rand.Read(number[:]); err != nil {
+		return pond.Instance{}, errors.Wrap(err, "choose incarnation")
+	}
+	ref := pond.InstanceRef{
+		ID:          pond.InstanceID(e.settings.Instance()),
+		Incarnation: pond.Incarnation(binary.LittleEndian.Uint64(number[:])),
+	}
+	return pond.NewInstance(ref, pond.InstanceLive, e.HTTPAddress(), e.PeerAddress(),
+		e.settings.DataCentre(), e.settings.Region()), nil
+}
+
+func (e *Entry) assembleMembership(self pond.Instance) error {
+	var err error
+	e.members, err = member.New(member.Options{
+		Self:    self,
+		Network: e.network,
+		Conn:    e.listeners.datagram,
+		Seeds:   e.settings.Seeds(),
+		Logger:  e.log,
+	})
+	if err != nil {
+		return err
+	}
+	listURL := ""
+	if e.settings.ListAddress() != "" {
+		listURL = "http://" + e.settings.ListAddress()
+	}
+	e.watch, err = watch.New(watch.Options{
+		Member:     e.members,
+		Network:    e.network,
+		ServiceURL: "http://" + e.settings.ConfigAddress(),
+		ListURL:    listURL,
+		Logger:     e.log,
+	})
+	return err
+}
+
+func (e *Entry) assembleWork() {
+	e.placer = grant.New(grant.Options{
+		Manifests: e.watch,
+		Directory: e.members,
+		Backends:  e.watch,
+		Connect:   e.network.Conn,
+		Log:       e.log,
+	})
+	e.executor = once.New(once.Options{
+		Source:    e.watch,
+		Directory: e.members,
+		Backends:  e.watch,
+		Conn:      e.network.Conn,
+		MACKey:    e.network.MACKey(),
+		Logger:    e.log,
+	})
+}
+
+func (e *Entry) assembleFront() {
+	var placer pond.Placer = e.placer
+	if e.settings.Naive() {
+		placer = naive.NewPlacer(e.watch, e.watch)
+	}
+	e.front = front.New(front.Options{
+		Source:    e.watch,
+		Placer:    placer,
+		Directory: e.members,
+		MACKey:    e.network.MACKey(),
+		Executor:  e.executor,
+		RunKeys:   e.executor,
+		Conn:      e.network.Conn,
+		Backends:  e.watch,
+		Left:      e.watch.Leaving,
+		Ready:     func() bool { return e.Phase() == PhaseReady },
+		Accepting: func() bool { return e.Phase() <= PhaseLeaving },
+		Status:    http.HandlerFunc(e.serveStatus),
+		Metrics:   e.metrics,
+		Log:       e.log,
+	})
+	e.httpServer = front.NewServer(e.front)
+}
+
+func (e *Entry) assembleServers() error {
+	e.peerServer = e.network.NewServer()
+	mux := e.peerServer.Mux()
+	if err := e.members.Register(mux); err != nil {
+		return err
+	}
+	if err := e.watch.Register(mux); err != nil {
+		return err
+	}
+	return registerAll(mux,
+		func(mux drpc.Mux) error { return peerpb.DRPCRegisterScheduling(mux, e.placer) },
+		func(mux drpc.Mux) error { return peerpb.DRPCRegisterCalls(mux, e.executor) },
+		func(mux drpc.Mux) error { return peerpb.DRPCRegisterStreams(mux, e.front.Streams()) },
+	)
+}
+
+func registerAll(mux drpc.Mux, services ...func(drpc.Mux) error) error {
+	for _, register := range services {
+		if err := register(mux); err != nil {
+			return errors.Wrap(err, "register peer service")
+		}
+	}
+	return nil
+}
+
+// logPhase records a change of phase.
+func (e *Entry) logPhase(phase Phase) {
+	e.log.WithFields(logrus.Fields{
+		"instance": e.members.Self().Ref().String(),
+		"phase":    phase.String(),
+		"http":     e.HTTPAddress(),
+		"peer":     e.PeerAddress(),
+	}).Info("instance phase changed")
+}
+
+func (e *Entry) enter(phase Phase) {
+	e.lifecycle.advance(phase)
+	e.logPhase(phase)
+}
+
+// confirmed waits until the manifest is confirmed for the first time.
+func (e *Entry) confirmed(ctx context.Context) bool {
+	ticker := time.NewTicker(confirmationPoll)
+	defer ticker.Stop()
+	for !e.watch.Confirmed(time.Now()) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-e.shutdown:
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
--- a/internal/fakes/manifest.go
+++ b/internal/fakes/manifest.go
@@ -101,7 +101,7 @@
 	return EngineOrder{Model: c.Model, Version: ModelVersion, Role: engineRole}
 }
 
-const engineRole = "serve"
+const engineRole = "generate"
 
 type object map[string]any
 
