front: relay generations from engines to callers

Cause: Entry instances had no path from a caller to an engine. Change: Add the engine client with typed outcomes, the relay with offsets, cursors, failover, resume and release, the HTTP interface with its routes, authentication, limits and refusals, and the metrics of requests. Measured: go test -race ./internal/front passes (one streamed answer over HTTP).

--- /dev/null
+++ b/internal/front/services.go
@@ -0,0 +1,125 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+const servicesPrefix = "/services/"
+
+// hopHeaders are meaningful for one connection only (RFC 9110, section 7.6.1) and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// executorRefusal is a refusal by the executor, the only one that may answer "not run" for a keyed call.
+type executorRefusal struct{ *pond.Refusal }
+
+// Unwrap returns the refusal.
+func (e executorRefusal) Unwrap() error { return e.Refusal }
+
+// serviceLimited applies the account's limits to calls that may be repeated or hold no key. Keyed calls that may not be
+// repeated are limited by their executor only: a refusal here could not truly say "not run", because another copy of
+// the call may be running.
+func (f *Front) serviceLimited(next handler) handler {
+	limited := f.limited(next)
+	return func(w http.ResponseWriter, r *request) error {
+		if r.Header.Get(keyHeader) != "" && serviceRepeat(r) == spec.RepeatAtMostOnce {
+			return next(w, r)
+		}
+		return limited(w, r)
+	}
+}
+
+func serviceRepeat(r *request) spec.Repeat {
+	service, ok := r.manifest.Service(mux.Vars(r.Request)["service"])
+	if !ok {
+		return spec.RepeatAtMostOnce
+	}
+	repeat, _ := service.Repeat(r.Method, servicePath(r))
+	return repeat
+}
+
+// servicePath returns the path below the service's prefix with the query.
+func servicePath(r *request) string {
+	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPrefix), "/")
+	path = "/" + path
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+// callService hands a call to the executor.
+func (f *Front) callService(w http.ResponseWriter, r *request) error {
+	if f.options.Executor == nil {
+		return refuse(pond.ReasonNotReady, "this instance runs no calls to services")
+	}
+	deadline, err := r.deadline()
+	if err != nil {
+		return err
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	answer, err := f.options.Executor.Handle(ctx, pond.Call{
+		Account: r.account.Name(),
+		Service: mux.Vars(r.Request)["service"],
+		Method:  r.Method,
+		Path:    servicePath(r),
+		Header:  passedHeader(r.Header, "Authorization"),
+		Body:    body,
+		Key:     r.Header.Get(keyHeader),
+	})
+	if err != nil {
+		return fromExecutor(ctx, err)
+	}
+	header := w.Header()
+	for name, values := range passedHeader(answer.Header, "Content-Length") {
+		header[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+	return nil
+}
+
+// fromExecutor marks a refusal of the executor. Any other error of it proves nothing about the call.
+func fromExecutor(ctx context.Context, err error) error {
+	var refusal *pond.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		return executorRefusal{refusal}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return pond.NewRefusal(pond.ReasonDeadline, pond.RunUnknown, noTime, "the deadline passed before the answer")
+	default:
+		return err
+	}
+}
+
+// passedHeader returns the fields that are passed on.
+func passedHeader(header http.Header, without ...string) http.Header {
+	passed := header.Clone()
+	for _, field := range header.Values("Connection") {
+		for name := range strings.SplitSeq(field, ",") {
+			passed.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		passed.Del(name)
+	}
+	for _, name := range without {
+		passed.Del(name)
+	}
+	return passed
+}
--- /dev/null
+++ b/internal/metric/doc.go
@@ -0,0 +1,13 @@
+// Package metric holds the client_golang metrics of one entry instance.
+//
+// Label cardinality is bounded: work is labelled with the account's priority level and the work class, never with the
+// account's name, so that 10,000 client accounts add no series. Durations are in seconds.
+//
+// # Usage
+//
+//	metrics := metric.New()
+//	work := metrics.Work(account.Priority(), pond.ClassShort)
+//	work.FirstToken.Observe(elapsed.Seconds())
+//	metrics.Refused(pond.ReasonOverloaded)
+//	http.Handle("/metrics", metrics.Handler())
+package metric
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,103 @@
+package metric
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+const (
+	namespace = "dragonflypond"
+	// maxPriorityLevel bounds the label values that a manifest can cause; higher priorities share the last level.
+	maxPriorityLevel = 9
+)
+
+// Buckets in seconds. They are dense around the targets of 0.42 s for the first token and 46 ms between tokens.
+var (
+	waitBuckets  = []float64{.001, .005, .02, .05, .1, .2, .3, .42, .6, 1, 2, 5, 10, 30, 60}
+	gapBuckets   = []float64{.001, .005, .01, .02, .03, .046, .07, .1, .2, .5, 1, 2, 5, 10}
+	totalBuckets = []float64{.05, .1, .25, .5, 1, 2, 5, 10, 20, 60, 120, 300, 600, 1800, 3600}
+)
+
+// Metrics is the registry of an instance with the metrics of its callers' requests. It is safe for concurrent use.
+type Metrics struct {
+	registry   *prometheus.Registry
+	queueWait  *prometheus.HistogramVec
+	firstToken *prometheus.HistogramVec
+	tokenGap   *prometheus.HistogramVec
+	total      *prometheus.HistogramVec
+	tokens     *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
+	recoveries *prometheus.CounterVec
+}
+
+// Work holds the metrics of one priority level and work class.
+type Work struct {
+	QueueWait  prometheus.Observer
+	FirstToken prometheus.Observer
+	TokenGap   prometheus.Observer
+	Total      prometheus.Observer
+	Tokens     prometheus.Counter
+}
+
+// New returns metrics with a registry of their own.
+func New() *Metrics {
+	m := &Metrics{
+		registry:   prometheus.NewRegistry(),
+		queueWait:  histogram("queue_wait_seconds", "Time from the request to its placement.", waitBuckets),
+		firstToken: histogram("first_token_seconds", "Time from the request to its first token.", waitBuckets),
+		tokenGap:   histogram("token_gap_seconds", "Time between two tokens of a stream.", gapBuckets),
+		total:      histogram("request_seconds", "Time from the request to the end of its answer.", totalBuckets),
+		tokens:     counter("tokens_total", "Tokens delivered to callers.", "priority", "class"),
+		refusals:   counter("refusals_total", "Requests refused, by reason.", "reason"),
+		recoveries: counter("recoveries_total", "Interrupted generations, by what the relay did.", "action"),
+	}
+	m.registry.MustRegister(m.queueWait, m.firstToken, m.tokenGap, m.total, m.tokens, m.refusals, m.recoveries)
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return m
+}
+
+// Registry returns the registry, to which other modules add their metrics.
+func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
+
+// Handler serves the registry.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
+}
+
+// Work returns the metrics of a priority level and a work class.
+func (m *Metrics) Work(priority int, class pond.Class) *Work {
+	labels := []string{priorityLevel(priority), class.String()}
+	return &Work{
+		QueueWait:  m.queueWait.WithLabelValues(labels...),
+		FirstToken: m.firstToken.WithLabelValues(labels...),
+		TokenGap:   m.tokenGap.WithLabelValues(labels...),
+		Total:      m.total.WithLabelValues(labels...),
+		Tokens:     m.tokens.WithLabelValues(labels...),
+	}
+}
+
+// Refused counts a refusal.
+func (m *Metrics) Refused(reason pond.Reason) { m.refusals.WithLabelValues(reason.String()).Inc() }
+
+// Recovered counts a reaction to an interrupted generation: "resume", "failover", "rerun", "abandon" or "release".
+func (m *Metrics) Recovered(action string) { m.recoveries.WithLabelValues(action).Inc() }
+
+func priorityLevel(priority int) string {
+	return strconv.Itoa(min(max(priority, 0), maxPriorityLevel))
+}
+
+func histogram(name, help string, buckets []float64) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: buckets,
+	}, []string{"priority", "class"})
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
--- /dev/null
+++ b/internal/stream/backoff.go
@@ -0,0 +1,18 @@
+package stream
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// backoff returns the delay before the retry with the given number, beginning with 0: exponential, with half of it
+// random so that streams that broke together do not resume together.
+func backoff(retry int) time.Duration {
+	limit := min(minBackoff<<min(retry, 10), maxBackoff)
+	return limit/2 + rand.N(limit/2)
+}
--- /dev/null
+++ b/internal/stream/doc.go
@@ -0,0 +1,25 @@
+// Package stream relays generations from engines to callers.
+//
+// A Relay places a generation, starts it on the engine, and delivers its events to a Sink. It accepts only events of
+// its own generation and exactly the next offset. A broken connection is resumed on the same engine from the next
+// offset. An engine that fails before the first token was delivered is replaced by a new generation elsewhere; after
+// the first token only the same generation may go on, so that no caller sees tokens of two generations.
+//
+// Each delivered token carries a cursor. A caller that lost its connection presents the cursor to any instance, which
+// asks the relay named in it to release the generation. The first one to ask gets it.
+//
+// # Usage
+//
+//	relay := stream.NewRelay(stream.Options{
+//		Ref:     ref,
+//		Placer:  placer,
+//		Runner:  client,
+//		Cancel:  client,
+//		MACKey:  network.MACKey(),
+//		Address: addressOf,
+//	})
+//	err := relay.Generate(ctx, request, stream.SinkFunc(func(item stream.Item) error { ... }))
+//	if refusal, ok := errors.AsType[*pond.Refusal](err); ok {
+//		// Nothing was delivered to the sink.
+//	}
+package stream
--- /dev/null
+++ b/internal/stream/generate.go
@@ -0,0 +1,297 @@
+package stream
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/internal/engine"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// Request describes an answer that a caller asked for. It is a plain value without behavior.
+type Request struct {
+	Account string
+	Model   string
+	Version string
+	Adapter string
+	Prompt  string
+	Class   pond.Class
+	// Priority of the client account; larger is more important.
+	Priority     int
+	PromptTokens int
+	MaxTokens    int
+	PrefixHash   uint64
+	// Deadline ends waiting, failover and resume attempts. It must be set.
+	Deadline time.Time
+	// Format is carried in cursors, so that the resuming instance knows how to present the answer.
+	Format string
+}
+
+// Answer is a whole answer.
+type Answer struct {
+	Generation string
+	Text       string
+	Tokens     int
+}
+
+// Generate streams an answer to sink. If the error is not nil, nothing was delivered; it is a *pond.Refusal.
+func (r *Relay) Generate(ctx context.Context, req Request, sink Sink) error {
+	j := r.newJob(req, sink)
+	return j.do(ctx)
+}
+
+// Whole returns an answer when it is complete. The error is a *pond.Refusal. A generation that fails halfway is
+// replaced by a new one, as the caller has received nothing.
+func (r *Relay) Whole(ctx context.Context, req Request) (Answer, error) {
+	c := &collector{}
+	j := r.newJob(req, c)
+	j.whole = true
+	if err := j.do(ctx); err != nil {
+		return Answer{}, err
+	}
+	if c.last.Kind != ItemDone {
+		return Answer{}, j.refusal(c.last.Reason, c.last.Detail)
+	}
+	return Answer{Generation: c.last.Generation, Text: c.text.String(), Tokens: c.last.Tokens}, nil
+}
+
+// collector gathers a whole answer.
+type collector struct {
+	generation string
+	text       strings.Builder
+	last       Item
+}
+
+// Deliver implements Sink. Tokens of a replaced generation are discarded.
+func (c *collector) Deliver(item Item) error {
+	if item.Generation != c.generation {
+		c.generation = item.Generation
+		c.text.Reset()
+	}
+	c.text.WriteString(item.Text)
+	c.last = item
+	return nil
+}
+
+// job is one request with all of its generations.
+type job struct {
+	relay  *Relay
+	req    Request
+	sink   Sink
+	whole  bool
+	sealer *cursorSealer
+	timing timing
+	avoid  []string
+	// run is what is known about all generations so far.
+	run pond.RunState
+	// failures counts generations that failed.
+	failures int
+}
+
+func (r *Relay) newJob(req Request, sink Sink) *job {
+	work := r.options.Metrics.Work(req.Priority, req.Class)
+	return &job{
+		relay:  r,
+		req:    req,
+		sink:   sink,
+		sealer: newCursorSealer(r.options.MACKey),
+		timing: timing{work: work, arrived: time.Now()},
+		run:    pond.RunNo,
+	}
+}
+
+func (j *job) do(ctx context.Context) error {
+	ctx, leave := j.relay.table.enter(ctx)
+	defer leave()
+	defer func() { j.timing.work.Total.Observe(time.Since(j.timing.arrived).Seconds()) }()
+	for {
+		s, err := j.place(ctx)
+		if err != nil {
+			return err
+		}
+		if s == nil {
+			continue
+		}
+		again, err := j.finish(s, s.run(false))
+		if !again {
+			return err
+		}
+		j.failures++
+		if j.failures > 1 && !j.pause(ctx) {
+			return j.givenUp(ctx)
+		}
+	}
+}
+
+// place gets an engine and attaches a session. The session is nil if the engine stopped accepting work meanwhile.
+func (j *job) place(ctx context.Context) (*session, error) {
+	generation := j.relay.nextID()
+	asked := time.Now()
+	placement, err := j.ask(ctx, generation)
+	if err != nil {
+		return nil, err
+	}
+	j.timing.work.QueueWait.Observe(time.Since(asked).Seconds())
+	backend, address := placement.Backend()
+	if !j.relay.options.Backends.Accepting(backend) {
+		placement.Done(pond.PlacementEnd{BackendFailed: true}, time.Now())
+		j.avoid = append(j.avoid, backend)
+		return nil, nil
+	}
+	s := &session{
+		relay:     j.relay,
+		start:     j.engineRequest(generation),
+		account:   j.req.Account,
+		model:     j.req.Model,
+		format:    j.req.Format,
+		backend:   backend,
+		address:   address,
+		epoch:     1,
+		sequence:  sequence{generation: generation},
+		placement: placement,
+		deadline:  j.req.Deadline,
+		whole:     j.whole,
+		sink:      j.sink,
+		sealer:    j.sealer,
+		timing:    j.timing,
+	}
+	s.ctx, s.stop = context.WithCancelCause(ctx)
+	j.relay.table.attach(s)
+	return s, nil
+}
+
+func (j *job) engineRequest(generation string) engine.Generation {
+	return engine.Generation{
+		Generation: generation,
+		Model:      j.req.Model,
+		Version:    j.req.Version,
+		Adapter:    j.req.Adapter,
+		Prompt:     j.req.Prompt,
+		MaxTokens:  j.req.MaxTokens,
+		Priority:   j.req.Priority,
+	}
+}
+
+// ask calls the placer. It returns at the deadline even if the placer does not, so that a request that was given up on
+// is answered at once; a placement that arrives later is ended unused.
+func (j *job) ask(ctx context.Context, generation string) (pond.Placement, error) {
+	type result struct {
+		placement pond.Placement
+		err       error
+	}
+	limited, cancel := context.WithDeadline(ctx, j.req.Deadline)
+	defer cancel()
+	placed := make(chan result, 1)
+	go func() {
+		placement, err := j.relay.options.Placer.Place(limited, j.placeRequest(generation))
+		placed <- result{placement, err}
+	}()
+	select {
+	case r := <-placed:
+		if r.err != nil {
+			return nil, j.refused(ctx, r.err)
+		}
+		return r.placement, nil
+	case <-limited.Done():
+		go func() {
+			if r := <-placed; r.err == nil {
+				r.placement.Done(pond.PlacementEnd{}, time.Now())
+			}
+		}()
+		return nil, j.givenUp(ctx)
+	}
+}
+
+func (j *job) placeRequest(generation string) pond.PlaceRequest {
+	return pond.PlaceRequest{
+		Generation:   generation,
+		Account:      j.req.Account,
+		Model:        j.req.Model,
+		Version:      j.req.Version,
+		Adapter:      j.req.Adapter,
+		Class:        j.req.Class,
+		Priority:     j.req.Priority,
+		PromptTokens: j.req.PromptTokens,
+		MaxTokens:    j.req.MaxTokens,
+		PrefixHash:   j.req.PrefixHash,
+		Deadline:     j.req.Deadline,
+		Avoid:        j.avoid,
+	}
+}
+
+// refused translates an error of the placer. The run state covers all generations of the request, not only the last.
+func (j *job) refused(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, context.DeadlineExceeded) {
+		return j.givenUp(ctx)
+	}
+	var refusal *pond.Refusal
+	if !errors.As(err, &refusal) {
+		return j.refusal(pond.ReasonInternal, "placement failed: "+err.Error())
+	}
+	run := refusal.Run()
+	if j.run != pond.RunNo {
+		run = j.run
+	}
+	return pond.NewRefusal(refusal.Reason(), run, refusal.RetryAt(), refusal.Detail())
+}
+
+func (j *job) refusal(reason pond.Reason, detail string) *pond.Refusal {
+	return pond.NewRefusal(reason, j.run, time.Time{}, detail)
+}
+
+// givenUp returns the refusal of a request whose deadline passed or whose caller is gone.
+func (j *job) givenUp(ctx context.Context) error {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errMoved):
+		return j.refusal(pond.ReasonLeaving, "this instance is leaving")
+	case cause != nil:
+		return j.refusal(pond.ReasonCanceled, "the caller is gone")
+	}
+	return j.refusal(pond.ReasonDeadline, "the deadline passed before the first token")
+}
+
+// pause delays a generation after repeated failures. It reports false if the request was given up on meanwhile.
+func (j *job) pause(ctx context.Context) bool {
+	limited, cancel := context.WithDeadline(ctx, j.req.Deadline)
+	defer cancel()
+	return sleep(limited, backoff(j.failures))
+}
+
+// finish ends a session. again is true if a new generation should replace it.
+func (j *job) finish(s *session, end ending) (again bool, err error) {
+	defer s.stop(nil)
+	j.timing = s.timing
+	if end.failure == nil || !end.failure.NotRun() {
+		j.run = pond.RunUnknown
+	}
+	if end.kind == endLost && s.restartable() {
+		s.abandon(end)
+		j.relay.options.Metrics.Recovered("failover")
+		j.avoid = append(j.avoid, s.backend)
+		return true, nil
+	}
+	if s.sequence.next == 0 && end.kind != endDone {
+		s.abandon(end)
+		return false, j.unstarted(end)
+	}
+	s.end(end)
+	return false, nil
+}
+
+// unstarted returns the refusal of a request whose last generation ended without a token for a reason that rules out
+// another one.
+func (j *job) unstarted(end ending) error {
+	switch end.kind {
+	case endDeadline:
+		return j.refusal(pond.ReasonDeadline, "the deadline passed before the first token")
+	case endMoved:
+		return j.refusal(pond.ReasonLeaving, "this instance is leaving")
+	case endReleased:
+		return j.refusal(pond.ReasonSuperseded, "another reader took the generation")
+	default:
+		return j.refusal(pond.ReasonCanceled, "the caller is gone")
+	}
+}
--- /dev/null
+++ b/internal/stream/relay.go
@@ -0,0 +1,137 @@
+package stream
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypond/dragonflypond/internal/engine"
+	"github.com/dragonflypond/dragonflypond/internal/metric"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+const (
+	// defaultResumeLimit is how long an abandoned generation waits for its caller (design page, section 4.5).
+	defaultResumeLimit = 10 * time.Second
+	// defaultStallLimit is how long an engine may send nothing. A resume costs one request and does no harm if the
+	// engine is merely slow, so the limit is only a few times the slowest expected gap between tokens.
+	defaultStallLimit = 3 * time.Second
+	// releasedLimit is how long an instance remembers who took a generation.
+	releasedLimit = 10 * time.Minute
+	// cancelLimit bounds the attempts to cancel a generation; the pool's home cancels what is left over.
+	cancelLimit = 5 * time.Second
+)
+
+// ReleaseFunc asks the instance with the given peer address to release a generation.
+type ReleaseFunc func(ctx context.Context, peerAddress string, req *peerpb.ReleaseStreamRequest) (*peerpb.ReleaseStreamResponse, error)
+
+// Options configures a Relay.
+type Options struct {
+	// Ref names this instance in generation IDs and cursors.
+	Ref    pond.InstanceRef
+	Placer pond.Placer
+	Runner engine.Runner
+	Cancel engine.Canceler
+	// MACKey authenticates cursors; all instances of a deployment have the same one.
+	MACKey []byte
+	// Address returns the IP:PORT of a backend server named in a cursor.
+	Address func(backend string) (string, bool)
+	// Directory finds the relay named in a cursor. Nil means that this instance is alone.
+	Directory pond.Directory
+	// Release asks other instances for a generation. Nil means that this instance is alone.
+	Release ReleaseFunc
+	// Backends is consulted directly before each start. Nil accepts every backend server.
+	Backends pond.BackendView
+	// Left is called with the name of an engine that answered that it is leaving. It may be nil.
+	Left func(backend string)
+	// Metrics may be nil.
+	Metrics *metric.Metrics
+	// Log may be nil.
+	Log *logrus.Logger
+	// ResumeLimit and StallLimit have defaults of 10 s and 3 s.
+	ResumeLimit time.Duration
+	StallLimit  time.Duration
+}
+
+// Relay relays the generations of one instance. It is safe for concurrent use.
+type Relay struct {
+	options Options
+	// self is the text form of this instance's reference.
+	self    string
+	table   *table
+	serial  atomic.Uint64
+	cancels cancels
+}
+
+// NewRelay returns a relay.
+func NewRelay(options Options) *Relay {
+	if options.Metrics == nil {
+		options.Metrics = metric.New()
+	}
+	if options.Log == nil {
+		options.Log = logrus.StandardLogger()
+	}
+	if options.ResumeLimit == 0 {
+		options.ResumeLimit = defaultResumeLimit
+	}
+	if options.StallLimit == 0 {
+		options.StallLimit = defaultStallLimit
+	}
+	if options.Backends == nil {
+		options.Backends = pond.BackendViewFunc(func(string) bool { return true })
+	}
+	if options.Left == nil {
+		options.Left = func(string) {}
+	}
+	return &Relay{
+		options: options,
+		self:    options.Ref.String(),
+		table:   newTable(),
+		cancels: cancels{canceler: options.Cancel, log: options.Log},
+	}
+}
+
+// Open returns the number of requests in progress.
+func (r *Relay) Open() int {
+	callers, _ := r.table.waiting()
+	return len(callers)
+}
+
+// Drain waits until no request is in progress. When ctx ends first, every stream gets an ItemMove with its cursor,
+// requests without a token are refused, and Drain returns the error of ctx once all have ended.
+func (r *Relay) Drain(ctx context.Context) error {
+	if r.wait(ctx.Done()) {
+		r.cancels.wait()
+		return nil
+	}
+	callers, _ := r.table.waiting()
+	for _, c := range callers {
+		c.stop(errMoved)
+	}
+	// Sinks are bounded by the write deadline of the connection, so this ends.
+	r.wait(nil)
+	r.cancels.wait()
+	return ctx.Err()
+}
+
+func (r *Relay) wait(done <-chan struct{}) bool {
+	for {
+		callers, changed := r.table.waiting()
+		if len(callers) == 0 {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-done:
+			return false
+		}
+	}
+}
+
+func (r *Relay) nextID() string {
+	return r.self + "." + strconv.FormatUint(r.serial.Add(1), 10)
+}
