--- a/cmd/dragonflypond/status.go
+++ b/cmd/dragonflypond/status.go
@@ -46,12 +46,34 @@
 	return subcommands.ExitSuccess
 }
 
+// manifestReports describes what was wrong with published manifests.
+func manifestReports(manifest entry.ManifestStatus) []string {
+	kinds := []struct {
+		count int
+		kind  string
+		last  string
+	}{
+		{manifest.Reports.Invalid, "invalid manifests", manifest.Reports.LastInvalid},
+		{manifest.Reports.Conflicts, "conflicting manifests", manifest.Reports.LastConflict},
+		{manifest.Reports.Rollbacks, "manifests with a lower number", manifest.Reports.LastRollback},
+	}
+	var lines []string
+	for _, k := range kinds {
+		if k.count > 0 {
+			lines = append(lines, fmt.Sprintf("%d %s, last: %s", k.count, k.kind, k.last))
+		}
+	}
+	return lines
+}
+
 func printStatus(out io.Writer, s entry.Status) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	row := func(format string, values ...any) { fmt.Fprintf(table, format+"\n", values...) }
 	row("instance\t%s\t%s since %s", s.Instance, s.Phase, s.Started.Format("2006-01-02 15:04:05"))
 	row("manifest\t%d at revision %d\t%s, confirmed: %t", s.Manifest.Number, s.Manifest.Revision, s.Manifest.Phase, s.Manifest.Confirmed)
-	row("reports\t%+v\t", s.Manifest.Reports)
+	for _, report := range manifestReports(s.Manifest) {
+		row("report\t%s\t", report)
+	}
 	row("platform\t%d reads of the configuration service\tlist read %s", s.Manifest.ServiceReads, s.Manifest.ListRead.Format("15:04:05"))
 	row("work\t%d open generations, %d placements\t%d call records, %d tombstones, %d running", s.Work.OpenGenerations,
 		s.Work.Placements, s.Work.CallRecords, s.Work.CallTombstones, s.Work.CallsRunning)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,6 +20,7 @@
 	subcommands.Register(&configCommand{}, "")
 	subcommands.Register(&listCommand{}, "")
 	subcommands.Register(&weightsCommand{}, "")
+	subcommands.Register(&manifestCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
