--- a/cmd/dragonflypond/status.go
+++ b/cmd/dragonflypond/status.go
@@ -81,5 +81,8 @@
 	for _, instance := range s.Instances {
 		row("member\t%s\t%s %s %s", instance.Instance, instance.State, instance.HTTPAddress, instance.DataCentre)
 	}
+	for _, refusal := range s.Refusals {
+		row("refusal\t%s %s\t%s %s: %s", refusal.At.Format("15:04:05"), refusal.Account, refusal.Class, refusal.Reason, refusal.Detail)
+	}
 	return table.Flush()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,7 @@
 	members    *member.Member
 	watch      *watch.Watch
 	placer     *grant.Placer
+	placeLog   *placeLog
 	executor   *once.Executor
 	front      *front.Front
 	metrics    *metric.Metrics
@@ -197,9 +198,10 @@
 	if e.settings.Naive() {
 		placer = naive.NewPlacer(e.watch, e.watch)
 	}
+	e.placeLog = newPlaceLog(placer, e.log)
 	e.front = front.New(front.Options{
 		Source:    e.watch,
-		Placer:    placer,
+		Placer:    e.placeLog,
 		Directory: e.members,
 		MACKey:    e.network.MACKey(),
 		Executor:  e.executor,
--- /dev/null
+++ b/internal/entry/placelog.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// keptRefusals is the number of refusals that the status page shows.
+const keptRefusals = 20
+
+// RefusalStatus describes one refused placement.
+type RefusalStatus struct {
+	At         time.Time     `json:"at"`
+	Generation string        `json:"generation"`
+	Account    string        `json:"account"`
+	Class      pond.Class    `json:"class"`
+	Reason     pond.Reason   `json:"reason"`
+	Run        pond.RunState `json:"run"`
+	Detail     string        `json:"detail"`
+}
+
+// placeLog logs each decision of the placer that it decorates and keeps the last refusals.
+type placeLog struct {
+	next     pond.Placer
+	log      *logrus.Logger
+	refusals *ring[RefusalStatus]
+}
+
+func newPlaceLog(next pond.Placer, log *logrus.Logger) *placeLog {
+	return &placeLog{next: next, log: log, refusals: newRing[RefusalStatus](keptRefusals)}
+}
+
+// Place implements pond.Placer.
+func (p *placeLog) Place(ctx context.Context, req pond.PlaceRequest) (pond.Placement, error) {
+	arrived := time.Now()
+	placement, err := p.next.Place(ctx, req)
+	fields := logrus.Fields{
+		"generation": req.Generation,
+		"account":    req.Account,
+		"model":      req.Model,
+		"class":      req.Class.String(),
+		"wait":       time.Since(arrived).String(),
+	}
+	if err != nil {
+		p.refused(req, err, fields)
+		return nil, err
+	}
+	fields["backend"], _ = placement.Backend()
+	p.log.WithFields(fields).Debug("generation placed")
+	return placement, nil
+}
+
+func (p *placeLog) refused(req pond.PlaceRequest, err error, fields logrus.Fields) {
+	var refusal *pond.Refusal
+	if !errors.As(err, &refusal) {
+		p.log.WithFields(fields).WithError(err).Warn("generation not placed")
+		return
+	}
+	fields["reason"] = refusal.Reason().String()
+	p.log.WithFields(fields).Debug("generation refused")
+	p.refusals.add(RefusalStatus{
+		At:         time.Now(),
+		Generation: req.Generation,
+		Account:    req.Account,
+		Class:      req.Class,
+		Reason:     refusal.Reason(),
+		Run:        refusal.Run(),
+		Detail:     refusal.Detail(),
+	})
+}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -21,6 +21,8 @@
 	Closed []string    `json:"closed"`
 	Work   WorkStatus  `json:"work"`
 	Bytes  BytesStatus `json:"bytes"`
+	// Refusals are the last refused placements, the oldest first.
+	Refusals []RefusalStatus `json:"refusals"`
 }
 
 // ManifestStatus describes the manifest in effect and how it was confirmed.
@@ -86,7 +88,8 @@
 			CallTombstones:  tombstones,
 			CallsRunning:    running,
 		},
-		Bytes: BytesStatus{Sent: members.SentBytes, Received: members.ReceivedBytes},
+		Bytes:    BytesStatus{Sent: members.SentBytes, Received: members.ReceivedBytes},
+		Refusals: e.placeLog.refusals.list(),
 	}
 }
 
