--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -118,7 +118,7 @@
 	e.lock.Lock()
 	defer e.lock.Unlock()
 	for _, g := range e.generations {
-		g.endReader()
+		g.endReader(endCanceled)
 	}
 	e.clear()
 }
@@ -346,7 +346,7 @@
 		return
 	}
 	e.batch.Cancel(g.job)
-	g.endReader()
+	g.endReader(endCanceled)
 	delete(e.generations, g.job.ID())
 	w.WriteHeader(http.StatusNoContent)
 }
