--- /dev/null
+++ b/cmd/pondload/commands.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/dragonflypond/dragonflypond/internal/load"
+)
+
+type runCommand struct {
+	options
+	entries addresses
+	slow    bool
+}
+
+// Name implements subcommands.Command.
+func (*runCommand) Name() string { return "run" }
+
+// Synopsis implements subcommands.Command.
+func (*runCommand) Synopsis() string { return "send one run to a set of entry addresses" }
+
+// Usage implements subcommands.Command.
+func (*runCommand) Usage() string {
+	return "run -entries IP:PORT,... [flags]: send one run to a set of entry addresses\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *runCommand) SetFlags(f *flag.FlagSet) {
+	c.options.SetFlags(f)
+	f.Var(&c.entries, "entries", "comma-separated `IP:PORT` of entry instances")
+	f.BoolVar(&c.slow, "slow", false, "slow a quarter of the engines tenfold for moments")
+}
+
+// Execute implements subcommands.Command.
+func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var slow *load.Slow
+	if c.slow {
+		slow = load.DefaultSlow()
+	}
+	return c.run(ctx, func() []load.Target {
+		return []load.Target{c.target("run", c.entries, slow)}
+	})
+}
+
+type compareCommand struct {
+	options
+	naive   addresses
+	current addresses
+	slow    bool
+}
+
+// Name implements subcommands.Command.
+func (*compareCommand) Name() string { return "compare" }
+
+// Synopsis implements subcommands.Command.
+func (*compareCommand) Synopsis() string {
+	return "send the same arrivals to the naive version and the current one"
+}
+
+// Usage implements subcommands.Command.
+func (*compareCommand) Usage() string {
+	return "compare -naive IP:PORT,... -current IP:PORT,... [flags]: send the same arrivals to both, one after the other,\n" +
+		"with engines reset between them; the ratio is naive divided by current\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *compareCommand) SetFlags(f *flag.FlagSet) {
+	c.options.SetFlags(f)
+	f.Var(&c.naive, "naive", "comma-separated `IP:PORT` of naive entry instances")
+	f.Var(&c.current, "current", "comma-separated `IP:PORT` of current entry instances")
+	f.BoolVar(&c.slow, "slow", false, "slow a quarter of the engines tenfold for moments")
+}
+
+// Execute implements subcommands.Command.
+func (c *compareCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	var slow *load.Slow
+	if c.slow {
+		slow = load.DefaultSlow()
+	}
+	return c.run(ctx, func() []load.Target {
+		return []load.Target{c.target("naive", c.naive, slow), c.target("current", c.current, slow)}
+	})
+}
+
+type stragglersCommand struct {
+	options
+	entries addresses
+}
+
+// Name implements subcommands.Command.
+func (*stragglersCommand) Name() string { return "stragglers" }
+
+// Synopsis implements subcommands.Command.
+func (*stragglersCommand) Synopsis() string {
+	return "send the same arrivals with and without slowed engines"
+}
+
+// Usage implements subcommands.Command.
+func (*stragglersCommand) Usage() string {
+	return "stragglers -entries IP:PORT,... [flags]: send the same arrivals while a quarter of the engines is slowed tenfold\n" +
+		"for moments and while none is; the ratio is slowed divided by none slowed\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *stragglersCommand) SetFlags(f *flag.FlagSet) {
+	c.options.SetFlags(f)
+	f.Var(&c.entries, "entries", "comma-separated `IP:PORT` of entry instances")
+}
+
+// Execute implements subcommands.Command.
+func (c *stragglersCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.run(ctx, func() []load.Target {
+		return []load.Target{
+			c.target("slowed", c.entries, load.DefaultSlow()),
+			c.target("none slowed", c.entries, nil),
+		}
+	})
+}
--- a/internal/fakes/prompt.go
+++ b/internal/fakes/prompt.go
@@ -6,8 +6,10 @@
 	"math/rand/v2"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 )
 
 // promptBytesPerToken is the number of prompt bytes that the stand-in counts as one token.
@@ -60,3 +62,51 @@
 	prefix := fmt.Sprintf("%08x.%08x:", uint32(xxhash.Sum64String(prompt)), uint32(xxhash.Sum64String(generation)))
 	return func(offset int) string { return prefix + strconv.Itoa(offset) + " " }
 }
+
+// Checker checks the texts of one answer. It finds lost, repeated and reordered tokens and tokens of another prompt or
+// of a second generation.
+type Checker struct {
+	prompt     string
+	generation string
+	next       int
+}
+
+// NewChecker returns a checker of the answer to a prompt.
+func NewChecker(prompt string) *Checker {
+	return &Checker{prompt: fmt.Sprintf("%08x", uint32(xxhash.Sum64String(prompt)))}
+}
+
+// Tokens returns the number of tokens that were accepted.
+func (c *Checker) Tokens() int { return c.next }
+
+// Add checks a text of one or more whole tokens that follows the texts added before.
+func (c *Checker) Add(text string) error {
+	for token := range strings.FieldsSeq(text) {
+		if err := c.add(token); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Checker) add(token string) error {
+	prompt, rest, _ := strings.Cut(token, ".")
+	generation, offset, ok := strings.Cut(rest, ":")
+	if !ok {
+		return errors.Errorf("%q is not a token", token)
+	}
+	if prompt != c.prompt {
+		return errors.Errorf("token %q belongs to another prompt", token)
+	}
+	if c.next == 0 {
+		c.generation = generation
+	}
+	if generation != c.generation {
+		return errors.Errorf("token %q belongs to another generation", token)
+	}
+	if offset != strconv.Itoa(c.next) {
+		return errors.Errorf("token %q came in place of token %d", token, c.next)
+	}
+	c.next++
+	return nil
+}
--- /dev/null
+++ b/internal/load/recorder.go
@@ -0,0 +1,145 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Histograms count microseconds up to maxLatency with three significant digits.
+const (
+	maxLatency        = 10 * time.Minute
+	significantDigits = 3
+	// maxViolations bounds the violations that a report lists in full.
+	maxViolations = 10
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), significantDigits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// RecordValue fails only for values beyond the bounds that are applied here.
+	_ = h.RecordValue(min(max(d.Microseconds(), 0), maxLatency.Microseconds()))
+}
+
+// kindStats are the results of one kind of request.
+type kindStats struct {
+	offered, whole, onTime int
+	tokens                 int64
+	// firstToken, answer and tokenTime count from the intended send time, firstTokenSent from the send.
+	firstToken, firstTokenSent, answer, tokenTime *hdrhistogram.Histogram
+}
+
+// recorder gathers the results of a run.
+type recorder struct {
+	plan Plan
+
+	mu             sync.Mutex
+	kinds          map[Kind]*kindStats
+	gaps           *hdrhistogram.Histogram
+	sendDelay      *hdrhistogram.Histogram
+	refusals       map[string]int
+	violations     []string
+	violationCount int
+	retries        int
+	resumes        int
+	peak           PeakReport
+	timeline       []Second
+	charges        []chargeLog
+}
+
+func newRecorder(plan Plan) *recorder {
+	r := &recorder{
+		plan:      plan,
+		kinds:     make(map[Kind]*kindStats),
+		gaps:      newHistogram(),
+		sendDelay: newHistogram(),
+		refusals:  make(map[string]int),
+		timeline:  make([]Second, int(plan.Duration/time.Second)+1),
+	}
+	for _, kind := range KindValues() {
+		r.kinds[kind] = &kindStats{
+			firstToken:     newHistogram(),
+			firstTokenSent: newHistogram(),
+			answer:         newHistogram(),
+			tokenTime:      newHistogram(),
+		}
+	}
+	return r
+}
+
+// gap records the time between two tokens of one answer.
+func (r *recorder) gap(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record(r.gaps, d)
+}
+
+func (r *recorder) add(o *outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record(r.sendDelay, o.sent-o.arrival.At)
+	r.retries += o.retries
+	r.resumes += o.resumes
+	r.addKind(o)
+	r.addInterval(o)
+	if !o.whole {
+		r.addFailure(o)
+	}
+	if o.arrival.Kind == KindCharge {
+		r.charges = append(r.charges, o.charge)
+	}
+}
+
+func (r *recorder) addKind(o *outcome) {
+	k := r.kinds[o.arrival.Kind]
+	k.offered++
+	k.tokens += int64(o.tokens)
+	if o.firstToken > 0 {
+		record(k.firstToken, o.firstToken-o.arrival.At)
+		record(k.firstTokenSent, o.firstToken-o.sent)
+	}
+	if !o.whole {
+		return
+	}
+	k.whole++
+	record(k.answer, o.ended-o.arrival.At)
+	if o.tokens > 0 {
+		record(k.tokenTime, (o.ended-o.arrival.At)/time.Duration(o.tokens))
+	}
+	if o.onTime() {
+		k.onTime++
+	}
+}
+
+func (r *recorder) addInterval(o *outcome) {
+	second := &r.timeline[o.arrival.At/time.Second]
+	second.Offered++
+	from, to := r.plan.Peak()
+	inPeak := o.arrival.At >= from && o.arrival.At < to
+	if inPeak {
+		r.peak.Offered++
+	}
+	switch {
+	case o.onTime():
+		second.OnTime++
+		if inPeak {
+			r.peak.OnTime++
+		}
+	case !o.whole:
+		second.Failed++
+	}
+}
+
+func (r *recorder) addFailure(o *outcome) {
+	if o.violation == "" {
+		r.refusals[o.refusal]++
+		return
+	}
+	r.violationCount++
+	if len(r.violations) < maxViolations {
+		r.violations = append(r.violations, o.violation)
+	}
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,187 @@
+package load
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Latency summarises a histogram in milliseconds.
+type Latency struct {
+	Count     int64   `json:"count"`
+	P50Millis float64 `json:"p50Millis"`
+	P95Millis float64 `json:"p95Millis"`
+	P99Millis float64 `json:"p99Millis"`
+	MaxMillis float64 `json:"maxMillis"`
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	millis := func(micros int64) float64 { return float64(micros) / 1000 }
+	return Latency{
+		Count:     h.TotalCount(),
+		P50Millis: millis(h.ValueAtPercentile(50)),
+		P95Millis: millis(h.ValueAtPercentile(95)),
+		P99Millis: millis(h.ValueAtPercentile(99)),
+		MaxMillis: millis(h.Max()),
+	}
+}
+
+// KindReport holds the results of one kind of request.
+type KindReport struct {
+	Kind    Kind  `json:"kind"`
+	Offered int   `json:"offered"`
+	Whole   int   `json:"whole"`
+	OnTime  int   `json:"onTime"`
+	Tokens  int64 `json:"tokens"`
+	// FirstToken counts from the intended send time, FirstTokenSent from the send.
+	FirstToken     Latency `json:"firstToken"`
+	FirstTokenSent Latency `json:"firstTokenSent"`
+	// Answer is the time from the intended send time to the end of whole answers.
+	Answer Latency `json:"answer"`
+	// TokenTime is Answer divided by the number of tokens: the time between tokens from the intended send time.
+	TokenTime Latency `json:"tokenTime"`
+}
+
+// PeakReport holds the results of the arrivals at the peak.
+type PeakReport struct {
+	Offered int `json:"offered"`
+	// OnTime is the number of answers that were whole and on time.
+	OnTime int `json:"onTime"`
+}
+
+// Share returns the share of answers that were whole and on time.
+func (p PeakReport) Share() float64 { return ratio(float64(p.OnTime), float64(p.Offered)) }
+
+// Second holds the results of the arrivals of one second.
+type Second struct {
+	Offered int `json:"offered"`
+	OnTime  int `json:"onTime"`
+	Failed  int `json:"failed"`
+}
+
+// EngineReport sums the counters of the engines over a run.
+type EngineReport struct {
+	Tokens           int64 `json:"tokens"`
+	Preemptions      int64 `json:"preemptions"`
+	StallMillis      int64 `json:"stallMillis"`
+	RecomputedTokens int64 `json:"recomputedTokens"`
+	// Unreachable is the number of engines whose counters could not be read.
+	Unreachable int `json:"unreachable"`
+}
+
+// ChargeReport compares what callers of charges were told with the executions that the services counted.
+type ChargeReport struct {
+	Offered  int `json:"offered"`
+	Answered int `json:"answered"`
+	// Executed is the number of charges that ran at least once.
+	Executed int `json:"executed"`
+	// Doubled is the number of charges that ran more than once, under whatever keys.
+	Doubled int `json:"doubled"`
+	// FalseNotRun is the number of keys that ran although a caller was told "not run".
+	FalseNotRun int `json:"falseNotRun"`
+	// AnsweredNotRun is the number of charges that a caller was told had run and that no service counted.
+	AnsweredNotRun int `json:"answeredNotRun"`
+	// Unreachable is the number of services whose executions could not be read.
+	Unreachable int `json:"unreachable"`
+}
+
+// Report holds the results of one run.
+type Report struct {
+	Target          string       `json:"target"`
+	Plan            Plan         `json:"plan"`
+	DurationSeconds float64      `json:"durationSeconds"`
+	Slowed          bool         `json:"slowed"`
+	Kinds           []KindReport `json:"kinds"`
+	// Gap is the time between two tokens as the caller receives them.
+	Gap  Latency    `json:"gap"`
+	Peak PeakReport `json:"peak"`
+	// SendDelay is how late the generator sent requests. The run is open-loop only if it stays small.
+	SendDelay Latency        `json:"sendDelay"`
+	Refusals  map[string]int `json:"refusals"`
+	// Violations counts answers with lost, repeated, reordered or mixed tokens; ViolationTexts lists the first ones.
+	Violations     int          `json:"violations"`
+	ViolationTexts []string     `json:"violationTexts,omitempty"`
+	Retries        int          `json:"retries"`
+	Resumes        int          `json:"resumes"`
+	Engines        EngineReport `json:"engines"`
+	Charges        ChargeReport `json:"charges"`
+	Timeline       []Second     `json:"timeline"`
+}
+
+// Kind returns the results of one kind of request.
+func (r *Report) Kind(kind Kind) KindReport { return r.Kinds[kind] }
+
+func (r *recorder) report(target Target) *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := &Report{
+		Target:          target.Name,
+		Plan:            r.plan,
+		DurationSeconds: r.plan.Duration.Seconds(),
+		Slowed:          target.Slow != nil,
+		Gap:             latency(r.gaps),
+		Peak:            r.peak,
+		SendDelay:       latency(r.sendDelay),
+		Refusals:        maps.Clone(r.refusals),
+		Violations:      r.violationCount,
+		ViolationTexts:  slices.Clone(r.violations),
+		Retries:         r.retries,
+		Resumes:         r.resumes,
+		Timeline:        slices.Clone(r.timeline),
+	}
+	for _, kind := range KindValues() {
+		k := r.kinds[kind]
+		report.Kinds = append(report.Kinds, KindReport{
+			Kind:           kind,
+			Offered:        k.offered,
+			Whole:          k.whole,
+			OnTime:         k.onTime,
+			Tokens:         k.tokens,
+			FirstToken:     latency(k.firstToken),
+			FirstTokenSent: latency(k.firstTokenSent),
+			Answer:         latency(k.answer),
+			TokenTime:      latency(k.tokenTime),
+		})
+	}
+	return report
+}
+
+// chargeReport compares the callers' logs with the executions counted under each key.
+func chargeReport(logs []chargeLog, executions map[string]int) ChargeReport {
+	report := ChargeReport{Offered: len(logs)}
+	byCharge := make(map[string]int)
+	for key, count := range executions {
+		byCharge[chargeOfKey(key)] += count
+	}
+	for name, count := range byCharge {
+		if len(name) == 0 || name[0] != 'c' {
+			continue // A lookup.
+		}
+		report.Executed++
+		if count > 1 {
+			report.Doubled++
+		}
+	}
+	for _, log := range logs {
+		for _, key := range log.answered {
+			report.Answered++
+			if byCharge[chargeOfKey(key)] == 0 {
+				report.AnsweredNotRun++
+			}
+		}
+		for _, key := range log.notRun {
+			if executions[key] > 0 {
+				report.FalseNotRun++
+			}
+		}
+	}
+	return report
+}
+
+func ratio(x, y float64) float64 {
+	if y == 0 {
+		return 0
+	}
+	return x / y
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,176 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/internal/fakes"
+)
+
+// controlTimeout bounds one request to a stand-in's control paths.
+const controlTimeout = 5 * time.Second
+
+// Run resets the stand-ins of the target, sends the arrivals of the plan and returns the results.
+func Run(ctx context.Context, plan Plan, target Target) (*Report, error) {
+	arrivals, err := plan.Arrivals()
+	if err != nil {
+		return nil, err
+	}
+	if len(target.Entries) == 0 {
+		return nil, errors.New("the target has no entry addresses")
+	}
+	control := &control{client: &http.Client{Timeout: controlTimeout}}
+	defer control.client.CloseIdleConnections()
+	if err := control.reset(ctx, target); err != nil {
+		return nil, err
+	}
+	recorder := newRecorder(plan)
+	caller := newCaller(newClient(), plan, target, recorder, time.Now())
+	defer caller.client.CloseIdleConnections()
+	stopSlow := control.slow(ctx, plan, target)
+	err = caller.sendAll(ctx, arrivals)
+	stopSlow()
+	if err != nil {
+		return nil, err
+	}
+	report := recorder.report(target)
+	report.Engines = control.engines(ctx, target)
+	executions, unreachable := control.executions(ctx, target)
+	report.Charges = chargeReport(recorder.charges, executions)
+	report.Charges.Unreachable = unreachable
+	return report, nil
+}
+
+// sendAll sends each arrival at its intended time and waits until all callers have an answer or gave up.
+func (c *caller) sendAll(ctx context.Context, arrivals []Arrival) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for _, arrival := range arrivals {
+		timer.Reset(time.Until(c.begin.Add(arrival.At)))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "run ended early")
+		}
+		group.Go(func() { c.serve(ctx, arrival) })
+	}
+	return nil
+}
+
+// control talks to the control paths of stand-ins.
+type control struct {
+	client *http.Client
+}
+
+func (c *control) do(ctx context.Context, method, url, body string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "create control request")
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "control request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("%s %s: status %d", method, url, resp.StatusCode)
+	}
+	if into == nil {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), url)
+}
+
+func (c *control) reset(ctx context.Context, target Target) error {
+	for _, addresses := range [][]string{target.Engines, target.Services} {
+		for _, address := range addresses {
+			if err := c.do(ctx, http.MethodPost, "http://"+address+"/reset", "", nil); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *control) engines(ctx context.Context, target Target) EngineReport {
+	var sum EngineReport
+	for _, address := range target.Engines {
+		var load fakes.LoadReport
+		if err := c.do(ctx, http.MethodGet, "http://"+address+"/v1/load?lag=0", "", &load); err != nil {
+			sum.Unreachable++
+			continue
+		}
+		sum.Tokens += load.Tokens
+		sum.Preemptions += load.Preemptions
+		sum.StallMillis += load.StallMillis
+		sum.RecomputedTokens += load.RecomputedTokens
+	}
+	return sum
+}
+
+// executions sums over all services how often each key ran.
+func (c *control) executions(ctx context.Context, target Target) (sum map[string]int, unreachable int) {
+	sum = make(map[string]int)
+	for _, address := range target.Services {
+		var counts map[string]int
+		if err := c.do(ctx, http.MethodGet, "http://"+address+"/executions", "", &counts); err != nil {
+			unreachable++
+			continue
+		}
+		for key, count := range counts {
+			sum[key] += count
+		}
+	}
+	return sum, unreachable
+}
+
+// slow starts to slow engines as the target says, in an order that the plan's seed determines. The returned function
+// ends it; each fault ends by its own duration.
+func (c *control) slow(ctx context.Context, plan Plan, target Target) (stop func()) {
+	if target.Slow == nil || len(target.Engines) == 0 {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.slowMoments(ctx, rand.New(rand.NewPCG(plan.Seed, 1)), target)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func (c *control) slowMoments(ctx context.Context, random *rand.Rand, target Target) {
+	ticker := time.NewTicker(target.Slow.Every)
+	defer ticker.Stop()
+	count := int(math.Ceil(target.Slow.Share * float64(len(target.Engines))))
+	body, err := json.Marshal(fakes.Fault{
+		Kind: fakes.FaultSlow, Factor: target.Slow.Factor, Duration: target.Slow.For.String(),
+	})
+	if err != nil {
+		return
+	}
+	for {
+		for _, i := range random.Perm(len(target.Engines))[:count] {
+			// An engine that can't be reached is not slowed; its counters show as unreachable in the report.
+			_ = c.do(ctx, http.MethodPost, "http://"+target.Engines[i]+"/faults", string(body), nil)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
