--- a/cmd/dragonflypond/main.go
+++ b/cmd/dragonflypond/main.go
@@ -15,6 +15,7 @@
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(new(demoCommand), "start here")
 	subcommands.Register(new(checkCommand), "operators")
 	subcommands.Register(new(serveCommand), "operators")
 	subcommands.Register(new(statusCommand), "operators")
