sched: predict waits from free room and typical lengths, and pause at a takeover

After an idle time the measured drain rate is low, so requests were refused although the engines were empty. A pool of fewer than three engines never used its observed token gap. Each tick predicted the wait of every account's first request, although only refusals need it. Change: free room counts as work done and as drain to come; lengths come from complete outputs only; the median gap counts from one engine on, while stragglers still need three. Pause keeps new requests waiting until a time. Measured: go test ./internal/sched passes. TestPause fails with the free room, the pause in dispatch or the pause on arrival switched off.

--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -16,7 +16,7 @@
 
 // dispatch serves waiting requests: aged long work first, then short, then long.
 func (s *Scheduler) dispatch(now time.Time) {
-	if !s.dispatchDue && now.Before(s.agingAt) {
+	if !s.dispatchDue && now.Before(s.agingAt) || now.Before(s.pausedUntil) {
 		return
 	}
 	s.dispatchDue = false
--- a/internal/sched/drain.go
+++ b/internal/sched/drain.go
@@ -31,14 +31,20 @@
 	part.booked += cost
 }
 
+// ended counts a request that ended. One without a token, such as one that moved to another home, says nothing about
+// the rate.
 func (d *drain) ended(r *request) {
 	part := &d.parts[r.admitted]
 	part.running--
 	part.booked -= r.booked
-	part.freed += r.booked
-	if r.shown == 0 {
-		return
+	if r.shown > 0 {
+		part.freed += r.booked
 	}
+}
+
+// finished counts the length of a complete output.
+func (d *drain) finished(r *request) {
+	part := &d.parts[r.admitted]
 	if part.typical == 0 {
 		part.typical = float64(r.shown)
 	}
@@ -58,23 +64,34 @@
 	d.at = now
 }
 
-// rate returns the tokens a second that become free for a queue. The measured rate is too low right after a rise of
-// demand, so the rate that the running requests imply counts too: their cost over the time that such outputs take.
-func (d *drain) rate(kind queueKind, gap, assumedGap time.Duration) float64 {
-	if gap == 0 {
-		gap = assumedGap
+// rate returns the tokens a second that become free for a queue, or zero if that is not known. The measured rate is too
+// low while the engines are not full, so the rate that full engines would have counts too: the cost of the running
+// requests and the free room, each over the time that such outputs take.
+func (d *drain) rate(kind queueKind, free float64, gap time.Duration) float64 {
+	own, other := &d.parts[kind], &d.parts[1-kind]
+	typical, otherTypical := own.typical, other.typical
+	if typical == 0 {
+		typical = otherTypical
+	}
+	if otherTypical == 0 {
+		otherTypical = typical
+	}
+	if typical == 0 {
+		return 0
 	}
-	long := d.parts[queueLong].current(gap)
-	if kind == queueLong {
-		return long
+	implied := (own.booked + free) / (max(typical, 1) * gap.Seconds())
+	if kind == queueLong && own.running > 0 {
+		return max(own.measured, implied)
 	}
-	return long + d.parts[queueShort].current(gap)
+	implied += other.booked / (max(otherTypical, 1) * gap.Seconds())
+	return max(own.measured+other.measured, implied)
 }
 
-func (p *drainPart) current(gap time.Duration) float64 {
-	if p.running == 0 || p.typical == 0 {
-		return p.measured
+// meanCost returns the mean cost of the running requests, or the given one if none runs.
+func (d *drain) meanCost(none float64) float64 {
+	running := d.parts[queueShort].running + d.parts[queueLong].running
+	if running == 0 {
+		return none
 	}
-	lifetime := p.typical * gap.Seconds()
-	return max(p.measured, p.booked/max(lifetime, gap.Seconds()))
+	return (d.parts[queueShort].booked + d.parts[queueLong].booked) / float64(running)
 }
--- a/internal/sched/refuse.go
+++ b/internal/sched/refuse.go
@@ -11,6 +11,9 @@
 	minRetry = 500 * time.Millisecond
 	maxRetry = time.Minute
 
+	// maxPrediction bounds a predicted wait, so that a drain rate near zero does not overflow a duration.
+	maxPrediction = time.Hour
+
 	// retryJitter spreads retries over this share of the advised delay, so that they do not arrive together.
 	retryJitter = 0.25
 )
@@ -42,14 +45,20 @@
 }
 
 func (s *Scheduler) expired(r *request, now time.Time) (pond.Reason, time.Time, string, bool) {
-	return pond.ReasonDeadline, s.retryAfterQueue(r, now), detailExpired, !now.Before(r.deadline)
+	if now.Before(r.deadline) {
+		return 0, time.Time{}, "", false
+	}
+	return pond.ReasonDeadline, s.retryAfterQueue(r, now), detailExpired, true
 }
 
 func (s *Scheduler) hopeless(r *request, now time.Time) (pond.Reason, time.Time, string, bool) {
 	if !s.servable(r) {
 		return pond.ReasonNoBackend, s.jitter(now, minRetry), detailNoEngine, true
 	}
-	return pond.ReasonDeadline, s.retryAfterQueue(r, now), detailHopeless, now.Add(r.service).After(r.deadline)
+	if !now.Add(r.service).After(r.deadline) {
+		return 0, time.Time{}, "", false
+	}
+	return pond.ReasonDeadline, s.retryAfterQueue(r, now), detailHopeless, true
 }
 
 // refuseHopeless refuses waiting requests that can no longer finish in time or that no engine can serve any more.
@@ -80,16 +89,44 @@
 	return now.Add(delay + time.Duration(retryJitter*s.random.Float64()*float64(delay)))
 }
 
-// predictedWait is the work that goes before the request, divided by the drain rate.
+// predictedWait is the work that goes before the request and does not fit now, divided by the drain rate.
 func (s *Scheduler) predictedWait(r *request, now time.Time) time.Duration {
-	rate := s.drain.rate(r.queue, s.medians.gap, s.policy.TokenGap)
+	gap := s.medians.gap
+	if gap == 0 {
+		gap = s.policy.TokenGap
+	}
+	free := s.free(r, now)
+	rate := s.drain.rate(r.queue, free, gap)
 	if rate <= 0 {
 		return 0
 	}
-	seconds := min(s.workAhead(r, now)/rate, maxRetry.Seconds()*60)
+	seconds := min(max(s.workAhead(r, now)-free, 0)/rate, maxPrediction.Seconds())
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// free returns the tokens that the engines which may run the request have left for its kind of work. Without it, a
+// scheduler that is paused while its engines are idle would refuse everything. A free place in a batch counts for no
+// more than the mean cost of a running request.
+func (s *Scheduler) free(r *request, now time.Time) float64 {
+	mean := s.drain.meanCost(s.cost(r))
+	sum := 0.0
+	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
+		if !s.engines.Used(slot) {
+			continue
+		}
+		e := s.engines.At(slot)
+		if e.trust != trustNormal || !e.serves(s.engines.Key(slot), r) {
+			continue
+		}
+		tokens, places := e.usable-e.reserved, e.maxRunning-e.running
+		if r.queue == queueLong {
+			tokens, places = min(tokens, e.longLimit-e.reservedLong), min(places, e.maxLong-e.runningLong)
+		}
+		sum += max(min(float64(tokens-e.externalAt(now)), float64(places)*mean), 0)
+	}
+	return sum
+}
+
 // workAhead returns the tokens served before the request under fair queueing, its own included: its account's whole
 // flow, and of each other account as much as its weight allows in the meantime.
 func (s *Scheduler) workAhead(r *request, now time.Time) float64 {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -37,6 +37,7 @@
 	maxMemory   int
 	hold        hold
 	dispatchDue bool
+	pausedUntil time.Time
 	observeAt   time.Time
 	refuseAt    time.Time
 	agingAt     time.Time
@@ -103,7 +104,7 @@
 
 func (s *Scheduler) admit(slot table.Slot, now time.Time) Decision {
 	r := s.requests.At(slot)
-	if s.mayPass(r) {
+	if s.mayPass(r, now) {
 		if engine, ok := s.choose(r, now); ok {
 			return s.serve(slot, engine, now)
 		}
@@ -119,8 +120,15 @@
 	return Decision{ID: r.id, Origin: r.origin, Verdict: VerdictWait}
 }
 
+// Pause lets new requests wait until a time. A scheduler that takes over from another one is paused until it has been
+// told what runs already.
+func (s *Scheduler) Pause(until time.Time) { s.pausedUntil = until }
+
 // mayPass reports whether a new request may be served before those that wait.
-func (s *Scheduler) mayPass(r *request) bool {
+func (s *Scheduler) mayPass(r *request, now time.Time) bool {
+	if now.Before(s.pausedUntil) {
+		return false
+	}
 	if r.queue == queueShort {
 		return s.queues[queueShort].waiting == 0
 	}
@@ -189,6 +197,7 @@
 	}
 	if end.Complete && end.Tokens > 0 {
 		s.learn(r, end.Tokens)
+		s.drain.finished(r)
 	}
 	if end.BackendFailed && s.policy.StragglerRatio > 0 {
 		e.avoid(now)
@@ -332,3 +341,15 @@
 	}
 	return stats
 }
+
+// Owner reports whether the scheduler knows a request of an origin, and whether it runs.
+func (s *Scheduler) Owner(id string, origin uint64) (running, known bool) {
+	r, ok := s.requests.Get(id)
+	if !ok || r.origin != origin {
+		return false, false
+	}
+	return !r.waiting(), true
+}
+
+// Idle reports whether no request waits, so that a tick decides nothing.
+func (s *Scheduler) Idle() bool { return s.waiting() == 0 }
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -543,3 +543,29 @@
 		t.Error("nothing served after a registered request ended")
 	}
 }
+
+// TestPause guards against a scheduler that gives out room before it was told what runs, and against refusing for a
+// long wait while its engines are idle, because then little was freed lately.
+func TestPause(t *testing.T) {
+	s := newTestScheduler(testPolicy(), testEngines(1, 100_000, 10)...)
+	now := saturate(s, epoch.Add(5*time.Second))
+	for id := range s.requests.All() {
+		s.Finish(id, End{Tokens: 100, Complete: true}, now)
+	}
+	now = now.Add(20 * time.Second)
+	s.Tick(now)
+	s.Pause(now.Add(time.Second))
+	for i := range 15 {
+		req := testRequest(i, pond.ClassShort, 10, 100)
+		req.Deadline = now.Add(5 * time.Second)
+		if d := s.Offer(req, now); d.Verdict != VerdictWait {
+			t.Fatalf("request %d during the pause: %v, want wait", i, d.Verdict)
+		}
+	}
+	if decisions := s.Tick(now.Add(500 * time.Millisecond)); len(decisions) != 0 {
+		t.Errorf("%d decisions during the pause", len(decisions))
+	}
+	if decisions := s.Tick(now.Add(time.Second)); len(decisions) != 10 {
+		t.Errorf("%d decisions after the pause, want 10", len(decisions))
+	}
+}
--- a/internal/sched/speed.go
+++ b/internal/sched/speed.go
@@ -12,7 +12,7 @@
 	// running generations within 50 ms.
 	speedWeight = 0.2
 
-	// The median over fewer engines than this says nothing about the pool.
+	// With fewer engines than this, the median cannot tell which one is slow.
 	minObservedEngines = 3
 
 	// Figures that were not renewed for this long are left out of the median.
@@ -81,14 +81,14 @@
 
 // slow reports whether the observed figures exceed the pool's medians by the ratio.
 func (v *speed) slow(m medians, ratio float64, now time.Time) bool {
-	gap := m.gap > 0 && now.Sub(v.gapAt) < maxSpeedAge && float64(v.gap) > ratio*float64(m.gap)
-	first := m.first > 0 && now.Sub(v.firstAt) < maxSpeedAge && float64(v.first) > ratio*float64(m.first)
+	gap := m.gaps >= minObservedEngines && now.Sub(v.gapAt) < maxSpeedAge && float64(v.gap) > ratio*float64(m.gap)
+	first := m.firsts >= minObservedEngines && now.Sub(v.firstAt) < maxSpeedAge && float64(v.first) > ratio*float64(m.first)
 	return gap || first
 }
 
 // silent reports whether an engine with running requests has shown no token for too long.
 func (v *speed) silent(m medians, running int, now time.Time) bool {
-	if running == 0 || m.gap == 0 || v.lastToken.IsZero() {
+	if running == 0 || m.gaps < minObservedEngines || v.lastToken.IsZero() {
 		return false
 	}
 	return now.Sub(v.lastToken) > max(silentGaps*m.gap, minSilentLimit)
@@ -100,7 +100,11 @@
 	e.trust, v.avoidUntil, v.probe = trustAvoided, now.Add(v.avoidance), table.None
 }
 
-type medians struct{ gap, first time.Duration }
+// medians are the pool's medians and how many engines they cover.
+type medians struct {
+	gap, first   time.Duration
+	gaps, firsts int
+}
 
 // observe updates the pool's medians and the trust in each engine.
 func (s *Scheduler) observe(now time.Time) {
@@ -131,13 +135,17 @@
 			s.firsts = append(s.firsts, v.first)
 		}
 	}
-	s.medians.gap = median(s.gaps, s.medians.gap)
-	s.medians.first = median(s.firsts, s.medians.first)
+	s.medians = medians{
+		gap:    median(s.gaps, s.medians.gap),
+		first:  median(s.firsts, s.medians.first),
+		gaps:   len(s.gaps),
+		firsts: len(s.firsts),
+	}
 }
 
-// median sorts the samples and returns the lower median, or the old value if there are too few.
+// median sorts the samples and returns the lower median, or the old value if there are none.
 func median(samples []time.Duration, old time.Duration) time.Duration {
-	if len(samples) < minObservedEngines {
+	if len(samples) == 0 {
 		return old
 	}
 	slices.Sort(samples)
