grant: place requests through the home of the pool

Cause: each instance placed by its own count, so several instances overfilled an engine together. Change: one drpc stream for each instance and home carries offers, progress and ends in batches. The home runs one scheduler for each pool and reads the engines' load reports. Until a home answers, the instance's own scheduler decides. A decision counts only from the present holder of a request; a late one is given back. Requests that the home region refuses go to another region within the byte budget of the link. The home cancels generations without a reader.

--- /dev/null
+++ b/internal/grant/cluster_test.go
@@ -0,0 +1,307 @@
+package grant
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+// testSpec describes a deployment with the regions "north" and "south", one model and equal engines.
+type testSpec struct {
+	north, south int // engines
+	maxRunning   int
+	linkPerHour  int64
+}
+
+type object = map[string]any
+
+func (s testSpec) manifest(t testing.TB) *spec.Manifest {
+	t.Helper()
+	var backends []object
+	for i := range s.north + s.south {
+		dataCentre := "north-1"
+		if i >= s.north {
+			dataCentre = "south-1"
+		}
+		backends = append(backends, object{
+			"name": fmt.Sprintf("engine-%d", i), "address": fmt.Sprintf("127.0.0.1:%d", 8000+i), "dataCentre": dataCentre,
+			"kind": "engine", "memoryTokens": 60_000, "maxRunning": s.maxRunning,
+			"placement": object{"model": "letters", "version": "1", "role": "generate"},
+		})
+	}
+	body, err := json.Marshal(object{
+		"number": 1, "deployment": "test",
+		"regions": []object{
+			{"name": "north", "dataCentres": []string{"north-1"}},
+			{"name": "south", "dataCentres": []string{"south-1"}},
+		},
+		"link":           object{"bytesPerSecond": 1_000_000, "bytesPerHour": max(s.linkPerHour, 1)},
+		"weightStore":    object{"address": "127.0.0.1:9000", "dataCentre": "north-1", "loadsPerMinute": 6},
+		"models":         []object{{"name": "letters", "versions": []string{"1"}, "contextTokens": 8000, "maxTokens": 4000}},
+		"backendServers": backends, "services": []object{},
+		"clientAccounts": []object{{
+			"name": "a", "keyHashes": []string{"db716a227dfcb32f588d721744be5e22172bd1a0fb2b94de6ed45647843e8f77"},
+			"priority": 1, "weight": 1, "requestsPerSecond": 1000, "maxOpen": 1000,
+		}},
+		"policy": object{"shortMaxTokens": 128},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	manifest, err := spec.Decode(body, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return manifest
+}
+
+type fixedManifest struct{ *spec.Manifest }
+
+func (m fixedManifest) Current() *spec.Manifest  { return m.Manifest }
+func (m fixedManifest) Confirmed(time.Time) bool { return true }
+
+// noEngines stands for engines whose reports cannot be read.
+type noEngines struct{}
+
+func (noEngines) Load(context.Context, string) (LoadReport, error) {
+	return LoadReport{}, errors.New("no report")
+}
+
+func (noEngines) Cancel(context.Context, string, string) error { return nil }
+
+// cluster is a set of instances connected by pipes, in one process and in virtual time.
+type cluster struct {
+	t        *testing.T
+	manifest *spec.Manifest
+	mu       sync.Mutex
+	nodes    []*node
+	running  map[string]int // generations on each engine
+	most     int            // most generations on one engine at any time
+	outcomes []error
+	group    sync.WaitGroup
+}
+
+// node is one instance. Its fields but the placer are protected by the cluster's lock.
+type node struct {
+	cluster *cluster
+	placer  *Placer
+	self    pond.Instance
+	hidden  map[pond.InstanceID]bool // instances that this one believes gone
+	refused map[string]bool          // engines that this one knows not to accept work
+	gate    chan struct{}            // closed while the process runs; open while it is frozen
+	gone    bool
+	pipes   []net.Conn
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+func (n *node) Self() pond.Instance { return n.self }
+
+func (n *node) Instances() []pond.Instance {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	var instances []pond.Instance
+	for _, other := range n.cluster.nodes {
+		if !other.gone && !n.hidden[other.self.ID()] {
+			instances = append(instances, other.self)
+		}
+	}
+	return instances
+}
+
+func (n *node) Accepting(backend string) bool {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	return !n.refused[backend]
+}
+
+func (n *node) refuse(backend string) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	n.refused[backend] = true
+}
+
+func newCluster(t *testing.T, s testSpec, regions ...string) *cluster {
+	c := &cluster{t: t, manifest: s.manifest(t), running: map[string]int{}}
+	for i, region := range regions {
+		address := fmt.Sprintf("127.0.0.1:%d", 7000+i)
+		ref := pond.InstanceRef{ID: pond.InstanceID(fmt.Sprintf("i%d", i)), Incarnation: 1}
+		n := &node{
+			cluster: c, hidden: map[pond.InstanceID]bool{}, refused: map[string]bool{}, gate: make(chan struct{}), stopped: make(chan struct{}),
+			self: pond.NewInstance(ref, pond.InstanceLive, address, address, region+"-1", region),
+		}
+		close(n.gate)
+		n.placer = New(Options{
+			Manifests: fixedManifest{c.manifest}, Directory: n, Backends: n, Engines: noEngines{}, Seed: 1,
+			Connect: func(address string) drpc.Conn { return c.connect(n, address) },
+		})
+		c.nodes = append(c.nodes, n)
+	}
+	for _, n := range c.nodes {
+		ctx, cancel := context.WithCancel(t.Context())
+		n.stop = cancel
+		go func() {
+			defer close(n.stopped)
+			_ = n.placer.Run(ctx)
+		}()
+	}
+	return c
+}
+
+// close ends all instances, so that no goroutine outlives the test's bubble.
+func (c *cluster) close() {
+	for _, n := range c.nodes {
+		c.kill(n)
+	}
+}
+
+// connect returns one end of a pipe whose other end is served by the instance with the address.
+func (c *cluster) connect(from *node, address string) drpc.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	near, far := net.Pipe()
+	for _, n := range c.nodes {
+		if n.self.PeerAddress() != address || n.gone || from.gone {
+			continue
+		}
+		mux := drpcmux.New()
+		if err := peerpb.DRPCRegisterScheduling(mux, n.placer); err != nil {
+			c.t.Error(err)
+		}
+		n.pipes = append(n.pipes, near, far)
+		from.pipes = append(from.pipes, near, far)
+		go func() { _ = drpcserver.New(mux).ServeOne(context.Background(), gated{far, n}) }()
+		return drpcconn.New(near)
+	}
+	_ = far.Close()
+	return drpcconn.New(near)
+}
+
+// gated blocks both directions while its instance is frozen.
+type gated struct {
+	net.Conn
+	node *node
+}
+
+func (g gated) wait() {
+	g.node.cluster.mu.Lock()
+	gate := g.node.gate
+	g.node.cluster.mu.Unlock()
+	<-gate
+}
+
+func (g gated) Read(b []byte) (int, error) {
+	n, err := g.Conn.Read(b)
+	g.wait()
+	return n, err
+}
+
+func (g gated) Write(b []byte) (int, error) {
+	g.wait()
+	return g.Conn.Write(b)
+}
+
+func (c *cluster) freeze(n *node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n.gate = make(chan struct{})
+}
+
+func (c *cluster) thaw(n *node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(n.gate)
+}
+
+// kill ends an instance and its connections. The other instances learn of it at once.
+func (c *cluster) kill(n *node) {
+	c.mu.Lock()
+	n.gone = true
+	for _, pipe := range n.pipes {
+		_ = pipe.Close()
+	}
+	c.mu.Unlock()
+	n.stop()
+	<-n.stopped
+}
+
+// home returns the instance of a region that all others believe to be the home of the model's pool.
+func (c *cluster) home(region string) *node {
+	first := c.nodes[slices.IndexFunc(c.nodes, func(n *node) bool { return n.self.Region() == region && !n.gone })]
+	id := first.placer.rank(poolKey{model: "letters", region: region})[0].ID()
+	return c.nodes[slices.IndexFunc(c.nodes, func(n *node) bool { return n.self.ID() == id })]
+}
+
+// others returns the instances of a region that are not its home.
+func (c *cluster) others(region string) []*node {
+	home := c.home(region)
+	return slices.DeleteFunc(slices.Clone(c.nodes), func(n *node) bool { return n == home || n.self.Region() != region })
+}
+
+// generate runs one generation of the given duration at an instance and records its outcome.
+func (c *cluster) generate(n *node, id string, class pond.Class, duration, limit time.Duration) {
+	req := pond.PlaceRequest{
+		Generation: id, Account: "a", Model: "letters", Class: class, PromptTokens: 10, MaxTokens: 100,
+		Deadline: time.Now().Add(limit),
+	}
+	c.group.Go(func() {
+		placement, err := n.placer.Place(context.Background(), req)
+		c.mu.Lock()
+		c.outcomes = append(c.outcomes, err)
+		c.mu.Unlock()
+		if err != nil {
+			return
+		}
+		name, _ := placement.Backend()
+		c.count(name, 1)
+		for tokens := 1; tokens <= 10; tokens++ {
+			time.Sleep(duration / 10)
+			placement.Progress(10*tokens, time.Now())
+		}
+		c.count(name, -1)
+		placement.Done(pond.PlacementEnd{Tokens: 100, Complete: true}, time.Now())
+	})
+}
+
+func (c *cluster) count(engine string, change int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[engine] += change
+	c.most = max(c.most, c.running[engine])
+}
+
+// settle lets all messages and ticks of the next half second happen.
+func settle() {
+	time.Sleep(500 * time.Millisecond)
+	synctest.Wait()
+}
+
+func (c *cluster) served() (served int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, err := range c.outcomes {
+		if err == nil {
+			served++
+		}
+	}
+	return served
+}
+
+// runningAt returns what the instance's own scheduler of the north pool counts.
+func (n *node) runningAt() int { return n.placer.Stats()["letters/north"].Running }
--- /dev/null
+++ b/internal/grant/convert.go
@@ -0,0 +1,142 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/internal/sched"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+func hashOf(key poolKey) uint64 { return xxhash.Sum64String(key.rankKey()) }
+
+func policyOf(manifest *spec.Manifest) sched.Policy {
+	policy := manifest.Policy()
+	return sched.Policy{
+		ShortMaxTokens:  policy.ShortMaxTokens(),
+		ShortShare:      policy.ShortShare(),
+		Headroom:        policy.Headroom(),
+		LengthQuantile:  policy.LengthQuantile(),
+		TokenGap:        policy.TokenGapTarget(),
+		LongAgingLimit:  policy.LongAgingLimit(),
+		RetryBudget:     policy.RetryBudget(),
+		StragglerRatio:  policy.StragglerRatio(),
+		PrefixLoadBound: policy.PrefixLoadBound(),
+		DefaultDeadline: policy.DefaultDeadline(),
+	}
+}
+
+// requestOf returns the scheduler's form of a request of this instance.
+func requestOf(req pond.PlaceRequest) sched.Request {
+	return sched.Request{
+		ID:           req.Generation,
+		Account:      req.Account,
+		Version:      req.Version,
+		Adapter:      req.Adapter,
+		Class:        req.Class,
+		Priority:     req.Priority,
+		PromptTokens: req.PromptTokens,
+		MaxTokens:    req.MaxTokens,
+		PrefixHash:   req.PrefixHash,
+		Deadline:     req.Deadline,
+		Avoid:        req.Avoid,
+		Origin:       localOrigin,
+	}
+}
+
+func offerOf(req pond.PlaceRequest, now time.Time) *peerpb.Offer {
+	return &peerpb.Offer{
+		Generation:     req.Generation,
+		Account:        req.Account,
+		Model:          req.Model,
+		Version:        req.Version,
+		Adapter:        req.Adapter,
+		Class:          uint32(req.Class),
+		Priority:       int32(req.Priority),
+		PromptTokens:   int32(req.PromptTokens),
+		MaxTokens:      int32(req.MaxTokens),
+		PrefixHash:     req.PrefixHash,
+		RemainingMilli: max(req.Deadline.Sub(now).Milliseconds(), 0),
+		Avoid:          req.Avoid,
+	}
+}
+
+func requestOfOffer(offer *peerpb.Offer, origin uint64, now time.Time) sched.Request {
+	return sched.Request{
+		ID:           offer.GetGeneration(),
+		Account:      offer.GetAccount(),
+		Version:      offer.GetVersion(),
+		Adapter:      offer.GetAdapter(),
+		Class:        classOf(offer.GetClass()),
+		Priority:     int(offer.GetPriority()),
+		PromptTokens: int(offer.GetPromptTokens()),
+		MaxTokens:    int(offer.GetMaxTokens()),
+		PrefixHash:   offer.GetPrefixHash(),
+		Deadline:     now.Add(time.Duration(offer.GetRemainingMilli()) * time.Millisecond),
+		Avoid:        offer.GetAvoid(),
+		Origin:       origin,
+	}
+}
+
+func classOf(number uint32) pond.Class {
+	if class := pond.Class(number); class.IsAClass() {
+		return class
+	}
+	return pond.ClassUnknown
+}
+
+func progressOf(item *peerpb.ProgressItem) sched.Progress {
+	return sched.Progress{
+		Tokens:     int(item.GetTokens()),
+		Gap:        time.Duration(item.GetGapMicro()) * time.Microsecond,
+		FirstToken: time.Duration(item.GetFirstTokenMicro()) * time.Microsecond,
+	}
+}
+
+func endOf(finish *peerpb.Finish) sched.End {
+	return sched.End{
+		Tokens:        int(finish.GetTokens()),
+		Complete:      finish.GetComplete(),
+		BackendFailed: finish.GetBackendFailed(),
+	}
+}
+
+func messageOf(decision sched.Decision) *peerpb.ScheduleDecision {
+	message := &peerpb.ScheduleDecision{Generation: decision.ID}
+	switch decision.Verdict {
+	case sched.VerdictServe:
+		message.Backend = decision.Engine
+	case sched.VerdictWait:
+		message.Queued = true
+	default:
+		message.Refusal = &peerpb.RefusalInfo{
+			Reason: decision.Reason.String(),
+			Run:    uint32(pond.RunNo),
+			Detail: decision.Detail,
+		}
+		if !decision.RetryAt.IsZero() {
+			message.Refusal.RetryAtUnixMilli = decision.RetryAt.UnixMilli()
+		}
+	}
+	return message
+}
+
+func decisionOf(message *peerpb.ScheduleDecision) sched.Decision {
+	decision := sched.Decision{ID: message.GetGeneration(), Engine: message.GetBackend()}
+	refusal := message.GetRefusal()
+	switch {
+	case message.GetBackend() != "":
+		decision.Verdict = sched.VerdictServe
+	case refusal != nil:
+		decision.Verdict = sched.VerdictRefuse
+		decision.Reason, _ = pond.ReasonString(refusal.GetReason())
+		decision.Detail = refusal.GetDetail()
+		if milli := refusal.GetRetryAtUnixMilli(); milli > 0 {
+			decision.RetryAt = time.UnixMilli(milli)
+		}
+	}
+	return decision
+}
--- /dev/null
+++ b/internal/grant/link.go
@@ -0,0 +1,153 @@
+package grant
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/internal/sched"
+)
+
+// link is the stream from this instance to one home. It carries the requests of all pools of that home. Messages that
+// are added while a send is in progress go together with the next one.
+type link struct {
+	placer  *Placer
+	address string
+	cancel  context.CancelFunc
+	wake    chan struct{}
+
+	mu sync.Mutex
+	up *peerpb.ScheduleUp
+
+	// The placer's lock protects the fields below.
+	ready    bool // the home has sent its first message
+	heardAt  time.Time
+	usedAt   time.Time
+	openedAt time.Time
+}
+
+// newLink starts to connect. The end of the stream is reported to the placer once.
+func newLink(ctx context.Context, placer *Placer, address string, now time.Time) *link {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &link{
+		placer:   placer,
+		address:  address,
+		cancel:   cancel,
+		wake:     make(chan struct{}, 1),
+		up:       new(peerpb.ScheduleUp),
+		heardAt:  now,
+		usedAt:   now,
+		openedAt: now,
+	}
+	placer.group.Add(1)
+	go func() {
+		defer placer.group.Done()
+		err := l.run(ctx)
+		cancel()
+		placer.lost(l, err)
+	}()
+	return l
+}
+
+func (l *link) run(ctx context.Context) error {
+	conn := l.placer.options.Connect(l.address)
+	defer conn.Close()
+	stream, err := peerpb.NewDRPCSchedulingClient(conn).Schedule(ctx)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	if err := stream.Send(new(peerpb.ScheduleUp)); err != nil {
+		return err
+	}
+	l.placer.group.Add(1)
+	go func() {
+		defer l.placer.group.Done()
+		defer l.cancel()
+		l.receive(stream)
+	}()
+	return l.send(ctx, stream)
+}
+
+func (l *link) receive(stream peerpb.DRPCScheduling_ScheduleClient) {
+	for {
+		down, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		l.placer.heard(l, down.GetDecisions())
+	}
+}
+
+func (l *link) send(ctx context.Context, stream peerpb.DRPCScheduling_ScheduleClient) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-l.wake:
+		}
+		if up := l.take(); up != nil {
+			if err := stream.Send(up); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (l *link) take() *peerpb.ScheduleUp {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	up := l.up
+	if len(up.Offers)+len(up.Progress)+len(up.Finished) == 0 {
+		return nil
+	}
+	l.up = new(peerpb.ScheduleUp)
+	return up
+}
+
+func (l *link) add(change func(up *peerpb.ScheduleUp)) {
+	l.mu.Lock()
+	change(l.up)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *link) offer(t *ticket, now time.Time) (sched.Decision, bool) {
+	l.usedAt = now
+	offer := offerOf(t.req, now)
+	l.add(func(up *peerpb.ScheduleUp) { up.Offers = append(up.Offers, offer) })
+	return sched.Decision{}, false
+}
+
+func (l *link) register(t *ticket, now time.Time) {
+	l.usedAt = now
+	offer := offerOf(t.req, now)
+	offer.RunningOn, offer.ShownTokens = t.backend, int32(t.shown.Load())
+	l.add(func(up *peerpb.ScheduleUp) { up.Offers = append(up.Offers, offer) })
+}
+
+func (l *link) progress(id string, progress sched.Progress, now time.Time) {
+	l.usedAt = now
+	item := &peerpb.ProgressItem{
+		Generation:      id,
+		Tokens:          int32(progress.Tokens),
+		GapMicro:        progress.Gap.Microseconds(),
+		FirstTokenMicro: progress.FirstToken.Microseconds(),
+	}
+	l.add(func(up *peerpb.ScheduleUp) { up.Progress = append(up.Progress, item) })
+}
+
+func (l *link) finish(id string, end sched.End, now time.Time) {
+	l.usedAt = now
+	item := &peerpb.Finish{
+		Generation:    id,
+		Tokens:        int32(end.Tokens),
+		Complete:      end.Complete,
+		BackendFailed: end.BackendFailed,
+	}
+	l.add(func(up *peerpb.ScheduleUp) { up.Finished = append(up.Finished, item) })
+}
--- a/internal/grant/options.go
+++ b/internal/grant/options.go
@@ -21,7 +21,7 @@
 	Backends pond.BackendView
 	// Connect returns a drpc connection to a peer address, such as peer.Network.Conn.
 	Connect func(peerAddress string) drpc.Conn
-	// Rank orders candidates for a key by rendezvous; nil means RendezvousRank.
+	// Rank orders candidates for a key by rendezvous; nil means the weights of package member.
 	Rank RankFunc
 	// Engines reads load reports and cancels generations; nil means HTTPEngines with default settings.
 	Engines Engines
@@ -45,24 +45,15 @@
 	Cancel(ctx context.Context, address, generation string) error
 }
 
-// LoadReport is what an engine says about its load. The engine may publish it with a lag.
+// LoadReport is what an engine says about its load. The engine publishes it with a lag.
 type LoadReport struct {
-	Running      int `json:"running"`
-	Waiting      int `json:"waiting"`
-	MemoryTokens int `json:"memoryTokens"`
-	UsedTokens   int `json:"usedTokens"`
+	State        string `json:"state"`
+	Running      int    `json:"running"`
+	Waiting      int    `json:"waiting"`
+	MemoryTokens int    `json:"memoryTokens"`
+	UsedTokens   int    `json:"usedTokens"`
 	// Preemptions counts since the engine started.
-	Preemptions int `json:"preemptions"`
+	Preemptions int64 `json:"preemptions"`
 	// Unread lists the generations that have no reader.
-	Unread []UnreadGeneration `json:"unread"`
-	State  string             `json:"state"`
-	// AgeMilli is the age of the figures when the engine answered.
-	AgeMilli int64 `json:"ageMilli"`
-}
-
-// UnreadGeneration is a generation without a reader.
-type UnreadGeneration struct {
-	Generation string `json:"generation"`
-	// UnreadMilli is the time since the last reader left.
-	UnreadMilli int64 `json:"unreadMilli"`
+	Unread []string `json:"unread"`
 }
--- /dev/null
+++ b/internal/grant/placer_test.go
@@ -0,0 +1,403 @@
+package grant
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/internal/sched"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// runCluster runs a test in virtual time with started instances and checks at the end that every caller got exactly
+// one outcome and that no scheduler still counts a request.
+func runCluster(t *testing.T, s testSpec, regions []string, test func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, s, regions...)
+		defer c.close()
+		// The first requests open the streams to the home.
+		for i, n := range c.nodes {
+			c.generate(n, fmt.Sprint("warm", i), pond.ClassShort, time.Millisecond, time.Minute)
+		}
+		settle()
+		c.group.Wait()
+		c.outcomes, c.most = nil, 0
+		test(t, c)
+		c.group.Wait()
+		time.Sleep(2 * resumeLimit)
+		synctest.Wait()
+		for _, n := range c.nodes {
+			if open := n.placer.Open(); open != 0 {
+				t.Errorf("instance %s has %d open requests at the end", n.self.ID(), open)
+			}
+			for name, stats := range n.placer.Stats() {
+				if stats.Running+stats.WaitingShort+stats.WaitingLong > 0 && !n.gone {
+					t.Errorf("instance %s still counts %+v in pool %s", n.self.ID(), stats, name)
+				}
+			}
+		}
+	})
+}
+
+var threeNorth = []string{"north", "north", "north"}
+
+// TestOneHomeDecides guards against instances that each fill the engines by their own count.
+func TestOneHomeDecides(t *testing.T) {
+	runCluster(t, testSpec{north: 1, maxRunning: 4}, threeNorth, func(t *testing.T, c *cluster) {
+		for i := range 30 {
+			c.generate(c.nodes[i%3], fmt.Sprint("g", i), pond.ClassShort, time.Second, time.Minute)
+		}
+		c.group.Wait()
+		if c.most > 4 || c.served() != 30 {
+			t.Errorf("%d generations at once on an engine for 4, %d of 30 served", c.most, c.served())
+		}
+	})
+}
+
+// TestHomeLost guards against requests that are lost with the home and against a next home that does not know what
+// already runs.
+func TestHomeLost(t *testing.T) {
+	runCluster(t, testSpec{north: 1, maxRunning: 4}, threeNorth, func(t *testing.T, c *cluster) {
+		others := c.others("north")
+		for i := range 12 {
+			c.generate(others[i%2], fmt.Sprint("g", i), pond.ClassShort, 4*time.Second, time.Minute)
+		}
+		settle()
+		c.kill(c.home("north"))
+		settle()
+		next := c.home("north")
+		if got := next.runningAt(); got != 4 {
+			t.Errorf("the next home counts %d running generations, want 4", got)
+		}
+		c.group.Wait()
+		if c.most > 4 || c.served() != 12 {
+			t.Errorf("%d generations at once on an engine for 4, %d of 12 served", c.most, c.served())
+		}
+	})
+}
+
+// TestHomeFrozen guards against requests that wait for a home that has stopped without closing its connections, and
+// against a second decision for a caller when that home continues with what it held before.
+func TestHomeFrozen(t *testing.T) {
+	runCluster(t, testSpec{north: 1, maxRunning: 4}, threeNorth, func(t *testing.T, c *cluster) {
+		home, others := c.home("north"), c.others("north")
+		for i := range 4 {
+			c.generate(others[i%2], fmt.Sprint("r", i), pond.ClassShort, 2*time.Second, time.Minute)
+		}
+		settle()
+		for i := range 4 {
+			c.generate(others[i%2], fmt.Sprint("w", i), pond.ClassShort, time.Second, time.Minute)
+		}
+		settle()
+		c.freeze(home)
+		for i := range 4 {
+			c.generate(others[i%2], fmt.Sprint("n", i), pond.ClassShort, time.Second, 8*time.Second)
+		}
+		time.Sleep(6 * time.Second)
+		synctest.Wait()
+		if got := c.served(); got != 12 {
+			t.Errorf("%d of 12 requests served while the home is frozen", got)
+		}
+		c.thaw(home)
+		settle()
+		if got := len(c.outcomes); got != 12 {
+			t.Errorf("%d outcomes for 12 callers", got)
+		}
+	})
+}
+
+// TestTwoHomes guards against lost or doubled decisions while two instances believe to be the home of one pool.
+func TestTwoHomes(t *testing.T) {
+	runCluster(t, testSpec{north: 2, maxRunning: 4}, threeNorth, func(t *testing.T, c *cluster) {
+		home, others := c.home("north"), c.others("north")
+		c.mu.Lock()
+		others[0].hidden[home.self.ID()] = true
+		others[1].hidden[home.self.ID()] = true
+		c.mu.Unlock()
+		for i := range 30 {
+			c.generate(c.nodes[i%3], fmt.Sprint("g", i), pond.ClassShort, time.Second, time.Minute)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+		if home.runningAt() == 0 || others[0].runningAt()+others[1].runningAt() == 0 {
+			t.Error("there are no two homes, so the test shows nothing")
+		}
+		c.mu.Lock()
+		clear(others[0].hidden)
+		clear(others[1].hidden)
+		c.mu.Unlock()
+		c.group.Wait()
+		if len(c.outcomes) != 30 || c.served() != 30 {
+			t.Errorf("%d outcomes and %d served for 30 callers", len(c.outcomes), c.served())
+		}
+	})
+}
+
+// TestInstanceLost guards against memory and queue places that stay taken after their instance has died.
+func TestInstanceLost(t *testing.T) {
+	runCluster(t, testSpec{north: 1, maxRunning: 4}, threeNorth, func(t *testing.T, c *cluster) {
+		home, others := c.home("north"), c.others("north")
+		for i := range 8 {
+			c.generate(others[0], fmt.Sprint("g", i), pond.ClassShort, 30*time.Second, 20*time.Second)
+		}
+		settle()
+		c.kill(others[0])
+		settle()
+		stats := home.placer.Stats()["letters/north"]
+		if stats.WaitingShort != 0 || stats.Running != 4 {
+			t.Errorf("directly after the loss %d wait and %d run, want 0 and 4", stats.WaitingShort, stats.Running)
+		}
+		time.Sleep(resumeLimit)
+		if got := home.runningAt(); got != 0 {
+			t.Errorf("%d generations still hold memory after the resume limit", got)
+		}
+	})
+}
+
+// TestDrain guards against a shutdown that loses waiting requests or interrupts running ones.
+func TestDrain(t *testing.T) {
+	runCluster(t, testSpec{north: 1, maxRunning: 4}, threeNorth, func(t *testing.T, c *cluster) {
+		home := c.home("north")
+		for i := range 12 {
+			c.generate(c.nodes[i%3], fmt.Sprint("g", i), pond.ClassShort, time.Second, time.Minute)
+		}
+		settle()
+		drained := make(chan error, 1)
+		go func() { drained <- home.placer.Drain(t.Context()) }()
+		settle()
+		home.placer.mu.Lock()
+		if len(home.placer.outlets) != 0 {
+			t.Error("the other instances still depend on the home that is leaving")
+		}
+		home.placer.mu.Unlock()
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+		if home.placer.Open() != 0 {
+			t.Error("drain returned with open requests")
+		}
+		c.group.Wait()
+		if c.served() != 12 {
+			t.Errorf("%d of 12 requests served", c.served())
+		}
+	})
+}
+
+// TestDrainLimit guards against a shutdown that waits for ever.
+func TestDrainLimit(t *testing.T) {
+	runCluster(t, testSpec{north: 1, maxRunning: 4}, threeNorth[:1], func(t *testing.T, c *cluster) {
+		c.generate(c.nodes[0], "g", pond.ClassShort, time.Minute, time.Minute)
+		settle()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := c.nodes[0].placer.Drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("drain returned %v, want the end of its context", err)
+		}
+	})
+}
+
+// TestGivenUp guards against requests that stay in the home's queue after their caller left or their deadline passed.
+func TestGivenUp(t *testing.T) {
+	runCluster(t, testSpec{north: 1, maxRunning: 1}, threeNorth, func(t *testing.T, c *cluster) {
+		home, other := c.home("north"), c.others("north")[0]
+		c.generate(other, "long", pond.ClassShort, 5*time.Second, time.Minute)
+		settle()
+		ctx, cancel := context.WithCancel(t.Context())
+		failed := make(chan error, 1)
+		go func() {
+			_, err := other.placer.Place(ctx, pond.PlaceRequest{Generation: "left", Model: "letters", Account: "a", MaxTokens: 100})
+			failed <- err
+		}()
+		settle()
+		if got := home.placer.Stats()["letters/north"].WaitingShort; got != 1 {
+			t.Fatalf("%d requests wait at the home, want 1", got)
+		}
+		cancel()
+		settle()
+		var refusal *pond.Refusal
+		if err := <-failed; !errors.As(err, &refusal) || refusal.Reason() != pond.ReasonCanceled || refusal.Run() != pond.RunNo {
+			t.Errorf("error %v, want a refusal as canceled and not run", err)
+		}
+		if got := home.placer.Stats()["letters/north"].WaitingShort; got != 0 {
+			t.Errorf("%d requests still wait at the home", got)
+		}
+	})
+}
+
+// TestNotAccepting guards against work for an engine that either the home or the instance that asks knows to be
+// leaving, and against a request that waits for engines of which none accepts work.
+func TestNotAccepting(t *testing.T) {
+	tests := []struct {
+		name         string
+		home, others bool
+	}{
+		{name: "the home knows", home: true},
+		{name: "the others know", others: true},
+		{name: "all know", home: true, others: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			runCluster(t, testSpec{north: 2, maxRunning: 100}, threeNorth, func(t *testing.T, c *cluster) {
+				home, others := c.home("north"), c.others("north")
+				leave := func(engine string) {
+					for _, n := range c.nodes {
+						if n == home && test.home || n != home && test.others {
+							n.refuse(engine)
+						}
+					}
+				}
+				leave("engine-0")
+				for i := range 6 {
+					c.generate(others[i%2], fmt.Sprint("g", i), pond.ClassShort, time.Second, time.Minute)
+				}
+				synctest.Wait()
+				if c.running["engine-0"] != 0 || c.running["engine-1"] != 6 {
+					t.Errorf("generations on the engines: %v, want all 6 on engine-1", c.running)
+				}
+				leave("engine-1")
+				c.outcomes = nil
+				c.generate(others[0], "none", pond.ClassShort, time.Second, time.Minute)
+				synctest.Wait()
+				if len(c.outcomes) != 1 {
+					t.Fatal("the request waits although no engine accepts work")
+				}
+				var refusal *pond.Refusal
+				if !errors.As(c.outcomes[0], &refusal) || refusal.Reason() != pond.ReasonNoBackend || refusal.Run() != pond.RunNo {
+					t.Errorf("outcome %v, want a refusal with noBackend and not run", c.outcomes[0])
+				}
+			})
+		})
+	}
+}
+
+// recorder is a holder that notes what it is told.
+type recorder struct{ finished []string }
+
+func (*recorder) offer(*ticket, time.Time) (sched.Decision, bool) { return sched.Decision{}, false }
+func (*recorder) register(*ticket, time.Time)                     {}
+func (*recorder) progress(string, sched.Progress, time.Time)      {}
+func (r *recorder) finish(id string, _ sched.End, _ time.Time)    { r.finished = append(r.finished, id) }
+
+// TestLateDecision guards against a second decision for one caller, and against a reservation that stays with a holder
+// whose decision came too late.
+func TestLateDecision(t *testing.T) {
+	tests := []struct {
+		name     string
+		state    ticketState
+		former   bool // the decision comes from another holder than the present one
+		verdict  sched.Verdict
+		answered bool
+		finished int
+	}{
+		{name: "present holder serves", verdict: sched.VerdictServe, answered: true},
+		{name: "present holder refuses", verdict: sched.VerdictRefuse, answered: true},
+		{name: "former holder serves", former: true, verdict: sched.VerdictServe, finished: 1},
+		{name: "former holder refuses", former: true, verdict: sched.VerdictRefuse},
+		{name: "former holder serves a running one", state: ticketRunning, former: true, verdict: sched.VerdictServe, finished: 1},
+		{name: "present holder repeats", state: ticketRunning, verdict: sched.VerdictServe},
+		{name: "after the end", state: ticketEnded, verdict: sched.VerdictServe, finished: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			manifest := testSpec{north: 1, maxRunning: 1}.manifest(t)
+			accepting := pond.BackendViewFunc(func(string) bool { return true })
+			p := New(Options{Manifests: fixedManifest{manifest}, Backends: accepting})
+			now := time.Now()
+			from, present := new(recorder), new(recorder)
+			if !test.former {
+				present = from
+			}
+			tk := &ticket{placer: p, state: test.state, holder: present, answers: make(chan answer, 2)}
+			tk.req = pond.PlaceRequest{Generation: "g", Deadline: now.Add(time.Minute)}
+			if test.state != ticketEnded {
+				p.tickets["g"] = tk
+			}
+			p.decide(from, sched.Decision{ID: "g", Verdict: test.verdict, Engine: "engine-0"}, now)
+			if got := len(tk.answers) == 1; got != test.answered || len(from.finished) != test.finished {
+				t.Errorf("answered %t and told %d times that it ended, want %t and %d",
+					got, len(from.finished), test.answered, test.finished)
+			}
+		})
+	}
+}
+
+// TestOtherRegion guards against cross-region work without need or beyond the byte budget, and against a refusal
+// although the other region has room.
+func TestOtherRegion(t *testing.T) {
+	tests := []struct {
+		name    string
+		perHour int64
+		offers  int
+		served  int
+	}{
+		{name: "home region has room", perHour: 1 << 30, offers: 4, served: 4},
+		{name: "home region is full", perHour: 1 << 30, offers: 8, served: 8},
+		{name: "no budget", perHour: 1, offers: 8, served: 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := testSpec{north: 1, south: 1, maxRunning: 4, linkPerHour: test.perHour}
+			runCluster(t, s, []string{"north", "north", "south"}, func(t *testing.T, c *cluster) {
+				// The first four take 10 s each, so a place becomes free every 2.5 s, which is too late for 1 s.
+				for i := range 4 {
+					c.generate(c.nodes[0], fmt.Sprint("learn", i), pond.ClassShort, 10*time.Second, time.Minute)
+				}
+				c.group.Wait()
+				c.outcomes = nil
+				for i := range test.offers {
+					c.generate(c.nodes[i%2], fmt.Sprint("g", i), pond.ClassShort, 10*time.Second, time.Second)
+					synctest.Wait()
+				}
+				time.Sleep(5 * time.Second)
+				synctest.Wait()
+				south := c.nodes[2].placer.Stats()["letters/south"].Running
+				if c.served() != test.served || south != test.served-4 {
+					t.Errorf("%d of %d served, %d of them in the other region; want %d and %d",
+						c.served(), test.offers, south, test.served, test.served-4)
+				}
+			})
+		})
+	}
+}
+
+// TestOrphans guards against generations that run on without a reader, and against cancelling those whose caller may
+// still resume or whose instance cancels them itself.
+func TestOrphans(t *testing.T) {
+	present := map[string]bool{"i0.1": true}
+	tests := []struct {
+		name   string
+		unread []string // in each report, one a second
+		want   int      // report with the cancel, 0 for none
+	}{
+		{name: "instance gone", unread: slices.Repeat([]string{"i1.1.7"}, 30), want: 11},
+		{name: "instance present", unread: slices.Repeat([]string{"i0.1.7"}, 30), want: 21},
+		{name: "earlier incarnation", unread: slices.Repeat([]string{"i0.2.7"}, 30), want: 11},
+		{name: "read again", unread: slices.Concat(
+			slices.Repeat([]string{"i1.1.7"}, 9), make([]string, 3), slices.Repeat([]string{"i1.1.7"}, 9))},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			accepting := pond.BackendViewFunc(func(string) bool { return true })
+			p := newPool(poolKey{model: "letters", region: "north"}, accepting, testSpec{north: 1, maxRunning: 1}.manifest(t), 1)
+			now, got := time.Unix(1_800_000_000, 0), 0
+			for i, id := range test.unread {
+				report := LoadReport{}
+				if id != "" {
+					report.Unread = []string{id}
+				}
+				if orphans := p.report("engine-0", report, now, present); len(orphans) > 0 && got == 0 {
+					got = i + 1
+				}
+				now = now.Add(time.Second)
+			}
+			if got != test.want {
+				t.Errorf("cancelled at report %d, want %d", got, test.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/grant/pool.go
@@ -0,0 +1,187 @@
+package grant
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/sched"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+// localOrigin marks requests of this instance in its own pools. Streams of other instances have greater numbers.
+const localOrigin uint64 = 0
+
+// poolKey names a pool: the engines that serve one model in one region.
+type poolKey struct {
+	model  string
+	region string
+}
+
+// rankKey is the key by which the home of the pool is chosen.
+func (k poolKey) rankKey() string { return "pool/" + k.model + "/" + k.region }
+
+// pool is one pool's scheduler on this instance. It decides as home for all instances, and for this instance alone
+// while no home answers. It is safe for concurrent use and calls nothing that takes another lock of this package.
+type pool struct {
+	key       poolKey
+	backends  pond.BackendView
+	mu        sync.Mutex
+	scheduler *sched.Scheduler
+	manifest  *spec.Manifest
+	engines   []spec.Backend
+	// released holds the deadlines of running requests whose instance is no longer connected.
+	released map[string]time.Time
+	unread   map[string]unreadSince
+}
+
+func newPool(key poolKey, backends pond.BackendView, manifest *spec.Manifest, seed uint64) *pool {
+	p := &pool{key: key, backends: backends, released: make(map[string]time.Time), unread: make(map[string]unreadSince)}
+	p.scheduler = sched.New(policyOf(manifest), rand.New(rand.NewPCG(seed, hashOf(key))))
+	p.adopt(manifest)
+	return p
+}
+
+// adopt applies a manifest that is not in effect in the pool yet.
+func (p *pool) adopt(manifest *spec.Manifest) {
+	if manifest == nil || manifest == p.manifest {
+		return
+	}
+	p.manifest = manifest
+	p.engines = nil // Readers may still hold the former slice.
+	specs := make([]sched.Engine, 0)
+	for _, backend := range manifest.Backends() {
+		model, version := backend.Model()
+		if backend.Kind() != spec.BackendEngine || model != p.key.model || backend.Region() != p.key.region {
+			continue
+		}
+		p.engines = append(p.engines, backend)
+		specs = append(specs, sched.Engine{
+			Name:         backend.Name(),
+			Version:      version,
+			Adapters:     backend.Adapters(),
+			MemoryTokens: backend.MemoryTokens(),
+			MaxRunning:   backend.MaxRunning(),
+			Accepting:    p.accepting(backend),
+		})
+	}
+	p.scheduler.SetPolicy(policyOf(manifest))
+	p.scheduler.SetEngines(specs)
+}
+
+func (p *pool) accepting(backend spec.Backend) bool {
+	return !backend.Leaving() && p.backends.Accepting(backend.Name())
+}
+
+// refresh applies the manifest in effect and the present view of the engines.
+func (p *pool) refresh(manifest *spec.Manifest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.adopt(manifest)
+	for _, backend := range p.engines {
+		p.scheduler.SetAccepting(backend.Name(), p.accepting(backend))
+	}
+}
+
+// offer decides about a request.
+func (p *pool) offer(request sched.Request, now time.Time) sched.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.released, request.ID)
+	p.complete(&request)
+	return p.checked(p.scheduler.Offer(request, now), now)
+}
+
+// register adds a request that runs already.
+func (p *pool) register(request sched.Request, engine string, shown int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.released, request.ID)
+	p.complete(&request)
+	p.scheduler.Register(request, engine, shown, now)
+}
+
+// complete fills in what the manifest says about the request's account and model.
+func (p *pool) complete(request *sched.Request) {
+	request.Weight = 1
+	if account, ok := p.manifest.Account(request.Account); ok {
+		request.Weight = account.Weight()
+	}
+	limit := request.MaxTokens
+	if model, ok := p.manifest.Model(p.key.model); ok && (limit <= 0 || limit > model.MaxTokens()) {
+		limit = model.MaxTokens()
+	}
+	request.MaxTokens = max(limit, 1)
+}
+
+// checked asks the view of the backend servers again directly before a request is dispatched.
+func (p *pool) checked(decision sched.Decision, now time.Time) sched.Decision {
+	for decision.Verdict == sched.VerdictServe && !p.backends.Accepting(decision.Engine) {
+		decision = p.scheduler.Reject(decision.ID, now)
+	}
+	return decision
+}
+
+func (p *pool) progress(id string, progress sched.Progress, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.Progress(id, progress, now)
+}
+
+func (p *pool) finish(id string, end sched.End, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.released, id)
+	p.scheduler.Finish(id, end, now)
+}
+
+// disconnect handles the requests of an instance whose stream ended. Waiting ones are offered elsewhere by their
+// instance. Running ones may continue; they hold their memory until the limit, unless a stream registers them again.
+func (p *pool) disconnect(ids []string, origin uint64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		running, known := p.scheduler.Owner(id, origin)
+		switch {
+		case !known:
+		case running:
+			p.released[id] = now.Add(resumeLimit)
+		default:
+			p.scheduler.Cancel(id, now)
+		}
+	}
+}
+
+// tick runs the scheduler and returns a copy of its decisions.
+func (p *pool) tick(now time.Time) []sched.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, limit := range p.released {
+		if !now.Before(limit) {
+			delete(p.released, id)
+			p.scheduler.Finish(id, sched.End{}, now)
+		}
+	}
+	var decisions []sched.Decision
+	for _, decision := range p.scheduler.Tick(now) {
+		if decision = p.checked(decision, now); decision.Verdict != sched.VerdictWait {
+			decisions = append(decisions, decision)
+		}
+	}
+	return decisions
+}
+
+// pause lets new requests wait until a time.
+func (p *pool) pause(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.Pause(until)
+}
+
+// stats returns the counts of the scheduler's tables.
+func (p *pool) stats() sched.Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.Stats()
+}
--- a/internal/grant/rank.go
+++ b/internal/grant/rank.go
@@ -1,27 +1,18 @@
 package grant
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/dragonflypond/dragonflypond/internal/member"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// RendezvousRank orders instances by the hash of key and name, the greatest first. The incarnation is left out, so
-// that a restarted instance gets the same pools again.
+// RendezvousRank orders instances as package member does. Instances that are leaving are left out.
 func RendezvousRank(key string, instances []pond.Instance) []pond.Instance {
-	ranked := slices.Clone(instances)
-	slices.SortFunc(ranked, func(a, b pond.Instance) int {
-		return cmp.Or(
-			cmp.Compare(rendezvousScore(key, b.ID()), rendezvousScore(key, a.ID())),
-			cmp.Compare(a.ID(), b.ID()),
-		)
-	})
-	return ranked
+	return member.Rank(candidates(instances), key)
 }
 
-func rendezvousScore(key string, id pond.InstanceID) uint64 {
-	return xxhash.Sum64String(key + "\x00" + string(id))
-}
+// candidates is a directory of the given instances.
+type candidates []pond.Instance
+
+func (c candidates) Self() pond.Instance { return pond.Instance{} }
+
+func (c candidates) Instances() []pond.Instance { return c }
--- /dev/null
+++ b/internal/grant/serve.go
@@ -0,0 +1,234 @@
+package grant
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/internal/sched"
+)
+
+// beatInterval is the time between messages to an instance that has waiting requests here, so that it notices a home
+// that stopped. Instances without waiting requests get none, to save bytes.
+const beatInterval = 250 * time.Millisecond
+
+// errDraining ends the streams of a home that is leaving.
+var errDraining = errors.New("the home is leaving")
+
+// outlet is the home's end of the stream of one other instance.
+type outlet struct {
+	origin uint64
+	wake   chan struct{}
+
+	mu        sync.Mutex
+	decisions []*peerpb.ScheduleDecision
+	beat      bool
+	// open maps the instance's requests to their pools. waiting holds those without a final decision.
+	open    map[string]*pool
+	waiting map[string]struct{}
+	closed  bool
+}
+
+// Schedule serves the requests of one other instance. It implements peerpb.DRPCSchedulingServer.
+func (p *Placer) Schedule(stream peerpb.DRPCScheduling_ScheduleStream) error {
+	o, err := p.openOutlet()
+	if err != nil {
+		return err
+	}
+	defer p.closeOutlet(o)
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	received := make(chan error, 1)
+	go func() { received <- p.receive(stream, o) }()
+	if err := stream.Send(new(peerpb.ScheduleDown)); err != nil {
+		return err
+	}
+	for {
+		select {
+		case err := <-received:
+			return err
+		case <-p.drained:
+			return errDraining
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-o.wake:
+		}
+		if down := o.take(); down != nil {
+			if err := stream.Send(down); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (p *Placer) openOutlet() (*outlet, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining {
+		return nil, errDraining
+	}
+	p.lastOrigin++
+	o := &outlet{
+		origin:  p.lastOrigin,
+		wake:    make(chan struct{}, 1),
+		open:    make(map[string]*pool),
+		waiting: make(map[string]struct{}),
+	}
+	p.outlets[o.origin] = o
+	return o, nil
+}
+
+func (p *Placer) closeOutlet(o *outlet) {
+	p.mu.Lock()
+	delete(p.outlets, o.origin)
+	p.mu.Unlock()
+	o.mu.Lock()
+	o.closed = true
+	byPool := make(map[*pool][]string)
+	for id, pool := range o.open {
+		byPool[pool] = append(byPool[pool], id)
+	}
+	o.mu.Unlock()
+	for pool, ids := range byPool {
+		pool.disconnect(ids, o.origin, p.options.Now())
+		p.run(pool)
+	}
+}
+
+func (p *Placer) receive(stream peerpb.DRPCScheduling_ScheduleStream, o *outlet) error {
+	for {
+		up, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		p.handle(up, o)
+	}
+}
+
+// handle applies one message: ends first, because they make room for the offers.
+func (p *Placer) handle(up *peerpb.ScheduleUp, o *outlet) {
+	now := p.options.Now()
+	freed := make(map[*pool]struct{})
+	for _, item := range up.GetFinished() {
+		if pool := o.drop(item.GetGeneration()); pool != nil {
+			pool.finish(item.GetGeneration(), endOf(item), now)
+			freed[pool] = struct{}{}
+		}
+	}
+	for _, item := range up.GetProgress() {
+		if pool := o.pool(item.GetGeneration()); pool != nil {
+			pool.progress(item.GetGeneration(), progressOf(item), now)
+		}
+	}
+	for pool := range freed {
+		p.run(pool)
+	}
+	for _, offer := range up.GetOffers() {
+		p.handleOffer(offer, o, now)
+	}
+}
+
+func (p *Placer) handleOffer(offer *peerpb.Offer, o *outlet, now time.Time) {
+	pool := p.localPool(poolKey{model: offer.GetModel(), region: p.region()})
+	if pool == nil {
+		o.push(notReady(offer.GetGeneration(), now))
+		return
+	}
+	o.add(offer.GetGeneration(), pool)
+	request := requestOfOffer(offer, o.origin, now)
+	if offer.GetRunningOn() != "" {
+		o.decided(offer.GetGeneration(), true)
+		pool.register(request, offer.GetRunningOn(), int(offer.GetShownTokens()), now)
+	} else {
+		o.push(pool.offer(request, now))
+	}
+	if o.isClosed() {
+		// The stream ended after its requests were given up, so this one was missed.
+		pool.disconnect([]string{offer.GetGeneration()}, o.origin, now)
+	}
+}
+
+func (o *outlet) isClosed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.closed
+}
+
+func (o *outlet) add(id string, pool *pool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.open[id] = pool
+	o.waiting[id] = struct{}{}
+}
+
+// decided notes that a request has its final decision; running tells whether it stays open.
+func (o *outlet) decided(id string, running bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.settle(id, running)
+}
+
+func (o *outlet) settle(id string, running bool) {
+	delete(o.waiting, id)
+	if !running {
+		delete(o.open, id)
+	}
+}
+
+func (o *outlet) pool(id string) *pool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.open[id]
+}
+
+func (o *outlet) drop(id string) *pool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	pool := o.open[id]
+	o.settle(id, false)
+	return pool
+}
+
+// push queues a decision for the instance. A final one for a request that was ended meanwhile is sent all the same; the
+// instance ignores it.
+func (o *outlet) push(decision sched.Decision) {
+	o.mu.Lock()
+	o.decisions = append(o.decisions, messageOf(decision))
+	if decision.Verdict != sched.VerdictWait {
+		o.settle(decision.ID, decision.Verdict == sched.VerdictServe)
+	}
+	o.mu.Unlock()
+	o.signal()
+}
+
+// heartbeat queues an empty message if the instance has waiting requests.
+func (o *outlet) heartbeat() {
+	o.mu.Lock()
+	o.beat = len(o.waiting) > 0
+	beat := o.beat
+	o.mu.Unlock()
+	if beat {
+		o.signal()
+	}
+}
+
+func (o *outlet) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (o *outlet) take() *peerpb.ScheduleDown {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.decisions) == 0 && !o.beat {
+		return nil
+	}
+	down := &peerpb.ScheduleDown{Decisions: o.decisions}
+	o.decisions, o.beat = nil, false
+	return down
+}
