grant: benchmark of one grant over drpc on loopback

Cause: docs/CAPACITY.md needs the processor time and bytes of a grant. Change: BenchmarkGrant places through a home over TLS on loopback and counts processor time and bytes.

--- /dev/null
+++ b/internal/grant/bench_test.go
@@ -0,0 +1,152 @@
+package grant
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"storj.io/drpc"
+
+	"github.com/dragonflypond/dragonflypond/internal/peer"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// countingListener counts the bytes of all connections that it accepts.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// twoInstances starts a home and another instance over TLS on loopback and returns the other one.
+func twoInstances(b *testing.B, bytes *atomic.Int64) *Placer {
+	manifest := testSpec{north: 50, maxRunning: 1000}.manifest(b)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	network, err := peer.NewNetwork([]byte("0123456789abcdef"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	accepting := pond.BackendViewFunc(func(string) bool { return true })
+	home := pond.NewInstance(pond.InstanceRef{ID: "home"}, pond.InstanceLive, "", listener.Addr().String(), "north-1", "north")
+	self := pond.NewInstance(pond.InstanceRef{ID: "self"}, pond.InstanceLive, "", "127.0.0.1:1", "north-1", "north")
+	both := []pond.Instance{home, self}
+	newPlacer := func(me pond.Instance) *Placer {
+		return New(Options{
+			Manifests: fixedManifest{manifest}, Directory: fixedDirectory{me, both}, Backends: accepting, Engines: noEngines{},
+			Rank:    func(string, []pond.Instance) []pond.Instance { return both },
+			Connect: func(address string) drpc.Conn { return network.Conn(address) },
+		})
+	}
+	first, second := newPlacer(home), newPlacer(self)
+	server := network.NewServer()
+	if err := peerpb.DRPCRegisterScheduling(server.Mux(), first); err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(func() { cancel(); _ = network.Close() })
+	go func() { _ = server.Serve(ctx, countingListener{listener, bytes}) }()
+	go func() { _ = first.Run(ctx) }()
+	go func() { _ = second.Run(ctx) }()
+	return second
+}
+
+type fixedDirectory struct {
+	self pond.Instance
+	all  []pond.Instance
+}
+
+func (d fixedDirectory) Self() pond.Instance        { return d.self }
+func (d fixedDirectory) Instances() []pond.Instance { return d.all }
+
+// BenchmarkGrant measures one grant and its end over drpc on loopback: the time that the caller waits, the processor
+// time of both instances, and the bytes on the wire with TLS.
+func BenchmarkGrant(b *testing.B) {
+	for _, parallel := range []int{1, 64} {
+		b.Run(fmt.Sprint("parallel-", parallel), func(b *testing.B) {
+			var bytes, serial atomic.Int64
+			placer := twoInstances(b, &bytes)
+			place := func() {
+				id := fmt.Sprintf("self.0123456789abcdef.%d", serial.Add(1))
+				placement, err := placer.Place(context.Background(), pond.PlaceRequest{
+					Generation: id, Account: "a", Model: "letters", Class: pond.ClassShort, PromptTokens: 100, MaxTokens: 100,
+				})
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				placement.Progress(50, time.Now())
+				placement.Done(pond.PlacementEnd{Tokens: 100, Complete: true}, time.Now())
+			}
+			place()
+			for placer.Stats()["letters/north"].Running > 0 || !placer.linked() {
+				time.Sleep(time.Millisecond)
+			}
+			bytes.Store(0)
+			b.SetParallelism(parallel)
+			b.ResetTimer()
+			before := cpuTime(b)
+			if parallel == 1 {
+				for range b.N {
+					place()
+				}
+			} else {
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						place()
+					}
+				})
+			}
+			b.ReportMetric(float64(cpuTime(b)-before)/1000/float64(b.N), "cpu-µs/op")
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
+
+// linked reports whether a home answers.
+func (p *Placer) linked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		if l.ready {
+			return true
+		}
+	}
+	return false
+}
