sched: search engines by a lower bound of their load

Cause: with engines ordered by falling load, a decision over 600 engines took 25 µs on a busy machine (limit 20 µs). Change: one cheap pass finds the least lower bound and only that engine is checked in full. If it turns out worse than the bound of another one, or an engine waits for a probing request, the full search follows as before.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"time"
 
 	"github.com/dragonflypond/dragonflypond/internal/table"
@@ -16,39 +17,72 @@
 // choose returns the least loaded engine that may start the request now, or the holder of its prefix if that one is
 // not much more loaded.
 func (s *Scheduler) choose(r *request, now time.Time) (table.Slot, bool) {
-	best, bestLoad := table.None, 0.0
-	holder := s.prefixes.get(r.prefix)
-	holderLoad, holderFits := 0.0, false
+	best, load, ok := s.leastByBound(r, now)
+	if !ok {
+		best, load = s.leastByLoad(r, now)
+	}
+	if best == table.None || s.engines.At(best).trust == trustProbing {
+		return best, best != table.None
+	}
+	if holder := s.prefixes.get(r.prefix); holder != table.None && holder != best && s.engines.Used(holder) {
+		holderLoad, fits := s.candidate(holder, s.engines.At(holder), r, now)
+		if fits && holderLoad <= load*s.policy.PrefixLoadBound {
+			return holder, true
+		}
+	}
+	return best, true
+}
+
+// leastByBound searches by a lower bound of the load, which is cheap, and checks only the engine that it finds. It gives
+// up if that one turns out to be worse than the bound of another, or if an engine waits for a probing request.
+func (s *Scheduler) leastByBound(r *request, now time.Time) (best table.Slot, load float64, ok bool) {
 	long, least := r.queue == queueLong, min(r.want.tokens, s.leastLimit)
+	best = table.None
+	first, second := math.MaxFloat64, math.MaxFloat64
 	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
 		if !s.engines.Used(slot) {
 			continue
 		}
 		e := s.engines.At(slot)
-		if e.full(long, least) {
+		if e.trust == trustProbing {
+			return table.None, 0, false
+		}
+		if !e.accepting || e.trust == trustAvoided || e.full(long, least) {
 			continue
 		}
-		if best != table.None && slot != holder && e.trust == trustNormal && e.leastLoad() >= bestLoad {
+		if bound := e.leastLoad(least); bound < first {
+			best, first, second = slot, bound, first
+		} else if bound < second {
+			second = bound
+		}
+	}
+	if best == table.None {
+		return best, 0, true
+	}
+	load, ok = s.candidate(best, s.engines.At(best), r, now)
+	return best, load, ok && load <= second
+}
+
+// leastByLoad searches by the load itself. An engine that may get a probing request goes first.
+func (s *Scheduler) leastByLoad(r *request, now time.Time) (best table.Slot, bestLoad float64) {
+	best = table.None
+	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
+		if !s.engines.Used(slot) {
 			continue
 		}
+		e := s.engines.At(slot)
 		load, ok := s.candidate(slot, e, r, now)
 		if !ok {
 			continue
 		}
 		if e.trust == trustProbing {
-			return slot, true
-		}
-		if slot == holder {
-			holderLoad, holderFits = load, true
+			return slot, load
 		}
 		if best == table.None || load < bestLoad {
 			best, bestLoad = slot, load
 		}
 	}
-	if holderFits && holderLoad <= bestLoad*s.policy.PrefixLoadBound {
-		return holder, true
-	}
-	return best, best != table.None
+	return best, bestLoad
 }
 
 // candidate returns the load that the engine would have with the request, and false if it must not get it now.
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -113,9 +113,9 @@
 	return memory
 }
 
-// leastLoad is a lower bound of load for any request, cheap enough to skip most engines in a search for the least.
-func (e *engine) leastLoad() float64 {
-	memory, batch := float64(e.reserved+e.margin)*e.perToken, float64(e.running+1)*e.perRequest
+// leastLoad is a lower bound of load with a request that holds at least so many tokens.
+func (e *engine) leastLoad(least int) float64 {
+	memory, batch := float64(e.reserved+e.margin+least)*e.perToken, float64(e.running+1)*e.perRequest
 	if memory < batch {
 		return batch
 	}
