sched: skip searches that another request's miss decides

Cause: in a full pool each tick searched all engines for up to eight accounts in turn. Change: a request that needs at least as much as an unrestricted one that fits nowhere is not searched for. The tick benchmark now keeps 1,000 requests waiting; before, it cancelled them. Measured: go test ./internal/sched -bench Tick -benchtime 200ms, busy machine: 600 engines 34 µs before, 22 µs after; 1,200 engines 66 and 27 µs; no allocation.

--- a/internal/sched/bench_test.go
+++ b/internal/sched/bench_test.go
@@ -67,31 +67,50 @@
 }
 
 // BenchmarkTick measures one run of all systems at full load with 1,000 waiting requests of 10 accounts, while one
-// request ends and one arrives.
+// request ends, one arrives and one is served.
 func BenchmarkTick(b *testing.B) {
 	for _, replicas := range []int{10, 150, 600, 1200} {
-		b.Run(fmt.Sprint(replicas), func(b *testing.B) {
-			s := newTestScheduler(testPolicy(), testEngines(replicas, 60_000, 64)...)
-			offerAll(s, 0, 64*replicas, pond.ClassLong, 200, 2000)
-			running := s.Stats().Running
-			for i := range 1000 {
-				req := testRequest(1_000_000+i, pond.ClassLong, 200, 2000)
-				req.Account = fmt.Sprint("account", i%10)
-				s.Offer(req, epoch)
-			}
-			now, next := epoch, 0
-			b.ReportAllocs()
-			for b.Loop() {
-				now = now.Add(time.Microsecond)
-				id := fmt.Sprintf("g%05d", next%running)
-				next++
-				s.Finish(id, End{}, now)
-				s.Offer(testRequest(next%running, pond.ClassLong, 200, 2000), now)
-				s.Tick(now)
-			}
-			b.ReportMetric(float64(s.Stats().WaitingLong), "waiting")
-		})
+		b.Run(fmt.Sprint(replicas), func(b *testing.B) { benchTick(b, replicas) })
+	}
+}
+
+func benchTick(b *testing.B, replicas int) {
+	s := newTestScheduler(testPolicy(), testEngines(replicas, 60_000, 64)...)
+	var running []string
+	var ids []string
+	for i := range 100_000 {
+		ids = append(ids, fmt.Sprintf("g%06d", i))
+	}
+	accounts := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	next := 0
+	offer := func() Verdict {
+		req := Request{
+			ID: ids[next%len(ids)], Account: accounts[next%len(accounts)], Class: pond.ClassLong, PromptTokens: 200,
+			MaxTokens: 2000, Deadline: epoch.Add(time.Hour),
+		}
+		next++
+		verdict := s.Offer(req, epoch).Verdict
+		if verdict == VerdictServe {
+			running = append(running, req.ID)
+		}
+		return verdict
+	}
+	for s.Stats().WaitingLong < 1000 {
+		offer()
+	}
+	now, turn := epoch, 0
+	b.ReportAllocs()
+	b.ResetTimer()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		turn = (turn + 1) % len(running)
+		s.Finish(running[turn], End{}, now)
+		offer()
+		for _, decision := range s.Tick(now) {
+			running[turn] = decision.ID
+		}
 	}
+	b.ReportMetric(float64(s.Stats().WaitingLong), "waiting")
 }
 
 // BenchmarkMemory reports the bytes that the tables take for one engine and for one running request.
--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -36,14 +36,21 @@
 }
 
 func (s *Scheduler) dispatchQueue(kind queueKind, onlyAged bool, now time.Time) {
+	missed := table.None
 	for misses := 0; misses < maxMisses; {
 		slot, ok := s.next(kind, onlyAged, now)
 		if !ok {
 			return
 		}
 		r := s.requests.At(slot)
-		engine, ok := s.choose(r, now)
+		engine, ok := table.None, false
+		if missed == table.None || !s.harder(slot, missed) {
+			engine, ok = s.choose(r, now)
+		}
 		if !ok {
+			if r.version == "" && r.adapter == "" && len(r.avoid) == 0 {
+				missed = slot
+			}
 			s.accounts.At(r.account).flows[kind].blocked = s.pass
 			misses++
 			if onlyAged {
@@ -55,6 +62,14 @@
 	}
 }
 
+// harder reports whether a request certainly fits nowhere because another one of its queue, which may run on any engine
+// and needs no more, does not fit. It saves a search over all engines for each account of a full pool.
+func (s *Scheduler) harder(slot, missed table.Slot) bool {
+	r, other := s.requests.At(slot), s.requests.At(missed)
+	return slot != s.hold.request && r.prompt >= other.prompt &&
+		r.want.tokens >= other.want.tokens && r.want.variance >= other.want.variance
+}
+
 // grow predicts again for running requests that have shown more than half of what was predicted to remain.
 func (s *Scheduler) grow(now time.Time) {
 	for _, slot := range s.grown {
