--- /dev/null
+++ b/internal/naive/calls.go
@@ -0,0 +1,132 @@
+package naive
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+// Calls is the naive pond.Executor. It hashes the key of a call over its own list of live instances, forwards the call to
+// the instance that it finds there, and remembers there which keys ran. Instances whose lists differ run a key twice.
+// Calls are sent with the retries of net/http, which repeat a call with an Idempotency-Key when a reused connection
+// fails.
+type Calls struct {
+	manifests spec.Source
+	directory pond.Directory
+	forward   func(ctx context.Context, peerAddress string, call pond.Call) (pond.Answer, error)
+	client    *http.Client
+	table     *CallTable
+}
+
+// NewCalls returns an executor. forward sends a call to the instance with the given peer address.
+func NewCalls(
+	manifests spec.Source, directory pond.Directory,
+	forward func(ctx context.Context, peerAddress string, call pond.Call) (pond.Answer, error),
+) *Calls {
+	return &Calls{
+		manifests: manifests,
+		directory: directory,
+		forward:   forward,
+		client:    &http.Client{Transport: &http.Transport{}},
+		table:     NewCallTable(),
+	}
+}
+
+// Owner returns the live instance that has the highest hash for the key, or false if there is none.
+func Owner(key string, directory pond.Directory) (pond.Instance, bool) {
+	var live []pond.Instance
+	for _, instance := range directory.Instances() {
+		if instance.State() == pond.InstanceLive {
+			live = append(live, instance)
+		}
+	}
+	if len(live) == 0 {
+		return pond.Instance{}, false
+	}
+	return slices.MaxFunc(live, func(a, b pond.Instance) int {
+		return cmp.Compare(weight(key, a), weight(key, b))
+	}), true
+}
+
+func weight(key string, instance pond.Instance) uint64 {
+	return xxhash.Sum64String(key + "\x00" + string(instance.ID()))
+}
+
+// CallTable remembers the keys that ran. It is safe for concurrent use.
+type CallTable struct {
+	mu   sync.Mutex
+	seen map[string]struct{}
+}
+
+// NewCallTable returns an empty table.
+func NewCallTable() *CallTable { return &CallTable{seen: make(map[string]struct{})} }
+
+// Begin reports whether the key is new, and remembers it.
+func (t *CallTable) Begin(key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.seen[key]; ok {
+		return false
+	}
+	t.seen[key] = struct{}{}
+	return true
+}
+
+// Handle runs a call. The error is a *pond.Refusal.
+func (c *Calls) Handle(ctx context.Context, call pond.Call) (pond.Answer, error) {
+	if call.Key == "" || call.Forwarded {
+		return c.run(ctx, call)
+	}
+	owner, ok := Owner(call.Key, c.directory)
+	if !ok || owner.ID() == c.directory.Self().ID() {
+		return c.run(ctx, call)
+	}
+	return c.forward(ctx, owner.PeerAddress(), call)
+}
+
+func (c *Calls) run(ctx context.Context, call pond.Call) (pond.Answer, error) {
+	if call.Key != "" && !c.table.Begin(call.Key) {
+		return pond.Answer{}, refuseCall(pond.ReasonKeyReused, "the key was used before")
+	}
+	manifest := c.manifests.Current()
+	service, ok := manifest.Service(call.Service)
+	if !ok {
+		return pond.Answer{}, refuseCall(pond.ReasonNotFound, "no such service")
+	}
+	for _, name := range service.Backends() {
+		backend, _ := manifest.Backend(name)
+		if answer, err := c.send(ctx, backend.Address(), call); err == nil {
+			return answer, nil
+		}
+	}
+	return pond.Answer{}, refuseCall(pond.ReasonBackendFailed, "no replica answered")
+}
+
+func (c *Calls) send(ctx context.Context, address string, call pond.Call) (pond.Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return pond.Answer{}, err
+	}
+	req.Header.Set("Idempotency-Key", call.Key)
+	response, err := c.client.Do(req)
+	if err != nil {
+		return pond.Answer{}, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return pond.Answer{Status: response.StatusCode, Header: response.Header, Body: body}, err
+}
+
+func refuseCall(reason pond.Reason, detail string) *pond.Refusal {
+	return pond.NewRefusal(reason, pond.RunUnknown, time.Time{}, detail)
+}
--- a/internal/once/executor_test.go
+++ b/internal/once/executor_test.go
@@ -45,8 +45,9 @@
 	return pond.NewInstance(ref, pond.InstanceLive, "", peerAddress, "a1", "a")
 }
 
-// manifestOf returns a manifest with the service "shop" on replicas with the given addresses, named r0, r1 and so on.
-func manifestOf(t testing.TB, maxRecords int, addresses ...string) *spec.Manifest {
+// manifestOf returns a manifest with the service "shop" on replicas with the given addresses, named r0, r1 and so on. A
+// maxOpen of zero means no limit.
+func manifestOf(t testing.TB, maxRecords, maxOpen int, addresses ...string) *spec.Manifest {
 	t.Helper()
 	type object = map[string]any
 	var backends []object
@@ -64,7 +65,7 @@
 			{"method": "POST", "path": "/charge", "repeat": "atMostOnce"},
 			{"method": "GET", "path": "/status", "repeat": "idempotent"},
 		}}},
-		"clientAccounts": []object{{"name": testAccount, "keyHashes": []string{}, "weight": 1}},
+		"clientAccounts": []object{{"name": testAccount, "keyHashes": []string{}, "weight": 1, "maxOpen": maxOpen}},
 		"policy":         object{"maxServiceRecords": maxRecords, "hedgeBudget": 1, "retryBudget": 1},
 	})
 	if err != nil {
@@ -147,7 +148,7 @@
 		io.Copy(w, r.Body)
 	}))
 	defer service.Close()
-	x, y := pair(t, manifestOf(t, 100, service.Listener.Addr().String()))
+	x, y := pair(t, manifestOf(t, 100, 0, service.Listener.Addr().String()))
 	key := x.Issue(testAccount, time.Now()) + ":1"
 	for _, executor := range []*Executor{y, x, y} {
 		answer, err := executor.Handle(t.Context(), charge(key, "5 euros"))
@@ -165,7 +166,7 @@
 
 // TestRefusals guards against a wrong reason or a false "run: no" for keys that this instance does not own.
 func TestRefusals(t *testing.T) {
-	x, y := pair(t, manifestOf(t, 100))
+	x, y := pair(t, manifestOf(t, 100, 0))
 	now := time.Now()
 	otherIncarnation := &keyring{
 		ref:      pond.InstanceRef{ID: "x", Incarnation: 99},
