--- a/internal/once/executor_test.go
+++ b/internal/once/executor_test.go
@@ -46,7 +46,7 @@
 }
 
 // manifestOf returns a manifest with the service "shop" on replicas with the given addresses, named r0, r1 and so on. A
-// maxOpen of zero means no limit.
+// maxOpen of zero means no limits of the account.
 func manifestOf(t testing.TB, maxRecords, maxOpen int, addresses ...string) *spec.Manifest {
 	t.Helper()
 	type object = map[string]any
@@ -65,8 +65,9 @@
 			{"method": "POST", "path": "/charge", "repeat": "atMostOnce"},
 			{"method": "GET", "path": "/status", "repeat": "idempotent"},
 		}}},
-		"clientAccounts": []object{{"name": testAccount, "keyHashes": []string{}, "weight": 1, "maxOpen": maxOpen}},
-		"policy":         object{"maxServiceRecords": maxRecords, "hedgeBudget": 1, "retryBudget": 1},
+		"clientAccounts": []object{{"name": testAccount, "keyHashes": []string{}, "weight": 1, "maxOpen": maxOpen,
+			"requestsPerSecond": 2 * maxOpen}},
+		"policy": object{"maxServiceRecords": maxRecords, "hedgeBudget": 0.05, "retryBudget": 0.1},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/once/property_test.go
+++ b/internal/once/property_test.go
@@ -81,8 +81,8 @@
 		t.Error("the naive executor ran no key twice, so the schedules prove nothing")
 	}
 	for _, reason := range []pond.Reason{
-		pond.ReasonTableFull, pond.ReasonTooManyOpen, pond.ReasonKeyExpired, pond.ReasonKeyReused, pond.ReasonLeaving,
-		pond.ReasonNotReady, pond.ReasonNoBackend, pond.ReasonBackendFailed, pond.ReasonExecutorGone,
+		pond.ReasonTableFull, pond.ReasonTooManyOpen, pond.ReasonKeyExpired, pond.ReasonKeyReused,
+		pond.ReasonLeaving, pond.ReasonNotReady, pond.ReasonNoBackend, pond.ReasonBackendFailed, pond.ReasonExecutorGone,
 	} {
 		if reasons[reason] == 0 {
 			t.Errorf("no schedule led to a refusal with reason %s", reason)
