order: an engine that does not answer delays no other engine

Cause: a round waited for all engines, so one that did not answer held back a new manifest at the others for up to 4 s; a manifest must be in effect within 3 s. Change: the loop starts rounds without waiting for the last one; an engine that is being looked at is skipped and is due again when the manifest changes meanwhile.

--- a/internal/order/judge.go
+++ b/internal/order/judge.go
@@ -13,12 +13,22 @@
 // memory is what the home of an engine remembers about it. A new home starts without; it then reads the state and at
 // worst repeats an order.
 type memory struct {
+	// busy is true while the engine is looked at. It and dueAt are guarded by the reconciler's lock; the other fields are
+	// reserved for the look.
+	busy  bool
 	dueAt time.Time
 	// loading is the state that the engine was seen loading or ordered to load, loadBy the time until it should be done.
 	loading State
 	loadBy  time.Time
 }
 
+// hasten moves the next look to t if that is not zero and earlier.
+func (m *memory) hasten(t time.Time) {
+	if !t.IsZero() && t.Before(m.dueAt) {
+		m.dueAt = t
+	}
+}
+
 func (m *memory) expectLoad(state State, now time.Time) {
 	if m.loading.Equal(state) && !m.loadBy.IsZero() {
 		return
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -9,11 +9,14 @@
 	"net/http/httptest"
 	"os"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
 
@@ -245,12 +248,54 @@
 	}
 }
 
-// TestRun guards against a loop that does not end with its context.
-func TestRun(t *testing.T) {
-	w := newWorld(t, 0)
-	ctx, cancel := context.WithCancel(t.Context())
-	cancel()
-	if err := w.nodes[0].reconciler.Run(ctx); !errors.Is(err, context.Canceled) {
-		t.Errorf("error %v, want context.Canceled", err)
+// hung is a manifest source and a client of engines of which e0 does not answer. It is safe for concurrent use.
+type hung struct {
+	current atomic.Pointer[spec.Manifest]
+	fence   atomic.Uint64
+}
+
+func (h *hung) Current() *spec.Manifest  { return h.current.Load() }
+func (h *hung) Confirmed(time.Time) bool { return true }
+
+func (h *hung) State(ctx context.Context, engine spec.Backend) (Report, error) {
+	if engine.Name() == "e0" {
+		<-ctx.Done()
+		return Report{}, ctx.Err()
 	}
+	return Report{Order: Order{Fence: h.fence.Load()}}, nil
+}
+
+func (h *hung) Order(_ context.Context, _ spec.Backend, order Order, check func() error) error {
+	h.fence.Store(order.Fence)
+	return check()
+}
+
+// TestRun guards against an engine that does not answer and thereby delays a new manifest at other engines, and against
+// a loop that does not end with its context.
+func TestRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 0)
+		h := &hung{}
+		options := w.nodes[0].reconciler.options
+		options.Source, options.Engines = h, h
+		options.Clock = time.Now
+		options.Ranking = RankingFunc(func(string, string) (pond.Instance, bool) { return w.nodes[0].instance, true })
+		r := New(options)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- r.Run(ctx) }()
+		for number := range uint64(3) {
+			manifest := manifestOf(t, number+1, 0, engineDoc("e0", "a1", "1", true), engineDoc("e1", "a1", "1", true))
+			h.current.Store(manifest)
+			time.Sleep(tick)
+			synctest.Wait()
+			if got := h.fence.Load(); got != number+1 {
+				t.Errorf("engine e1 has manifest %d one tick after its publication, want %d", got, number+1)
+			}
+		}
+		cancel()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("error %v, want context.Canceled", err)
+		}
+	})
 }
--- a/internal/order/reconciler.go
+++ b/internal/order/reconciler.go
@@ -16,9 +16,8 @@
 	// tick is the time between two looks at the manifest and the membership. A new manifest must be in effect
 	// everywhere within 3 s, and most of that is needed by its distribution and the engines.
 	tick = 500 * time.Millisecond
-	// maxParallel bounds the engines that are looked at at the same time, so that engines that do not answer delay
-	// others little.
-	maxParallel = 32
+	// maxParallel bounds the engines that are looked at at the same time.
+	maxParallel = 64
 	// engineTimeout bounds one read of a state or one order.
 	engineTimeout = 2 * time.Second
 )
@@ -42,9 +41,6 @@
 	// parallel bounds the engines that are looked at at the same time.
 	parallel int
 
-	// round is held during a round, because memories are changed without mu.
-	round sync.Mutex
-
 	mu       sync.Mutex
 	pacer    *pacer
 	homes    homes
@@ -67,10 +63,21 @@
 func (r *Reconciler) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return every(ctx, tick, r.observe) })
-	group.Go(func() error { return every(ctx, tick, func() { r.Round(ctx) }) })
+	group.Go(func() error { return r.runRounds(ctx) })
 	return group.Wait()
 }
 
+// runRounds starts a round in each tick without waiting for the last one, so that an engine that does not answer delays
+// no other engine.
+func (r *Reconciler) runRounds(ctx context.Context) error {
+	var engines errgroup.Group
+	engines.SetLimit(maxParallel)
+	err := every(ctx, tick, func() { r.startRound(ctx, engines.TryGo) })
+	// The functions return no error.
+	_ = engines.Wait()
+	return err
+}
+
 func every(ctx context.Context, interval time.Duration, f func()) error {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
@@ -84,7 +91,7 @@
 	}
 }
 
-// observe keeps the pacer's view of the home current. It runs apart from Round, which may wait for engines.
+// observe keeps the pacer's view of the home current.
 func (r *Reconciler) observe() {
 	manifest := r.options.Source.Current()
 	if manifest == nil {
@@ -98,76 +105,91 @@
 // Round looks at every engine of which this instance is home and whose reconcile interval has passed, or at all of them
 // if the manifest or the membership changed. It returns when all have been looked at.
 func (r *Reconciler) Round(ctx context.Context) {
-	r.round.Lock()
-	defer r.round.Unlock()
+	var engines errgroup.Group
+	engines.SetLimit(r.parallel)
+	r.startRound(ctx, func(f func() error) bool {
+		engines.Go(f)
+		return true
+	})
+	// The functions return no error.
+	_ = engines.Wait()
+}
+
+// startRound starts a function for each engine that is due. An engine that start does not accept remains due.
+func (r *Reconciler) startRound(ctx context.Context, start func(func() error) bool) {
 	manifest := r.options.Source.Current()
 	now := r.options.Clock()
 	if manifest == nil || !r.options.Source.Confirmed(now) {
 		return
 	}
-	var group errgroup.Group
-	group.SetLimit(r.parallel)
 	for _, due := range r.due(manifest, now) {
-		group.Go(func() error {
+		started := start(func() error {
+			defer r.release(due.memory, time.Time{})
 			r.reconcile(ctx, manifest, due)
 			return nil
 		})
+		if !started {
+			r.release(due.memory, now)
+		}
 	}
-	// The functions return no error.
-	_ = group.Wait()
 }
 
-// dueEngine is an engine to look at with the memory of it. The memory is used by one round at a time.
+// dueEngine is an engine to look at with the memory of it, which is reserved for the look.
 type dueEngine struct {
 	engine spec.Backend
 	memory *memory
 }
 
+// due reserves the engines to look at now.
 func (r *Reconciler) due(manifest *spec.Manifest, now time.Time) []dueEngine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changed := r.homes.refresh(manifest, r.options.Directory, r.options.Ranking)
-	if changed {
-		r.forgetOthers()
+	if r.homes.refresh(manifest, r.options.Directory, r.options.Ranking) {
+		r.resetMemories(now)
 	}
 	var due []dueEngine
 	for _, engine := range r.homes.engines {
-		m := r.memory(engine.Name())
-		if changed || !now.Before(m.dueAt) {
-			due = append(due, dueEngine{engine: engine, memory: m})
+		m := r.memories[engine.Name()]
+		if m.busy || now.Before(m.dueAt) {
+			continue
 		}
+		m.busy = true
+		m.dueAt = now.Add(r.options.Interval)
+		due = append(due, dueEngine{engine: engine, memory: m})
 	}
 	return due
 }
 
-func (r *Reconciler) memory(name string) *memory {
-	m, ok := r.memories[name]
-	if !ok {
-		m = &memory{}
-		r.memories[name] = m
-	}
-	return m
+// release ends the reservation. A time that is not zero moves the next look to an earlier time.
+func (r *Reconciler) release(m *memory, dueAt time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m.busy = false
+	m.hasten(dueAt)
 }
 
-// forgetOthers drops the memory of engines that have another home now.
-func (r *Reconciler) forgetOthers() {
+// resetMemories makes every engine due, also one that is being looked at, and drops the memory of engines that have
+// another home now.
+func (r *Reconciler) resetMemories(now time.Time) {
 	kept := make(map[string]*memory, len(r.homes.engines))
 	for _, engine := range r.homes.engines {
-		if m, ok := r.memories[engine.Name()]; ok {
-			kept[engine.Name()] = m
+		m, ok := r.memories[engine.Name()]
+		if !ok {
+			m = &memory{}
 		}
+		m.dueAt = now
+		kept[engine.Name()] = m
 	}
 	r.memories = kept
 }
 
 // reconcile looks at one engine and sends an order if needed.
 func (r *Reconciler) reconcile(ctx context.Context, manifest *spec.Manifest, due dueEngine) {
-	engine, m := due.engine, due.memory
-	m.dueAt = r.options.Clock().Add(r.options.Interval)
+	engine := due.engine
 	if !r.options.Backends.Accepting(engine.Name()) {
 		return
 	}
-	if err := r.step(ctx, manifest, engine, m); err != nil {
+	if err := r.step(ctx, manifest, engine, due.memory); err != nil {
 		r.options.Logger.WithError(err).WithField("backend", engine.Name()).Warn("engine not brought to desired state")
 	}
 }
@@ -206,7 +228,9 @@
 			return err
 		}
 		if !granted {
-			m.retryAt(retryAt)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			m.hasten(retryAt)
 			return nil
 		}
 		m.expectLoad(order.State, r.options.Clock())
@@ -214,13 +238,6 @@
 	return r.options.Engines.Order(ctx, engine, order, func() error { return r.check(manifest, engine) })
 }
 
-// retryAt moves the next look to an earlier time.
-func (m *memory) retryAt(t time.Time) {
-	if t.Before(m.dueAt) {
-		m.dueAt = t
-	}
-}
-
 // check is made directly before an order is sent. A process that was paused after it planned the order finds here that
 // its manifest is not confirmed any more.
 func (r *Reconciler) check(manifest *spec.Manifest, engine spec.Backend) error {
