--- a/internal/once/send_test.go
+++ b/internal/once/send_test.go
@@ -213,6 +213,19 @@
 	wantRefusal(t, err, pond.ReasonTooLarge, pond.RunYes)
 }
 
+// TestAnswerBytes guards against kept answers that exhaust memory.
+func TestAnswerBytes(t *testing.T) {
+	r := newReplica(t, false)
+	x, _ := pair(t, manifestOf(t, 100, 0, r.address()))
+	x.core.maxAnswerBytes = 1
+	prefix := x.Issue(testAccount, time.Now())
+	if _, err := x.Handle(t.Context(), keyed(prefix+":1", "")); err != nil {
+		t.Fatal(err)
+	}
+	_, err := x.Handle(t.Context(), keyed(prefix+":2", ""))
+	wantRefusal(t, err, pond.ReasonTableFull, pond.RunNo)
+}
+
 // TestRequest guards against credentials and fields of one connection that reach a plain service, and against a path that
 // changes the address.
 func TestRequest(t *testing.T) {
