--- a/internal/once/executor_test.go
+++ b/internal/once/executor_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
 
 	"github.com/dragonflypond/dragonflypond/internal/peer"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
@@ -207,6 +208,31 @@
 	}
 }
 
+// TestKey guards against keys that their own deployment cannot read, whatever the names, and against a changed key or
+// another account that is accepted.
+func TestKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		account := rapid.String().Draw(t, "account")
+		now := time.Unix(1000, 0)
+		keys := &keyring{macKey: []byte("key"), started: now, validity: time.Minute}
+		keys.ref.ID = pond.InstanceID(rapid.StringOf(rapid.RuneFrom([]rune(".:%+ab~ é"))).Draw(t, "instance"))
+		keys.ref.Incarnation = pond.Incarnation(rapid.Uint64().Draw(t, "incarnation"))
+		prefix := keys.issue(account, now)
+		key, err := keys.parse(prefix+":a:b", account)
+		if err != nil || key.ref != keys.ref || key.expiry != time.Minute {
+			t.Fatalf("key %+v, error %v", key, err)
+		}
+		if _, err := keys.parse(prefix+":a", account+"x"); err == nil {
+			t.Fatal("the key of another account was accepted")
+		}
+		at := rapid.IntRange(0, len(prefix)-1).Draw(t, "changed byte")
+		changed := prefix[:at] + "-" + prefix[at+1:]
+		if _, err := keys.parse(changed+":a", account); err == nil && changed != prefix {
+			t.Fatalf("the changed prefix %q was accepted", changed)
+		}
+	})
+}
+
 func wantRefusal(t testing.TB, err error, reason pond.Reason, run pond.RunState) {
 	t.Helper()
 	var refusal *pond.Refusal
