--- a/internal/once/executor_test.go
+++ b/internal/once/executor_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
 
 	"github.com/dragonflypond/dragonflypond/internal/peer"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
@@ -45,8 +46,9 @@
 	return pond.NewInstance(ref, pond.InstanceLive, "", peerAddress, "a1", "a")
 }
 
-// manifestOf returns a manifest with the service "shop" on replicas with the given addresses, named r0, r1 and so on.
-func manifestOf(t testing.TB, maxRecords int, addresses ...string) *spec.Manifest {
+// manifestOf returns a manifest with the service "shop" on replicas with the given addresses, named r0, r1 and so on. A
+// maxOpen of zero means no limits of the account.
+func manifestOf(t testing.TB, maxRecords, maxOpen int, addresses ...string) *spec.Manifest {
 	t.Helper()
 	type object = map[string]any
 	var backends []object
@@ -64,8 +66,9 @@
 			{"method": "POST", "path": "/charge", "repeat": "atMostOnce"},
 			{"method": "GET", "path": "/status", "repeat": "idempotent"},
 		}}},
-		"clientAccounts": []object{{"name": testAccount, "keyHashes": []string{}, "weight": 1}},
-		"policy":         object{"maxServiceRecords": maxRecords, "hedgeBudget": 1, "retryBudget": 1},
+		"clientAccounts": []object{{"name": testAccount, "keyHashes": []string{}, "weight": 1, "maxOpen": maxOpen,
+			"requestsPerSecond": 2 * maxOpen}},
+		"policy": object{"maxServiceRecords": maxRecords, "hedgeBudget": 0.05, "retryBudget": 0.1},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -147,7 +150,7 @@
 		io.Copy(w, r.Body)
 	}))
 	defer service.Close()
-	x, y := pair(t, manifestOf(t, 100, service.Listener.Addr().String()))
+	x, y := pair(t, manifestOf(t, 100, 0, service.Listener.Addr().String()))
 	key := x.Issue(testAccount, time.Now()) + ":1"
 	for _, executor := range []*Executor{y, x, y} {
 		answer, err := executor.Handle(t.Context(), charge(key, "5 euros"))
@@ -165,7 +168,7 @@
 
 // TestRefusals guards against a wrong reason or a false "run: no" for keys that this instance does not own.
 func TestRefusals(t *testing.T) {
-	x, y := pair(t, manifestOf(t, 100))
+	x, y := pair(t, manifestOf(t, 100, 0))
 	now := time.Now()
 	otherIncarnation := &keyring{
 		ref:      pond.InstanceRef{ID: "x", Incarnation: 99},
@@ -205,6 +208,31 @@
 	}
 }
 
+// TestKey guards against keys that their own deployment cannot read, whatever the names, and against a changed key or
+// another account that is accepted.
+func TestKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		account := rapid.String().Draw(t, "account")
+		now := time.Unix(1000, 0)
+		keys := &keyring{macKey: []byte("key"), started: now, validity: time.Minute}
+		keys.ref.ID = pond.InstanceID(rapid.StringOf(rapid.RuneFrom([]rune(".:%+ab~ é"))).Draw(t, "instance"))
+		keys.ref.Incarnation = pond.Incarnation(rapid.Uint64().Draw(t, "incarnation"))
+		prefix := keys.issue(account, now)
+		key, err := keys.parse(prefix+":a:b", account)
+		if err != nil || key.ref != keys.ref || key.expiry != time.Minute {
+			t.Fatalf("key %+v, error %v", key, err)
+		}
+		if _, err := keys.parse(prefix+":a", account+"x"); err == nil {
+			t.Fatal("the key of another account was accepted")
+		}
+		at := rapid.IntRange(0, len(prefix)-1).Draw(t, "changed byte")
+		changed := prefix[:at] + "-" + prefix[at+1:]
+		if _, err := keys.parse(changed+":a", account); err == nil && changed != prefix {
+			t.Fatalf("the changed prefix %q was accepted", changed)
+		}
+	})
+}
+
 func wantRefusal(t testing.TB, err error, reason pond.Reason, run pond.RunState) {
 	t.Helper()
 	var refusal *pond.Refusal
