engine: prove typed outcomes and read load reports

Cause: A wrong outcome would turn into a false "not run", and nothing showed that the client avoids the replay of net/http. An instance that lost contact with the others could cancel a generation that one of them had taken. A resume beyond the engine's tokens counts as gone. Measured: go test -race ./internal/engine passes. On a scratch copy with the mechanism switched off the named test fails: connection trace ignored -> TestReplayTrap; any failure without a connection counted as not sent -> TestCanceledDial; event size limit removed -> TestEvents.

--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,213 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// server answers each request on a connection with the next of the given texts. An empty text closes the listener and
+// the connection without an answer.
+func server(t *testing.T, answers ...string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		serveAnswers(listener, answers)
+	}()
+	t.Cleanup(func() { _ = listener.Close(); <-done })
+	return listener.Addr().String()
+}
+
+func serveAnswers(listener net.Listener, answers []string) {
+	conn, err := listener.Accept()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, answer := range answers {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if answer == "" {
+			_ = listener.Close()
+			return
+		}
+		_, _ = io.WriteString(conn, answer)
+	}
+}
+
+func outcomeOf(t *testing.T, err error) *Error {
+	t.Helper()
+	var failure *Error
+	if !errors.As(err, &failure) {
+		t.Fatalf("error %v, want *Error", err)
+	}
+	return failure
+}
+
+const (
+	ok200    = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	gone404  = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+	exist409 = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n"
+	leave503 = "HTTP/1.1 503 Service Unavailable\r\nX-Leaving: true\r\nContent-Length: 0\r\n\r\n"
+	busy503  = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+)
+
+// TestStartOutcome guards against a start that may have reached an engine and is reported as not sent or not run, and
+// against the opposite, which would forbid a retry without need.
+func TestStartOutcome(t *testing.T) {
+	tests := []struct {
+		name    string
+		answer  string
+		outcome pond.Outcome
+		notRun  bool
+		gone    bool
+		leaving bool
+	}{
+		{name: "connection closed without an answer", answer: "", outcome: pond.OutcomeMaybeSent},
+		{name: "answer cut short", answer: "HTTP/1.1 200", outcome: pond.OutcomeMaybeSent},
+		{name: "leaving", answer: leave503, outcome: pond.OutcomeAnswered, notRun: true, leaving: true},
+		{name: "unavailable", answer: busy503, outcome: pond.OutcomeAnswered},
+		{name: "exists", answer: exist409, outcome: pond.OutcomeAnswered},
+		{name: "unknown", answer: gone404, outcome: pond.OutcomeAnswered, notRun: true, gone: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			client := NewClient(NewTransport())
+			_, err := client.Start(t.Context(), server(t, test.answer), Generation{Generation: "g"})
+			failure := outcomeOf(t, err)
+			if failure.Outcome() != test.outcome || failure.NotRun() != test.notRun || failure.Gone() != test.gone || failure.Leaving() != test.leaving {
+				t.Errorf("failure %v: outcome %v, not run %t, gone %t, leaving %t", failure, failure.Outcome(), failure.NotRun(), failure.Gone(), failure.Leaving())
+			}
+		})
+	}
+}
+
+// TestDialRefused guards against a refused connection that is not recognized as proof that nothing was sent.
+func TestDialRefused(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = NewClient(NewTransport()).Start(t.Context(), address, Generation{Generation: "g"})
+	if failure := outcomeOf(t, err); failure.Outcome() != pond.OutcomeNotSent || !failure.NotRun() || !failure.Gone() {
+		t.Errorf("failure %v, want not sent", failure)
+	}
+}
+
+// TestReplayTrap guards against a request that was written to a pooled connection and is reported as not sent, because
+// net/http dialed again after the connection failed and returned the error of that dial.
+func TestReplayTrap(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		key    string
+	}{
+		{name: "GET", method: http.MethodGet},
+		{name: "POST with a key", method: http.MethodPost, key: "k"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			transport := NewTransport()
+			defer transport.Close()
+			address := server(t, ok200, "")
+			send := func() error {
+				req, err := http.NewRequestWithContext(t.Context(), test.method, "http://"+address+"/", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if test.key != "" {
+					req.Header.Set("Idempotency-Key", test.key)
+				}
+				resp, err := transport.Do(req)
+				if err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+				return err
+			}
+			if err := send(); err != nil {
+				t.Fatal(err)
+			}
+			if failure := outcomeOf(t, send()); failure.Outcome() != pond.OutcomeMaybeSent {
+				t.Errorf("failure %v, want outcome maybeSent", failure)
+			}
+		})
+	}
+}
+
+// TestCanceledDial guards against a request whose context ended and is reported as proven not sent.
+func TestCanceledDial(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := NewClient(NewTransport()).Start(ctx, server(t, ok200), Generation{Generation: "g"})
+	if failure := outcomeOf(t, err); failure.Outcome() != pond.OutcomeMaybeSent || failure.Gone() {
+		t.Errorf("failure %v, want outcome maybeSent", failure)
+	}
+}
+
+// TestEvents guards against events that are split, merged or misread.
+func TestEvents(t *testing.T) {
+	long := strings.Repeat("x", 3*eventBuffer)
+	tests := []struct {
+		name string
+		body string
+		want []Event
+		err  bool
+	}{
+		{
+			name: "tokens and end",
+			body: "id: 0\ndata: {\"generation\":\"g\",\"offset\":0,\"text\":\"a\"}\n\nid: 1\ndata: {\"generation\":\"g\",\"offset\":1,\"text\":\"\\n\"}\n\nevent: done\ndata: {\"generation\":\"g\",\"tokens\":2}\n\n",
+			want: []Event{{Generation: "g", Text: "a"}, {Generation: "g", Offset: 1, Text: "\n"}, {Kind: EventDone, Generation: "g", Tokens: 2}},
+		},
+		{
+			name: "comments, unknown events and line ends",
+			body: ": hello\r\n\r\nevent: ping\r\ndata: {}\r\n\r\ndata:{\"generation\":\"g\",\"offset\":7}\r\n\r\n",
+			want: []Event{{Generation: "g", Offset: 7}},
+		},
+		{
+			name: "longer than the buffer",
+			body: "data: {\"generation\":\"g\",\"text\":\"" + long + "\"}\n\n",
+			want: []Event{{Generation: "g", Text: long}},
+		},
+		{
+			name: "other ends",
+			body: "event: superseded\ndata: {\"generation\":\"g\"}\n\nevent: error\ndata: {\"generation\":\"g\"}\n\n",
+			want: []Event{{Kind: EventSuperseded, Generation: "g"}, {Kind: EventError, Generation: "g"}},
+		},
+		{name: "cut inside an event", body: "data: {\"generation\":\"g\",\"offset\":0,\"text\":\"a\"}\n"},
+		{name: "not JSON", body: "data: [\n\n", err: true},
+		{name: "endless line", body: "data: " + strings.Repeat("x", 2*maxEventBytes), err: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reader := newEventReader(io.NopCloser(strings.NewReader(test.body)))
+			for _, want := range test.want {
+				if got, err := reader.Next(); err != nil || got != want {
+					t.Fatalf("event %+v, error %v, want %+v", got, err, want)
+				}
+			}
+			if _, err := reader.Next(); err == nil || test.err == errors.Is(err, io.EOF) {
+				t.Errorf("error at the end: %v", err)
+			}
+		})
+	}
+}
--- a/internal/engine/error.go
+++ b/internal/engine/error.go
@@ -27,11 +27,11 @@
 // Leaving reports whether the backend server answered that it takes no new work.
 func (e *Error) Leaving() bool { return e.leaving }
 
-// Gone reports whether the failure of a resume proves that the generation no longer exists: the engine does not know
-// it, or no process listens at the engine's address.
+// Gone reports whether the failure of a resume proves that the generation cannot go on: the engine does not know it or
+// has fewer tokens of it than the caller, or no process listens at the engine's address.
 func (e *Error) Gone() bool {
 	switch e.status {
-	case http.StatusNotFound, http.StatusGone:
+	case http.StatusNotFound, http.StatusGone, http.StatusRequestedRangeNotSatisfiable:
 		return true
 	case 0:
 		return e.outcome == pond.OutcomeNotSent && errors.Is(e.cause, syscall.ECONNREFUSED)
@@ -64,3 +64,8 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
+
+// NewError returns an error with the given outcome and HTTP status, for implementations of Runner other than Client.
+func NewError(outcome pond.Outcome, status int, leaving bool, cause error) *Error {
+	return &Error{outcome: outcome, status: status, leaving: leaving, cause: cause}
+}
--- /dev/null
+++ b/internal/engine/load.go
@@ -0,0 +1,54 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// maxReportBytes bounds a load report.
+const maxReportBytes = 1 << 20
+
+// Load is the load report of an engine. It is a plain value without behavior and lags behind the engine.
+type Load struct {
+	State        string `json:"state"`
+	Running      int    `json:"running"`
+	Waiting      int    `json:"waiting"`
+	MemoryTokens int    `json:"memoryTokens"`
+	UsedTokens   int    `json:"usedTokens"`
+	Preemptions  int64  `json:"preemptions"`
+	// Unread lists the generations that have no reader.
+	Unread []string `json:"unread"`
+}
+
+// Observer tells whether anybody reads a generation.
+type Observer interface {
+	// Unread reports whether the engine lists the generation among those without a reader.
+	Unread(ctx context.Context, address, generation string) (bool, error)
+}
+
+// Unread implements Observer.
+func (c *Client) Unread(ctx context.Context, address, generation string) (bool, error) {
+	load, err := c.Load(ctx, address)
+	return slices.Contains(load.Unread, generation), err
+}
+
+// Load returns the engine's load report. Fields that are not part of Load are ignored.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	var load Load
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	if err != nil {
+		return load, errors.Wrap(err, "create request")
+	}
+	resp, err := c.transport.Do(req)
+	if err != nil {
+		return load, err
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&load)
+	return load, errors.Wrap(err, "decode load report")
+}
