stream: prove order, single generation and single reader

Cause: The recovery paths had no tests. The first runs found three faults: a refused resume turned the run state of a started generation back to "no"; an attached stream named no holder, so two takers of one cursor both won; a lost instance canceled after the resume limit although another one was reading.

--- a/internal/stream/end.go
+++ b/internal/stream/end.go
@@ -12,7 +12,7 @@
 	case endDone:
 		s.done(pond.PlacementEnd{Complete: true})
 		_ = s.deliver(Item{Kind: ItemDone})
-		s.park(true)
+		s.relay.table.detach(s, nil, 0, nil)
 	case endLost:
 		s.abandon(end)
 		s.fail(pond.ReasonGenerationLost, "the generation cannot go on at its engine")
@@ -29,13 +29,13 @@
 			return
 		}
 		_ = s.deliver(Item{Kind: ItemMove})
-		s.park(false)
+		s.park()
 	case endCaller:
 		if s.whole {
 			s.abandon(end)
 			return
 		}
-		s.park(false)
+		s.park()
 	}
 }
 
@@ -64,18 +64,22 @@
 func (s *session) abandon(end ending) {
 	s.done(pond.PlacementEnd{BackendFailed: end.kind == endLost})
 	s.relay.table.detach(s, nil, 0, nil)
-	if end.failure != nil && end.failure.Leaving() {
+	if end.leaving {
 		s.relay.options.Left(s.backend)
 	}
-	if end.failure != nil && end.failure.NotRun() {
+	if end.notRun {
 		return
 	}
-	s.relay.cancels.send(s.address, s.sequence.generation)
+	if s.restartable() {
+		s.relay.cancels.send(s.address, s.sequence.generation)
+		return
+	}
+	s.relay.cancels.sendUnread(s.address, s.sequence.generation)
 }
 
-// park keeps a generation for a caller that may resume. After the resume limit an incomplete one is canceled.
-func (s *session) park(complete bool) {
-	p := &parked{placement: s.placement, address: s.address, tokens: s.sequence.next, complete: complete}
+// park keeps a generation for a caller that may resume. After the resume limit it is canceled.
+func (s *session) park() {
+	p := &parked{placement: s.placement, address: s.address, tokens: s.sequence.next}
 	relay, generation := s.relay, s.sequence.generation
 	held := relay.table.detach(s, p, relay.options.ResumeLimit, func() { relay.expire(generation, p) })
 	if !held {
@@ -90,9 +94,6 @@
 	if p.placement != nil {
 		p.placement.Done(pond.PlacementEnd{Tokens: p.tokens}, time.Now())
 	}
-	if p.complete {
-		return
-	}
 	r.options.Metrics.Recovered("abandon")
-	r.cancels.send(p.address, generation)
+	r.cancels.sendUnread(p.address, generation)
 }
--- /dev/null
+++ b/internal/stream/fake_test.go
@@ -0,0 +1,424 @@
+package stream_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypond/dragonflypond/internal/engine"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/internal/stream"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// rapidSeed makes every run of the property tests draw the same cases.
+const rapidSeed = "20261203"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set(rapidSeed)
+	}
+	os.Exit(m.Run())
+}
+
+const tokenGap = 10 * time.Millisecond
+
+// fault is what a connection of a fake engine does wrong.
+type fault int
+
+const (
+	faultNone fault = iota
+	// faultDuplicate sends the event twice.
+	faultDuplicate
+	// faultLate sends the first event again before this one.
+	faultLate
+	// faultCrossed sends an event of another generation with this offset first.
+	faultCrossed
+	// faultMissing leaves the event out.
+	faultMissing
+	// faultCut closes the connection instead of sending the event.
+	faultCut
+	// faultStall sends nothing more.
+	faultStall
+	// faultDie ends the engine process.
+	faultDie
+)
+
+// fakeEngine is an engine in memory. Tokens become visible at fixed intervals of virtual time.
+type fakeEngine struct {
+	lock        sync.Mutex
+	length      int
+	faults      map[int]fault // by offset; each happens once
+	dead        bool
+	leaving     bool
+	startStatus int
+	// dieOnResume makes the engine die when a reader comes back.
+	dieOnResume bool
+	generations map[string]*fakeGeneration
+	started     []string
+	canceled    []string
+}
+
+type fakeGeneration struct {
+	prompt string
+	begun  time.Time
+	reader *fakeEvents
+}
+
+func newFakeEngine(length int) *fakeEngine {
+	return &fakeEngine{length: length, faults: map[int]fault{}, generations: map[string]*fakeGeneration{}}
+}
+
+func tokenText(prompt string, offset int) string { return fmt.Sprintf("%s-%d ", prompt, offset) }
+
+func wholeText(prompt string, length int) string {
+	var text strings.Builder
+	for offset := range length {
+		text.WriteString(tokenText(prompt, offset))
+	}
+	return text.String()
+}
+
+// die loses every generation and refuses connections from now on.
+func (e *fakeEngine) die() {
+	e.dead = true
+	for _, g := range e.generations {
+		g.reader.end()
+	}
+	clear(e.generations)
+}
+
+// fakeFleet implements engine.Runner and engine.Canceler over engines by address.
+type fakeFleet map[string]*fakeEngine
+
+func (f fakeFleet) Start(ctx context.Context, address string, req engine.Generation) (engine.Events, error) {
+	e := f[address]
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.dead {
+		return nil, engine.NewError(pond.OutcomeNotSent, 0, false, syscall.ECONNREFUSED)
+	}
+	if e.leaving {
+		return nil, engine.NewError(pond.OutcomeAnswered, http.StatusServiceUnavailable, true, io.EOF)
+	}
+	if e.startStatus != 0 {
+		return nil, engine.NewError(pond.OutcomeAnswered, e.startStatus, false, io.EOF)
+	}
+	e.started = append(e.started, req.Generation)
+	e.generations[req.Generation] = &fakeGeneration{prompt: req.Prompt, begun: time.Now()}
+	return e.attach(ctx, req.Generation, 0), nil
+}
+
+func (f fakeFleet) Resume(ctx context.Context, address, generation string, offset int) (engine.Events, error) {
+	e := f[address]
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	if e.dieOnResume {
+		e.die()
+	}
+	if e.dead {
+		return nil, engine.NewError(pond.OutcomeNotSent, 0, false, syscall.ECONNREFUSED)
+	}
+	if e.generations[generation] == nil {
+		return nil, engine.NewError(pond.OutcomeAnswered, http.StatusNotFound, false, io.EOF)
+	}
+	return e.attach(ctx, generation, offset), nil
+}
+
+func (f fakeFleet) Cancel(_ context.Context, address, generation string) error {
+	e := f[address]
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.canceled = append(e.canceled, generation)
+	if g := e.generations[generation]; g != nil {
+		g.reader.end()
+	}
+	delete(e.generations, generation)
+	return nil
+}
+
+// Unread implements engine.Observer without lag.
+func (f fakeFleet) Unread(_ context.Context, address, generation string) (bool, error) {
+	e := f[address]
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	g := e.generations[generation]
+	return g != nil && g.reader.closed, nil
+}
+
+func (e *fakeEngine) attach(ctx context.Context, generation string, offset int) *fakeEvents {
+	g := e.generations[generation]
+	if g.reader != nil {
+		g.reader.end()
+	}
+	g.reader = &fakeEvents{ctx: ctx, engine: e, id: generation, generation: g, offset: offset, ended: make(chan struct{})}
+	return g.reader
+}
+
+// fakeEvents is one connection to a fake engine.
+type fakeEvents struct {
+	ctx        context.Context
+	engine     *fakeEngine
+	id         string
+	generation *fakeGeneration
+	offset     int
+	queue      []engine.Event
+	ended      chan struct{}
+	once       sync.Once
+	closed     bool
+}
+
+func (r *fakeEvents) end() { r.once.Do(func() { close(r.ended) }) }
+
+func (r *fakeEvents) Close() error {
+	r.engine.lock.Lock()
+	defer r.engine.lock.Unlock()
+	r.closed = true
+	return nil
+}
+
+func (r *fakeEvents) Next() (engine.Event, error) {
+	for len(r.queue) == 0 {
+		if !r.until(r.generation.begun.Add(time.Duration(r.offset+1) * tokenGap)) {
+			return engine.Event{}, io.ErrUnexpectedEOF
+		}
+		if r.offset >= r.engine.length {
+			r.queue = append(r.queue, engine.Event{Kind: engine.EventDone, Generation: r.id, Tokens: r.offset})
+			break
+		}
+		if !r.produce() {
+			return engine.Event{}, io.ErrUnexpectedEOF
+		}
+	}
+	event := r.queue[0]
+	r.queue = r.queue[1:]
+	return event, nil
+}
+
+func (r *fakeEvents) until(at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-r.ended:
+		return false
+	case <-r.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// produce queues the next event with the fault of its offset. It reports false if the connection ends.
+func (r *fakeEvents) produce() bool {
+	r.engine.lock.Lock()
+	f := r.engine.faults[r.offset]
+	delete(r.engine.faults, r.offset)
+	if f == faultDie {
+		r.engine.die()
+	}
+	r.engine.lock.Unlock()
+	event := r.token(r.offset)
+	switch f {
+	case faultDie, faultCut:
+		return false
+	case faultStall:
+		<-r.ctx.Done()
+		return false
+	case faultDuplicate:
+		r.queue = append(r.queue, event, event)
+	case faultLate:
+		r.queue = append(r.queue, r.token(0), event)
+	case faultCrossed:
+		other := event
+		other.Generation, other.Text = "other.1.1", "wrong "
+		r.queue = append(r.queue, other, event)
+	case faultMissing:
+	default:
+		r.queue = append(r.queue, event)
+	}
+	r.offset++
+	return true
+}
+
+func (r *fakeEvents) token(offset int) engine.Event {
+	return engine.Event{Generation: r.id, Offset: offset, Text: tokenText(r.generation.prompt, offset)}
+}
+
+// fakePlacer places on the engines in the order of their names and skips the ones to avoid.
+type fakePlacer struct {
+	lock  sync.Mutex
+	names []string
+	ended []pond.PlacementEnd
+	open  int
+}
+
+func (p *fakePlacer) Place(_ context.Context, req pond.PlaceRequest) (pond.Placement, error) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	for _, name := range p.names {
+		if !slices.Contains(req.Avoid, name) {
+			p.open++
+			return &fakePlacement{placer: p, name: name}, nil
+		}
+	}
+	return nil, pond.NewRefusal(pond.ReasonNoBackend, pond.RunNo, time.Time{}, "no engine is left")
+}
+
+type fakePlacement struct {
+	placer *fakePlacer
+	name   string
+	done   bool
+}
+
+func (p *fakePlacement) Backend() (name, address string) { return p.name, p.name }
+
+func (p *fakePlacement) Progress(int, time.Time) {}
+
+func (p *fakePlacement) Done(end pond.PlacementEnd, _ time.Time) {
+	p.placer.lock.Lock()
+	defer p.placer.lock.Unlock()
+	if p.done {
+		panic("Done was called twice")
+	}
+	p.done = true
+	p.placer.open--
+	p.placer.ended = append(p.placer.ended, end)
+}
+
+// recorder is a caller: it keeps what it received.
+type recorder struct {
+	text    strings.Builder
+	offsets []int
+	cursor  string
+	last    stream.Item
+	// hangUp ends the connection after so many tokens; zero means never.
+	hangUp int
+	onItem func(stream.Item)
+}
+
+func (r *recorder) Deliver(item stream.Item) error {
+	if r.onItem != nil {
+		r.onItem(item)
+	}
+	if r.hangUp > 0 && len(r.offsets) == r.hangUp {
+		return io.ErrClosedPipe
+	}
+	if item.Kind == stream.ItemToken {
+		r.offsets = append(r.offsets, item.Offset)
+		r.text.WriteString(item.Text)
+	}
+	if item.Cursor != "" {
+		r.cursor = item.Cursor
+	}
+	r.last = item
+	return nil
+}
+
+// cluster is a set of instances in front of the same engines.
+type cluster struct {
+	fleet  fakeFleet
+	placer *fakePlacer
+	// stuck holds placements back until it is closed, whatever their context says.
+	stuck  chan struct{}
+	refs   map[pond.InstanceID]pond.InstanceRef
+	relays map[pond.InstanceID]*stream.Relay
+	states map[pond.InstanceID]pond.InstanceState
+	// unreachable instances do not answer other instances.
+	unreachable map[pond.InstanceID]bool
+}
+
+func newCluster(fleet fakeFleet, ids ...pond.InstanceID) *cluster {
+	c := &cluster{
+		fleet:       fleet,
+		placer:      &fakePlacer{},
+		refs:        map[pond.InstanceID]pond.InstanceRef{},
+		relays:      map[pond.InstanceID]*stream.Relay{},
+		states:      map[pond.InstanceID]pond.InstanceState{},
+		unreachable: map[pond.InstanceID]bool{},
+	}
+	for name := range fleet {
+		c.placer.names = append(c.placer.names, name)
+	}
+	slices.Sort(c.placer.names)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i, id := range ids {
+		c.states[id] = pond.InstanceLive
+		c.refs[id] = pond.InstanceRef{ID: id, Incarnation: pond.Incarnation(i + 1)}
+		c.relays[id] = stream.NewRelay(stream.Options{
+			Ref:       c.refs[id],
+			Placer:    pond.PlacerFunc(c.place),
+			Runner:    fleet,
+			Cancel:    fleet,
+			Observer:  fleet,
+			MACKey:    []byte("0123456789abcdef"),
+			Address:   func(backend string) (string, bool) { return backend, true },
+			Directory: clusterDirectory{c, id},
+			Release:   c.release,
+			Log:       log,
+		})
+	}
+	return c
+}
+
+func (c *cluster) instance(id pond.InstanceID) pond.Instance {
+	return pond.NewInstance(c.refs[id], c.states[id], string(id), string(id), "", "")
+}
+
+func (c *cluster) place(ctx context.Context, req pond.PlaceRequest) (pond.Placement, error) {
+	if c.stuck != nil {
+		<-c.stuck
+	}
+	return c.placer.Place(ctx, req)
+}
+
+func (c *cluster) release(ctx context.Context, address string, req *peerpb.ReleaseStreamRequest) (*peerpb.ReleaseStreamResponse, error) {
+	id := pond.InstanceID(address)
+	if c.states[id] == pond.InstanceGone || c.unreachable[id] {
+		return nil, syscall.ECONNREFUSED
+	}
+	return c.relays[id].ReleaseStream(ctx, req)
+}
+
+// resume continues from a cursor at an instance, as a caller of the account "acme" does.
+func (c *cluster) resume(ctx context.Context, id pond.InstanceID, text string, sink stream.Sink) error {
+	cursor, err := c.relays[id].OpenCursor(text, "acme")
+	if err != nil {
+		return err
+	}
+	return c.relays[id].Resume(ctx, stream.ResumeRequest{Cursor: cursor, Deadline: time.Now().Add(time.Minute)}, sink)
+}
+
+// clusterDirectory is the view of one instance.
+type clusterDirectory struct {
+	cluster *cluster
+	self    pond.InstanceID
+}
+
+func (d clusterDirectory) Self() pond.Instance { return d.cluster.instance(d.self) }
+
+func (d clusterDirectory) Instances() []pond.Instance {
+	var instances []pond.Instance
+	for id, state := range d.cluster.states {
+		if state != pond.InstanceGone {
+			instances = append(instances, d.cluster.instance(id))
+		}
+	}
+	return instances
+}
+
+func testRequest(prompt string) stream.Request {
+	return stream.Request{Account: "acme", Model: "letters", Prompt: prompt, Deadline: time.Now().Add(time.Minute)}
+}
--- a/internal/stream/generate.go
+++ b/internal/stream/generate.go
@@ -104,7 +104,7 @@
 }
 
 func (j *job) do(ctx context.Context) error {
-	ctx, leave := j.relay.table.enter(ctx)
+	ctx, leave := j.relay.requests.Enter(ctx)
 	defer leave()
 	defer func() { j.timing.work.Total.Observe(time.Since(j.timing.arrived).Seconds()) }()
 	for {
@@ -264,7 +264,7 @@
 func (j *job) finish(s *session, end ending) (again bool, err error) {
 	defer s.stop(nil)
 	j.timing = s.timing
-	if end.failure == nil || !end.failure.NotRun() {
+	if !end.notRun {
 		j.run = pond.RunUnknown
 	}
 	if end.kind == endLost && s.restartable() {
--- a/internal/stream/relay.go
+++ b/internal/stream/relay.go
@@ -36,6 +36,8 @@
 	Placer pond.Placer
 	Runner engine.Runner
 	Cancel engine.Canceler
+	// Observer tells whether another instance reads an abandoned generation. Nil means that this instance is alone.
+	Observer engine.Observer
 	// MACKey authenticates cursors; all instances of a deployment have the same one.
 	MACKey []byte
 	// Address returns the IP:PORT of a backend server named in a cursor.
@@ -61,10 +63,12 @@
 type Relay struct {
 	options Options
 	// self is the text form of this instance's reference.
-	self    string
-	table   *table
-	serial  atomic.Uint64
-	cancels cancels
+	self   string
+	table  *table
+	serial atomic.Uint64
+	// requests counts the requests in progress, also those that wait for a placement.
+	requests Gate
+	cancels  cancels
 }
 
 // NewRelay returns a relay.
@@ -90,48 +94,30 @@
 	return &Relay{
 		options: options,
 		self:    options.Ref.String(),
-		table:   newTable(),
-		cancels: cancels{canceler: options.Cancel, log: options.Log},
+		table:   newTable(options.Ref.String() + ".0"),
+		cancels: cancels{canceler: options.Cancel, observer: options.Observer, log: options.Log},
 	}
 }
 
 // Open returns the number of requests in progress.
-func (r *Relay) Open() int {
-	callers, _ := r.table.waiting()
-	return len(callers)
-}
+func (r *Relay) Open() int { return r.requests.Open() }
 
 // Drain waits until no request is in progress. When ctx ends first, every stream gets an ItemMove with its cursor,
 // requests without a token are refused, and Drain returns the error of ctx once all have ended.
 func (r *Relay) Drain(ctx context.Context) error {
-	if r.wait(ctx.Done()) {
-		r.cancels.wait()
-		return nil
+	finished := r.requests.Wait(ctx.Done())
+	if !finished {
+		r.requests.Stop(errMoved)
+		// Sinks are bounded by the write deadline of the connection, so this ends.
+		r.requests.Wait(nil)
 	}
-	callers, _ := r.table.waiting()
-	for _, c := range callers {
-		c.stop(errMoved)
+	r.cancels.open.Wait(nil)
+	if finished {
+		return nil
 	}
-	// Sinks are bounded by the write deadline of the connection, so this ends.
-	r.wait(nil)
-	r.cancels.wait()
 	return ctx.Err()
 }
 
-func (r *Relay) wait(done <-chan struct{}) bool {
-	for {
-		callers, changed := r.table.waiting()
-		if len(callers) == 0 {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-done:
-			return false
-		}
-	}
-}
-
 func (r *Relay) nextID() string {
 	return r.self + "." + strconv.FormatUint(r.serial.Add(1), 10)
 }
--- a/internal/stream/session.go
+++ b/internal/stream/session.go
@@ -45,8 +45,10 @@
 // ending is the result of a session.
 type ending struct {
 	kind endKind
-	// failure is the last error of the engine, or nil.
-	failure *engine.Error
+	// notRun is true if the engine surely never ran the generation.
+	notRun bool
+	// leaving is true if the engine answered that it takes no new work.
+	leaving bool
 	cause   error
 }
 
@@ -218,10 +220,13 @@
 		return s.stopped(), false
 	}
 	failure, _ := errors.Cause(err).(*engine.Error)
-	lost := ending{kind: endLost, failure: failure, cause: err}
+	lost := ending{kind: endLost, cause: err}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	switch {
 	case !resume && !stalled:
+		// Only the first request can prove this: a refused resume tells nothing about the start before it.
+		lost.notRun = failure != nil && failure.NotRun()
+		lost.leaving = failure != nil && failure.Leaving()
 		return lost, false
 	case resume && failure != nil && failure.Gone():
 		return lost, false
--- a/internal/stream/table.go
+++ b/internal/stream/table.go
@@ -1,7 +1,7 @@
 package stream
 
 import (
-	"context"
+	"cmp"
 	"sync"
 	"time"
 
@@ -27,45 +27,20 @@
 	placement pond.Placement
 	address   string
 	tokens    int
-	complete  bool
 }
 
 // table holds the records of an instance.
 type table struct {
+	// self is the taker that is named while a caller is attached here.
+	self    string
 	lock    sync.Mutex
 	records map[string]*record
-	// callers holds every request in progress, also those that wait for a placement.
-	callers map[*caller]struct{}
-	changed chan struct{}
 }
 
-// caller is one request in progress.
-type caller struct {
-	stop context.CancelCauseFunc
-}
-
-func newTable() *table {
+func newTable(self string) *table {
 	return &table{
+		self:    self,
 		records: make(map[string]*record),
-		callers: make(map[*caller]struct{}),
-		changed: make(chan struct{}),
-	}
-}
-
-// enter registers a request. The returned function must be called at its end.
-func (t *table) enter(ctx context.Context) (context.Context, func()) {
-	ctx, stop := context.WithCancelCause(ctx)
-	c := &caller{stop: stop}
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	t.callers[c] = struct{}{}
-	return ctx, func() {
-		stop(nil)
-		t.lock.Lock()
-		defer t.lock.Unlock()
-		delete(t.callers, c)
-		close(t.changed)
-		t.changed = make(chan struct{})
 	}
 }
 
@@ -178,7 +153,7 @@
 		return grant{epoch: current.epoch, holder: current.pending}
 	}
 	if !current.releasable(epoch) {
-		return grant{epoch: current.epoch, holder: current.holder}
+		return grant{epoch: current.epoch, holder: cmp.Or(current.holder, t.self)}
 	}
 	g := grant{
 		released: true,
@@ -199,13 +174,3 @@
 	}
 	return epoch >= r.epoch
 }
-
-// waiting returns every request in progress and a channel that is closed when one of them ends.
-func (t *table) waiting() (callers []*caller, changed <-chan struct{}) {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	for c := range t.callers {
-		callers = append(callers, c)
-	}
-	return callers, t.changed
-}
--- a/internal/stream/takeover.go
+++ b/internal/stream/takeover.go
@@ -40,7 +40,7 @@
 // Resume streams the rest of an answer to sink. If the error is not nil, nothing was delivered; it is a
 // *pond.Refusal.
 func (r *Relay) Resume(ctx context.Context, req ResumeRequest, sink Sink) error {
-	ctx, leave := r.table.enter(ctx)
+	ctx, leave := r.requests.Enter(ctx)
 	defer leave()
 	cursor := req.Cursor
 	address, ok := r.options.Address(cursor.Backend)
--- /dev/null
+++ b/internal/stream/takeover_test.go
@@ -0,0 +1,364 @@
+package stream_test
+
+import (
+	"context"
+	"encoding/base64"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypond/dragonflypond/internal/stream"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// startAndHangUp lets a caller receive the given number of tokens at entry-1 and lose its connection.
+func (c *cluster) startAndHangUp(t *testing.T, tokens int) *recorder {
+	t.Helper()
+	caller := &recorder{hangUp: tokens}
+	if err := c.relays["entry-1"].Generate(t.Context(), testRequest("p"), caller); err != nil {
+		t.Fatal(err)
+	}
+	caller.hangUp = 0
+	return caller
+}
+
+func reasonOf(err error) pond.Reason {
+	var refusal *pond.Refusal
+	if !errors.As(err, &refusal) {
+		return pond.ReasonInternal
+	}
+	return refusal.Reason()
+}
+
+// TestResume guards against lost or repeated tokens when a caller continues at the same or another instance, whether
+// the instance that relayed the answer is alive or gone.
+func TestResume(t *testing.T) {
+	tests := []struct {
+		name string
+		at   pond.InstanceID
+		// state of entry-1, and whether it answers other instances.
+		state       pond.InstanceState
+		unreachable bool
+	}{
+		{name: "same instance", at: "entry-1", state: pond.InstanceLive},
+		{name: "another instance", at: "entry-2", state: pond.InstanceLive},
+		{name: "relay is leaving", at: "entry-2", state: pond.InstanceLeaving},
+		{name: "relay is gone", at: "entry-2", state: pond.InstanceGone},
+		{name: "relay does not answer", at: "entry-3", state: pond.InstanceSuspect, unreachable: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1", "entry-2", "entry-3")
+				caller := c.startAndHangUp(t, 3)
+				c.states["entry-1"], c.unreachable["entry-1"] = test.state, test.unreachable
+				if err := c.resume(t.Context(), test.at, caller.cursor, caller); err != nil {
+					t.Fatal(err)
+				}
+				if want := wholeText("p", 8); caller.text.String() != want || caller.last.Kind != stream.ItemDone {
+					t.Errorf("caller received %q ending with %v, want %q", caller.text.String(), caller.last.Kind, want)
+				}
+			})
+		})
+	}
+}
+
+// TestResumeAfterEnd guards against an answer without its end when the connection is lost at the last event.
+func TestResumeAfterEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(fakeFleet{"a": newFakeEngine(3)}, "entry-1", "entry-2")
+		caller := c.startAndHangUp(t, 3)
+		if err := c.resume(t.Context(), "entry-2", caller.cursor, caller); err != nil {
+			t.Fatal(err)
+		}
+		if caller.last.Kind != stream.ItemDone || caller.text.String() != wholeText("p", 3) {
+			t.Errorf("caller received %q ending with %v", caller.text.String(), caller.last.Kind)
+		}
+	})
+}
+
+// TestOneTaker guards against two readers of one answer: of two instances that resume the same cursor, one must be
+// refused, also when the relay is gone and they have to agree without it.
+func TestOneTaker(t *testing.T) {
+	for _, state := range []pond.InstanceState{pond.InstanceLive, pond.InstanceGone} {
+		t.Run(state.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1", "entry-2", "entry-3", "entry-4")
+				caller := c.startAndHangUp(t, 3)
+				c.states["entry-1"] = state
+				ids := []pond.InstanceID{"entry-2", "entry-3", "entry-3", "entry-4"}
+				results := make(chan error, len(ids))
+				for _, id := range ids {
+					go func() { results <- c.resume(t.Context(), id, caller.cursor, &recorder{}) }()
+				}
+				won := 0
+				for range ids {
+					switch err := <-results; {
+					case err == nil:
+						won++
+					case reasonOf(err) != pond.ReasonSuperseded:
+						t.Errorf("error %v, want reason superseded", err)
+					}
+				}
+				if won != 1 {
+					t.Errorf("%d takers won, want 1", won)
+				}
+			})
+		})
+	}
+}
+
+// TestTakeAttached guards against an old connection that goes on after its caller came back elsewhere.
+func TestTakeAttached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1", "entry-2")
+		var first, second recorder
+		resumed := make(chan error, 1)
+		first.onItem = func(item stream.Item) {
+			if item.Kind == stream.ItemToken && item.Offset == 2 {
+				go func() { resumed <- c.resume(t.Context(), "entry-2", item.Cursor, &second) }()
+			}
+		}
+		if err := c.relays["entry-1"].Generate(t.Context(), testRequest("p"), &first); err != nil {
+			t.Fatal(err)
+		}
+		if first.last.Kind != stream.ItemError || first.last.Reason != pond.ReasonSuperseded {
+			t.Errorf("first connection ended with %+v, want superseded", first.last)
+		}
+		if err := <-resumed; err != nil {
+			t.Fatal(err)
+		}
+		if len(second.offsets) != 5 || second.last.Kind != stream.ItemDone {
+			t.Errorf("second connection received offsets %v ending with %v", second.offsets, second.last.Kind)
+		}
+	})
+}
+
+// TestLostBeforeFirstCursor guards against a caller that can never continue because the connection on which it resumed
+// was lost before its new cursor arrived.
+func TestLostBeforeFirstCursor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1", "entry-2", "entry-3")
+		caller := c.startAndHangUp(t, 3)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_ = c.resume(ctx, "entry-2", caller.cursor, &recorder{})
+		if err := c.resume(t.Context(), "entry-3", caller.cursor, caller); err != nil {
+			t.Fatal(err)
+		}
+		if caller.text.String() != wholeText("p", 8) {
+			t.Errorf("caller received %q", caller.text.String())
+		}
+	})
+}
+
+// TestAbandoned guards against generations that run for callers who never come back, and against canceling one whose
+// caller may still come.
+func TestAbandoned(t *testing.T) {
+	tests := []struct {
+		name     string
+		tokens   int
+		wait     time.Duration
+		canceled int
+	}{
+		{name: "within the limit", tokens: 3, wait: 9 * time.Second, canceled: 0},
+		{name: "after the limit", tokens: 3, wait: 11 * time.Second, canceled: 1},
+		{name: "before the first token", tokens: 0, wait: 0, canceled: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1")
+				if test.tokens > 0 {
+					c.startAndHangUp(t, test.tokens)
+				} else {
+					ctx, cancel := context.WithTimeout(t.Context(), tokenGap/2)
+					defer cancel()
+					_ = c.relays["entry-1"].Generate(ctx, testRequest("p"), &recorder{})
+				}
+				time.Sleep(test.wait)
+				synctest.Wait()
+				if got := len(c.fleet["a"].canceled); got != test.canceled {
+					t.Errorf("%d generations were canceled, want %d", got, test.canceled)
+				}
+				if open := c.placer.open; open != 1-test.canceled {
+					t.Errorf("%d placements are open, want %d", open, 1-test.canceled)
+				}
+			})
+		})
+	}
+}
+
+// TestAbandonedButTaken guards against an instance that lost contact with the others and cancels a generation that one
+// of them has taken meanwhile.
+func TestAbandonedButTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const length = 3000
+		c := newCluster(fakeFleet{"a": newFakeEngine(length)}, "entry-1", "entry-2")
+		caller := c.startAndHangUp(t, 3)
+		c.states["entry-1"] = pond.InstanceGone
+		if err := c.resume(t.Context(), "entry-2", caller.cursor, caller); err != nil {
+			t.Fatal(err)
+		}
+		if caller.last.Kind != stream.ItemDone || len(caller.offsets) != length {
+			t.Errorf("caller received %d tokens ending with %+v", len(caller.offsets), caller.last)
+		}
+	})
+}
+
+// TestDrain guards against a shutdown that interrupts a stream that could finish, or ends one without the cursor with
+// which its caller can go on.
+func TestDrain(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit time.Duration
+		kind  stream.ItemKind
+	}{
+		{name: "streams finish", limit: time.Minute, kind: stream.ItemDone},
+		{name: "streams move", limit: 3*tokenGap + tokenGap/2, kind: stream.ItemMove},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1", "entry-2")
+				var caller recorder
+				ended := make(chan error, 1)
+				go func() { ended <- c.relays["entry-1"].Generate(t.Context(), testRequest("p"), &caller) }()
+				synctest.Wait()
+				ctx, cancel := context.WithTimeout(t.Context(), test.limit)
+				defer cancel()
+				if err := c.relays["entry-1"].Drain(ctx); (err == nil) != (test.kind == stream.ItemDone) {
+					t.Errorf("drain: %v", err)
+				}
+				if err := <-ended; err != nil || caller.last.Kind != test.kind {
+					t.Fatalf("stream ended with %+v, error %v", caller.last, err)
+				}
+				if test.kind == stream.ItemMove {
+					if err := c.resume(t.Context(), "entry-2", caller.last.Cursor, &caller); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if caller.text.String() != wholeText("p", 8) {
+					t.Errorf("caller received %q", caller.text.String())
+				}
+			})
+		})
+	}
+}
+
+// TestForeignCursor guards against an account that reads the answer of another one, and against altered cursors.
+func TestForeignCursor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1")
+		caller := c.startAndHangUp(t, 3)
+		body, tag, _ := strings.Cut(caller.cursor, ".")
+		plain, err := base64.RawURLEncoding.DecodeString(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		forged := strings.Replace(string(plain), `"o":2`, `"o":0`, 1)
+		altered := base64.RawURLEncoding.EncodeToString([]byte(forged)) + "." + tag
+		for _, attempt := range []struct{ cursor, account string }{
+			{caller.cursor, "other"}, {altered, "acme"}, {"", "acme"}, {"e30.", "acme"},
+		} {
+			if _, err := c.relays["entry-1"].OpenCursor(attempt.cursor, attempt.account); reasonOf(err) != pond.ReasonCursorInvalid {
+				t.Errorf("cursor %q for %s: %v, want reason cursorInvalid", attempt.cursor, attempt.account, err)
+			}
+		}
+	})
+}
+
+// takeoverMachine drives one caller that loses connections and resumes at instances that come and go.
+type takeoverMachine struct {
+	cluster *cluster
+	caller  *recorder
+}
+
+// TestTakeoverMachine guards against sequences of lost connections, repeated cursors and lost instances after which a
+// token is missing or repeated, or an answer cannot be continued.
+func TestTakeoverMachine(t *testing.T) {
+	const length = 30
+	ids := []pond.InstanceID{"entry-1", "entry-2", "entry-3", "entry-4"}
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) takeoverStep {
+			return takeoverStep{
+				at:       rapid.SampledFrom(ids).Draw(rt, "instance"),
+				tokens:   rapid.IntRange(0, 5).Draw(rt, "tokens"),
+				lose:     rapid.SampledFrom([]pond.InstanceID{"", "", "entry-1", "entry-2", "entry-3"}).Draw(rt, "lost"),
+				parallel: rapid.SampledFrom(ids).Draw(rt, "parallel"),
+				stale:    rapid.Bool().Draw(rt, "stale"),
+			}
+		}), 1, 8).Draw(rt, "steps")
+		var failure error
+		synctest.Test(t, func(t *testing.T) {
+			m := &takeoverMachine{cluster: newCluster(fakeFleet{"a": newFakeEngine(length)}, ids...)}
+			m.caller = m.cluster.startAndHangUp(t, 1)
+			for _, step := range steps {
+				if failure = m.step(t, step); failure != nil {
+					return
+				}
+			}
+			if failure = m.resume(t, "entry-4", 0); failure == nil && m.caller.text.String() != wholeText("p", length) {
+				failure = errors.Errorf("caller received %q", m.caller.text.String())
+			}
+		})
+		if failure != nil {
+			rt.Fatalf("%v after %+v", failure, steps)
+		}
+	})
+}
+
+type takeoverStep struct {
+	at       pond.InstanceID
+	tokens   int
+	lose     pond.InstanceID
+	parallel pond.InstanceID
+	stale    bool
+}
+
+// step loses an instance, resumes the caller for some tokens, and lets a copy of it resume an old cursor meanwhile. The
+// copy must be refused while the caller is connected.
+func (m *takeoverMachine) step(t *testing.T, step takeoverStep) error {
+	if step.lose != "" {
+		m.cluster.states[step.lose] = pond.InstanceGone
+	}
+	if m.cluster.states[step.at] == pond.InstanceGone || m.cluster.states[step.parallel] == pond.InstanceGone {
+		return nil
+	}
+	old := m.caller.cursor
+	var copyErr error
+	m.caller.onItem = func(item stream.Item) {
+		if step.stale && item.Kind == stream.ItemAttached {
+			copyErr = m.cluster.resume(t.Context(), step.parallel, old, &recorder{})
+		}
+	}
+	if err := m.resume(t, step.at, step.tokens); err != nil {
+		return err
+	}
+	if step.stale && m.caller.last.Kind != stream.ItemDone && reasonOf(copyErr) != pond.ReasonSuperseded {
+		return errors.Errorf("a copy resumed an old cursor: %v", copyErr)
+	}
+	return nil
+}
+
+// resume continues for some tokens, or to the end if tokens is zero.
+func (m *takeoverMachine) resume(t *testing.T, at pond.InstanceID, tokens int) error {
+	m.caller.hangUp = 0
+	if tokens > 0 {
+		m.caller.hangUp = len(m.caller.offsets) + tokens
+	}
+	if err := m.cluster.resume(t.Context(), at, m.caller.cursor, m.caller); err != nil {
+		return errors.Wrap(err, fmt.Sprintf("resume at %s", at))
+	}
+	for i, offset := range m.caller.offsets {
+		if offset != i {
+			return errors.Errorf("offsets %v are not consecutive", m.caller.offsets)
+		}
+	}
+	return nil
+}
