--- /dev/null
+++ b/internal/front/bench_test.go
@@ -0,0 +1,211 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// pacedEngine sends one token at a time: as fast as it can, or with a gap. Tokens after the first wait for hold if it
+// is not nil.
+func pacedEngine(b *testing.B, tokens func() int, gap time.Duration, hold <-chan struct{}) string {
+	b.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generations", func(w http.ResponseWriter, r *http.Request) {
+		var body struct {
+			Generation string `json:"generation"`
+		}
+		_ = json.NewDecoder(r.Body).Decode(&body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		control := http.NewResponseController(w)
+		var ticker *time.Ticker
+		if gap > 0 {
+			ticker = time.NewTicker(gap)
+			defer ticker.Stop()
+		}
+		length := tokens()
+		for offset := range length {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: {\"generation\":%q,\"offset\":%d,\"text\":\" token\"}\n\n", offset, body.Generation, offset)
+			_ = control.Flush()
+			if ticker != nil {
+				<-ticker.C
+			}
+			if hold != nil {
+				<-hold
+			}
+		}
+		_, _ = fmt.Fprintf(w, "event: done\ndata: {\"generation\":%q,\"tokens\":%d}\n\n", body.Generation, length)
+	})
+	server := httptest.NewServer(mux)
+	b.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// entryBefore serves a Front before the engine and returns its address.
+func entryBefore(b *testing.B, engine string) string {
+	b.Helper()
+	options := testOptions(b, 0)
+	options.Placer = pond.PlacerFunc(func(context.Context, pond.PlaceRequest) (pond.Placement, error) {
+		return stubPlacement(engine), nil
+	})
+	options.Source = &fixedSource{manifest: unlimitedManifest(b)}
+	server := NewServer(New(options))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// path is one way to the engine: directly, or through an instance.
+type path struct {
+	name   string
+	target string
+}
+
+func paths(b *testing.B, engine string) []path {
+	return []path{
+		{name: "direct", target: "http://" + engine + "/v1/generations"},
+		{name: "relayed", target: "http://" + entryBefore(b, engine) + "/v1/completions"},
+	}
+}
+
+// open sends a request and returns after the first event.
+func open(b *testing.B, client *http.Client, target string) (*http.Response, *bufio.Reader) {
+	body := `{"generation":"entry-1.0000000000000001.1","model":"letters","prompt":"hello","stream":true}`
+	req, err := http.NewRequest(http.MethodPost, target, strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		b.Error(err)
+		return nil, nil
+	}
+	reader := bufio.NewReader(resp.Body)
+	if _, err := reader.ReadSlice('\n'); err != nil || resp.StatusCode != http.StatusOK {
+		b.Errorf("status %d, error %v", resp.StatusCode, err)
+	}
+	return resp, reader
+}
+
+// drain reads to the end and returns the number of tokens.
+func drain(resp *http.Response, reader *bufio.Reader) int {
+	defer resp.Body.Close()
+	tokens := 0
+	for {
+		line, err := reader.ReadSlice('\n')
+		if err != nil {
+			return tokens
+		}
+		if bytes.Contains(line, []byte(`"offset"`)) {
+			tokens++
+		}
+	}
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkToken measures processor time for each token of the whole process, which holds the engine stub, the callers
+// and, when relayed, the instance. The instance's cost is the difference of the two. 200 streams run at once with 10 ms
+// between tokens, so that every token is a packet of its own.
+func BenchmarkToken(b *testing.B) {
+	const streams = 200
+	tokens := 1
+	engine := pacedEngine(b, func() int { return tokens }, 10*time.Millisecond, nil)
+	for _, p := range paths(b, engine) {
+		b.Run(p.name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
+			defer client.CloseIdleConnections()
+			tokens = max(1, b.N/streams)
+			var wait sync.WaitGroup
+			before := processorTime()
+			for range streams {
+				wait.Go(func() {
+					if resp, reader := open(b, client, p.target); resp != nil && drain(resp, reader) != tokens {
+						b.Error("tokens are missing")
+					}
+				})
+			}
+			wait.Wait()
+			spent := processorTime() - before
+			b.ReportMetric(float64(spent.Nanoseconds())/1e3/float64(tokens*streams), "cpu-µs/token")
+		})
+	}
+}
+
+// BenchmarkFirstToken measures the time from the request to the first event on loopback. The instance adds the
+// difference of the two.
+func BenchmarkFirstToken(b *testing.B) {
+	engine := pacedEngine(b, func() int { return 1 }, 0, nil)
+	for _, p := range paths(b, engine) {
+		b.Run(p.name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			took := make([]time.Duration, 0, b.N)
+			for b.Loop() {
+				start := time.Now()
+				resp, reader := open(b, client, p.target)
+				took = append(took, time.Since(start))
+				drain(resp, reader)
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Nanoseconds())/1e3, "p50-µs")
+			b.ReportMetric(float64(took[len(took)*99/100].Nanoseconds())/1e3, "p99-µs")
+		})
+	}
+}
+
+// BenchmarkOpenStreams measures the memory of the process for each open stream after its first token. The instance's
+// share is the difference of the two. Run it with -benchtime=2000x.
+func BenchmarkOpenStreams(b *testing.B) {
+	hold := make(chan struct{})
+	engine := pacedEngine(b, func() int { return 2 }, 0, hold)
+	defer close(hold)
+	for _, p := range paths(b, engine) {
+		b.Run(p.name, func(b *testing.B) {
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			var responses []*http.Response
+			before := memoryInUse()
+			for range b.N {
+				resp, _ := open(b, client, p.target)
+				responses = append(responses, resp)
+			}
+			b.ReportMetric(float64(memoryInUse()-before)/float64(b.N)/1024, "KB/stream")
+			for _, resp := range responses {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
+
+// memoryInUse returns the bytes of live heap and stacks.
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc + stats.StackInuse)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,6 +40,7 @@
 type Engines interface {
 	engine.Runner
 	engine.Canceler
+	engine.Observer
 }
 
 // Options configures a Front. Source, Placer, Directory and MACKey are required.
@@ -82,6 +83,8 @@
 	router  *mux.Router
 	keys    keyIndex
 	limits  limits
+	// calls counts the calls to services in progress.
+	calls stream.Gate
 }
 
 // New returns the handler of an instance.
@@ -116,6 +119,7 @@
 		Placer:      options.Placer,
 		Runner:      options.Engines,
 		Cancel:      options.Engines,
+		Observer:    options.Engines,
 		MACKey:      options.MACKey,
 		Address:     backendAddress(options.Source),
 		Directory:   options.Directory,
@@ -171,12 +175,18 @@
 // Streams returns the drpc service through which other instances take over streams.
 func (f *Front) Streams() peerpb.DRPCStreamsServer { return f.relay }
 
-// Open returns the number of generations that callers wait for or read.
-func (f *Front) Open() int { return f.relay.Open() }
+// Open returns the number of generations and calls in progress.
+func (f *Front) Open() int { return f.relay.Open() + f.calls.Open() }
 
 // Drain waits until every generation and every call has been answered. When ctx ends first, streams get a move event
-// with their cursor and requests without a token are refused.
-func (f *Front) Drain(ctx context.Context) error { return f.relay.Drain(ctx) }
+// with their cursor, requests without a token are refused, and calls in progress are left to the executor's own drain.
+func (f *Front) Drain(ctx context.Context) error {
+	err := f.relay.Drain(ctx)
+	if !f.calls.Wait(ctx.Done()) {
+		return ctx.Err()
+	}
+	return err
+}
 
 func (f *Front) routes() {
 	f.router.HandleFunc("/healthz", f.serveHealth).Methods(http.MethodGet)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -74,6 +74,15 @@
 }
 
 func testManifest(t testing.TB, engine string) *spec.Manifest {
+	return limitedManifest(t, engine, 4, 2)
+}
+
+// unlimitedManifest sets no limits on the account.
+func unlimitedManifest(t testing.TB) *spec.Manifest {
+	return limitedManifest(t, "127.0.0.1:1", 1e6, 1e6)
+}
+
+func limitedManifest(t testing.TB, engine string, perSecond, maxOpen int) *spec.Manifest {
 	t.Helper()
 	hash := sha256.Sum256([]byte(testKey))
 	body := fmt.Sprintf(`{
@@ -89,9 +98,9 @@
 		"services": [{"name": "portal", "backendServers": ["portal-1"], "routes": [
 			{"method": "POST", "path": "/confirm", "repeat": "atMostOnce"},
 			{"method": "GET", "path": "/schedule/*", "repeat": "idempotent"}]}],
-		"clientAccounts": [{"name": "acme", "keyHashes": [%q], "priority": 2, "weight": 1, "requestsPerSecond": 4, "maxOpen": 2}],
+		"clientAccounts": [{"name": "acme", "keyHashes": [%q], "priority": 2, "weight": 1, "requestsPerSecond": %d, "maxOpen": %d}],
 		"policy": {"maxBodyBytes": 4096}
-	}`, engine, hex.EncodeToString(hash[:]))
+	}`, engine, hex.EncodeToString(hash[:]), perSecond, maxOpen)
 	manifest, err := spec.Decode([]byte(body), 1)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/front/services.go
+++ b/internal/front/services.go
@@ -71,7 +71,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	ctx, leave := f.calls.Enter(r.Context())
+	defer leave()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	answer, err := f.options.Executor.Handle(ctx, pond.Call{
 		Account: r.account.Name(),
