stream: keep slow generations, and retry the only engine

Cause: An engine under memory pressure that sent no first token for 9 s lost the generation to a replacement, which adds load where there is least room. A connection that broke once made the only engine of a pool unusable for the request, because the placer excludes engines to avoid. Change: A stall after the engine answered is no failure; only an engine that does not answer the resume is. When no engine is left the avoided ones are tried once more. Measured: go test -race -count=2 ./internal/stream passes. On a scratch copy with the mechanism switched off the named test fails: stall counted as a failure -> TestRecovery (engine is slow); no second try -> TestOnlyEngine.

--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -188,12 +188,14 @@
 			client := &http.Client{Transport: &http.Transport{}}
 			defer client.CloseIdleConnections()
 			var responses []*http.Response
-			before := memoryInUse()
+			heap, stacks := memoryInUse()
 			for range b.N {
 				resp, _ := open(b, client, p.target)
 				responses = append(responses, resp)
 			}
-			b.ReportMetric(float64(memoryInUse()-before)/float64(b.N)/1024, "KB/stream")
+			heapAfter, stacksAfter := memoryInUse()
+			b.ReportMetric(float64(heapAfter-heap)/float64(b.N)/1024, "heap-KB/stream")
+			b.ReportMetric(float64(stacksAfter-stacks)/float64(b.N)/1024, "stack-KB/stream")
 			for _, resp := range responses {
 				_ = resp.Body.Close()
 			}
@@ -202,10 +204,10 @@
 }
 
 // memoryInUse returns the bytes of live heap and stacks.
-func memoryInUse() int64 {
+func memoryInUse() (heap, stacks int64) {
 	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
-	return int64(stats.HeapAlloc + stats.StackInuse)
+	return int64(stats.HeapAlloc), int64(stats.StackInuse)
 }
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -54,6 +54,8 @@
 	faultStall
 	// faultDie ends the engine process.
 	faultDie
+	// faultFreeze keeps the engine from answering anything, for ever.
+	faultFreeze
 )
 
 // fakeEngine is an engine in memory. Tokens become visible at fixed intervals of virtual time.
@@ -62,8 +64,11 @@
 	length      int
 	faults      map[int]fault // by offset; each happens once
 	dead        bool
+	frozen      bool
 	leaving     bool
 	startStatus int
+	// slowUntil is the time before which no token becomes visible.
+	slowUntil time.Time
 	// dieOnResume makes the engine die when a reader comes back.
 	dieOnResume bool
 	generations map[string]*fakeGeneration
@@ -118,13 +123,21 @@
 	}
 	e.started = append(e.started, req.Generation)
 	e.generations[req.Generation] = &fakeGeneration{prompt: req.Prompt, begun: time.Now()}
-	return e.attach(ctx, req.Generation, 0), nil
+	reader := e.attach(ctx, req.Generation, 0)
+	reader.slow = e.slowUntil
+	return reader, nil
 }
 
 func (f fakeFleet) Resume(ctx context.Context, address, generation string, offset int) (engine.Events, error) {
 	e := f[address]
 	e.lock.Lock()
 	defer e.lock.Unlock()
+	if e.frozen {
+		e.lock.Unlock()
+		<-ctx.Done()
+		e.lock.Lock()
+		return nil, engine.NewError(pond.OutcomeMaybeSent, 0, false, context.Cause(ctx))
+	}
 	if e.dieOnResume {
 		e.die()
 	}
@@ -134,7 +147,9 @@
 	if e.generations[generation] == nil {
 		return nil, engine.NewError(pond.OutcomeAnswered, http.StatusNotFound, false, io.EOF)
 	}
-	return e.attach(ctx, generation, offset), nil
+	reader := e.attach(ctx, generation, offset)
+	reader.slow = e.slowUntil
+	return reader, nil
 }
 
 func (f fakeFleet) Cancel(_ context.Context, address, generation string) error {
@@ -178,6 +193,7 @@
 	ended      chan struct{}
 	once       sync.Once
 	closed     bool
+	slow       time.Time
 }
 
 func (r *fakeEvents) end() { r.once.Do(func() { close(r.ended) }) }
@@ -190,6 +206,9 @@
 }
 
 func (r *fakeEvents) Next() (engine.Event, error) {
+	if !r.until(r.slow) {
+		return engine.Event{}, io.ErrUnexpectedEOF
+	}
 	for len(r.queue) == 0 {
 		if !r.until(r.generation.begun.Add(time.Duration(r.offset+1) * tokenGap)) {
 			return engine.Event{}, io.ErrUnexpectedEOF
@@ -225,15 +244,18 @@
 	r.engine.lock.Lock()
 	f := r.engine.faults[r.offset]
 	delete(r.engine.faults, r.offset)
-	if f == faultDie {
+	switch f {
+	case faultDie:
 		r.engine.die()
+	case faultFreeze:
+		r.engine.frozen = true
 	}
 	r.engine.lock.Unlock()
 	event := r.token(r.offset)
 	switch f {
 	case faultDie, faultCut:
 		return false
-	case faultStall:
+	case faultStall, faultFreeze:
 		<-r.ctx.Done()
 		return false
 	case faultDuplicate:
--- a/internal/stream/generate.go
+++ b/internal/stream/generate.go
@@ -89,6 +89,8 @@
 	run pond.RunState
 	// failures counts generations that failed.
 	failures int
+	// relented is true once the engines to avoid were forgiven.
+	relented bool
 }
 
 func (r *Relay) newJob(req Request, sink Sink) *job {
@@ -109,6 +111,9 @@
 	defer func() { j.timing.work.Total.Observe(time.Since(j.timing.arrived).Seconds()) }()
 	for {
 		s, err := j.place(ctx)
+		if err != nil && j.relent(err) && j.pause(ctx) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -126,6 +131,17 @@
 	}
 }
 
+// relent forgives, once, the engines that failed if no other engine is left: a connection that broke is no proof that
+// the engine failed, and in a small pool it may be the only one.
+func (j *job) relent(err error) bool {
+	var refusal *pond.Refusal
+	if j.relented || len(j.avoid) == 0 || !errors.As(err, &refusal) || refusal.Reason() != pond.ReasonNoBackend {
+		return false
+	}
+	j.relented, j.avoid = true, nil
+	return true
+}
+
 // place gets an engine and attaches a session. The session is nil if the engine stopped accepting work meanwhile.
 func (j *job) place(ctx context.Context) (*session, error) {
 	generation := j.relay.nextID()
--- a/internal/stream/recovery_test.go
+++ b/internal/stream/recovery_test.go
@@ -35,6 +35,8 @@
 		{name: "engine dies before the first token", faults: map[int]fault{0: faultDie}, tokens: length, starts: 2, kind: stream.ItemDone},
 		{name: "connection is cut before the first token", faults: map[int]fault{0: faultCut}, tokens: length, starts: 2, kind: stream.ItemDone},
 		{name: "engine stalls before the first token", faults: map[int]fault{0: faultStall}, tokens: length, starts: 1, kind: stream.ItemDone},
+		{name: "engine freezes before the first token", faults: map[int]fault{0: faultFreeze}, tokens: length, starts: 2, kind: stream.ItemDone},
+		{name: "engine is slow", setup: func(e *fakeEngine) { e.slowUntil = time.Now().Add(40 * time.Second) }, tokens: length, starts: 1, kind: stream.ItemDone},
 		{name: "engine dies after the first token", faults: map[int]fault{1: faultDie}, tokens: 1, starts: 1, kind: stream.ItemError, reason: pond.ReasonGenerationLost},
 		{name: "connection is cut after tokens", faults: map[int]fault{3: faultCut}, tokens: length, starts: 1, kind: stream.ItemDone},
 		{name: "connection stalls after tokens", faults: map[int]fault{3: faultStall}, tokens: length, starts: 1, kind: stream.ItemDone},
@@ -87,6 +89,18 @@
 	}
 }
 
+// TestOnlyEngine guards against a request that is refused because the only engine's connection broke once.
+func TestOnlyEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1")
+		c.fleet["a"].faults[0] = faultCut
+		var caller recorder
+		if err := c.relays["entry-1"].Generate(t.Context(), testRequest("p"), &caller); err != nil || caller.text.String() != wholeText("p", 8) {
+			t.Errorf("caller received %q, error %v", caller.text.String(), err)
+		}
+	})
+}
+
 // TestWholeAnswerRerun guards against a whole answer that fails, or mixes generations, when an engine dies halfway.
 func TestWholeAnswerRerun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/stream/session.go
+++ b/internal/stream/session.go
@@ -77,6 +77,9 @@
 	guarded bool
 	// failures counts consecutive failures without an accepted event.
 	failures int
+	// silent is true if the last attempt ended without an event although the engine had answered. Such an engine has
+	// the generation and is slow, so this is no failure: a replacement would wait at least as long and add load.
+	silent bool
 }
 
 // timing observes the metrics of one answer.
@@ -102,6 +105,7 @@
 	s.guarded = true
 	defer s.guard.Stop()
 	for {
+		s.silent = false
 		end, again := s.attempt(resume)
 		if !again {
 			return end
@@ -109,6 +113,10 @@
 		resume = true
 		s.watchDeadline()
 		s.relay.options.Metrics.Recovered("resume")
+		if s.silent {
+			s.failures = 0
+			continue
+		}
 		if s.failures > 0 && !sleep(s.ctx, backoff(s.failures-1)) {
 			return s.stopped()
 		}
@@ -245,7 +253,10 @@
 	lost := ending{kind: endLost, cause: err}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	switch {
-	case s.sequence.next == 0 && !stalled:
+	case stalled:
+		s.silent = true
+		return ending{}, true
+	case s.sequence.next == 0:
 		return lost, false
 	case s.restartable() && s.failures+1 >= restartFailures:
 		return lost, false
