stream: attach again once after the engine ended the reader

Cause: A resume that was presumed lost and reaches the engine late ends the newer reader of the same relay, which then reported the answer as superseded although nobody else had taken it. Change: A session that the engine superseded attaches once more. It does so only once, so that two instances that cannot reach each other do not take the generation from each other without end.

--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -52,6 +53,8 @@
 	faultCut
 	// faultStall sends nothing more.
 	faultStall
+	// faultSuperseded ends the reader as if a newer one had attached.
+	faultSuperseded
 	// faultDie ends the engine process.
 	faultDie
 	// faultFreeze keeps the engine from answering anything, for ever.
@@ -176,6 +179,7 @@
 func (e *fakeEngine) attach(ctx context.Context, generation string, offset int) *fakeEvents {
 	g := e.generations[generation]
 	if g.reader != nil {
+		g.reader.superseded.Store(true)
 		g.reader.end()
 	}
 	g.reader = &fakeEvents{ctx: ctx, engine: e, id: generation, generation: g, offset: offset, ended: make(chan struct{})}
@@ -194,6 +198,7 @@
 	once       sync.Once
 	closed     bool
 	slow       time.Time
+	superseded atomic.Bool
 }
 
 func (r *fakeEvents) end() { r.once.Do(func() { close(r.ended) }) }
@@ -206,6 +211,14 @@
 }
 
 func (r *fakeEvents) Next() (engine.Event, error) {
+	event, err := r.next()
+	if err != nil && r.superseded.Swap(false) {
+		return engine.Event{Kind: engine.EventSuperseded, Generation: r.id}, nil
+	}
+	return event, err
+}
+
+func (r *fakeEvents) next() (engine.Event, error) {
 	if !r.until(r.slow) {
 		return engine.Event{}, io.ErrUnexpectedEOF
 	}
@@ -253,6 +266,9 @@
 	r.engine.lock.Unlock()
 	event := r.token(r.offset)
 	switch f {
+	case faultSuperseded:
+		r.superseded.Store(true)
+		return false
 	case faultDie, faultCut:
 		return false
 	case faultStall, faultFreeze:
--- a/internal/stream/recovery_test.go
+++ b/internal/stream/recovery_test.go
@@ -35,6 +35,7 @@
 		{name: "engine dies before the first token", faults: map[int]fault{0: faultDie}, tokens: length, starts: 2, kind: stream.ItemDone},
 		{name: "connection is cut before the first token", faults: map[int]fault{0: faultCut}, tokens: length, starts: 2, kind: stream.ItemDone},
 		{name: "engine stalls before the first token", faults: map[int]fault{0: faultStall}, tokens: length, starts: 1, kind: stream.ItemDone},
+		{name: "a late request of the relay ends its reader", faults: map[int]fault{4: faultSuperseded}, tokens: length, starts: 1, kind: stream.ItemDone},
 		{name: "engine freezes before the first token", faults: map[int]fault{0: faultFreeze}, tokens: length, starts: 2, kind: stream.ItemDone},
 		{name: "engine is slow", setup: func(e *fakeEngine) { e.slowUntil = time.Now().Add(40 * time.Second) }, tokens: length, starts: 1, kind: stream.ItemDone},
 		{name: "engine dies after the first token", faults: map[int]fault{1: faultDie}, tokens: 1, starts: 1, kind: stream.ItemError, reason: pond.ReasonGenerationLost},
--- a/internal/stream/session.go
+++ b/internal/stream/session.go
@@ -80,6 +80,8 @@
 	// silent is true if the last attempt ended without an event although the engine had answered. Such an engine has
 	// the generation and is slow, so this is no failure: a replacement would wait at least as long and add load.
 	silent bool
+	// reattached is true once the session attached again after the engine ended its reader for a newer one.
+	reattached bool
 }
 
 // timing observes the metrics of one answer.
@@ -174,7 +176,7 @@
 		case verdictGap:
 			return ending{}, true
 		case verdictSuperseded:
-			return ending{kind: endReleased}, false
+			return s.superseded()
 		case verdictLost:
 			return ending{kind: endLost, cause: errors.New("engine gave the generation up")}, false
 		}
@@ -222,6 +224,18 @@
 	return s.sink.Deliver(item)
 }
 
+// superseded decides about a reader that the engine ended for a newer one. The newer one may be a request of this session
+// that was presumed lost and arrived late, so the session attaches once more. It does so only once, so that two
+// instances that cannot reach each other do not take the generation from each other without end; the one that attached
+// last keeps it.
+func (s *session) superseded() (ending, bool) {
+	if s.reattached {
+		return ending{kind: endReleased}, false
+	}
+	s.reattached = true
+	return ending{}, true
+}
+
 // openFailed decides about a failed start or resume.
 func (s *session) openFailed(ctx context.Context, resume bool, err error) (ending, bool) {
 	if s.ctx.Err() != nil {
--- a/internal/stream/takeover_test.go
+++ b/internal/stream/takeover_test.go
@@ -139,6 +139,34 @@
 	})
 }
 
+// TestPartition guards against two instances that cannot reach each other and take a generation from each other without
+// end.
+func TestPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(fakeFleet{"a": newFakeEngine(500)}, "entry-1", "entry-2")
+		var first, second recorder
+		resumed := make(chan error, 1)
+		first.onItem = func(item stream.Item) {
+			if item.Kind == stream.ItemToken && item.Offset == 2 {
+				c.states["entry-1"] = pond.InstanceGone
+				go func() { resumed <- c.resume(t.Context(), "entry-2", item.Cursor, &second) }()
+			}
+		}
+		if err := c.relays["entry-1"].Generate(t.Context(), testRequest("p"), &first); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-resumed; err != nil {
+			t.Fatal(err)
+		}
+		if first.last.Kind != stream.ItemError || first.last.Reason != pond.ReasonSuperseded {
+			t.Errorf("first reader ended with %+v, want superseded", first.last)
+		}
+		if second.last.Kind != stream.ItemDone || len(second.offsets) != 497 {
+			t.Errorf("second reader received %d tokens ending with %v", len(second.offsets), second.last.Kind)
+		}
+	})
+}
+
 // TestLostBeforeFirstCursor guards against a caller that can never continue because the connection on which it resumed
 // was lost before its new cursor arrived.
 func TestLostBeforeFirstCursor(t *testing.T) {
