--- a/internal/front/bench_test.go
+++ b/internal/front/bench_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
@@ -56,11 +58,11 @@
 }
 
 // entryBefore serves a Front before the engine and returns its address.
-func entryBefore(b *testing.B, engine string) string {
+func entryBefore(b *testing.B, address string) string {
 	b.Helper()
 	options := testOptions(b, 0)
 	options.Placer = pond.PlacerFunc(func(context.Context, pond.PlaceRequest) (pond.Placement, error) {
-		return stubPlacement(engine), nil
+		return stubPlacement(address), nil
 	})
 	options.Source = &fixedSource{manifest: unlimitedManifest(b)}
 	server := NewServer(New(options))
@@ -79,10 +81,10 @@
 	target string
 }
 
-func paths(b *testing.B, engine string) []path {
+func paths(b *testing.B, address string) []path {
 	return []path{
-		{name: "direct", target: "http://" + engine + "/v1/generations"},
-		{name: "relayed", target: "http://" + entryBefore(b, engine) + "/v1/completions"},
+		{name: "direct", target: "http://" + address + "/v1/generations"},
+		{name: "relayed", target: "http://" + entryBefore(b, address) + "/v1/completions"},
 	}
 }
 
@@ -133,8 +135,8 @@
 func BenchmarkToken(b *testing.B) {
 	const streams = 200
 	tokens := 1
-	engine := pacedEngine(b, func() int { return tokens }, 10*time.Millisecond, nil)
-	for _, p := range paths(b, engine) {
+	address := pacedEngine(b, func() int { return tokens }, 10*time.Millisecond, nil)
+	for _, p := range paths(b, address) {
 		b.Run(p.name, func(b *testing.B) {
 			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
 			defer client.CloseIdleConnections()
@@ -155,11 +157,63 @@
 	}
 }
 
+// memoryEngines holds one endless generation in memory.
+type memoryEngines struct{ tokens int }
+
+func (e memoryEngines) Start(_ context.Context, _ string, req engine.Generation) (engine.Events, error) {
+	return &memoryEvents{generation: req.Generation, tokens: e.tokens}, nil
+}
+
+func (e memoryEngines) Resume(context.Context, string, string, int) (engine.Events, error) {
+	return nil, io.ErrUnexpectedEOF
+}
+
+func (memoryEngines) Cancel(context.Context, string, string) error { return nil }
+
+func (memoryEngines) Unread(context.Context, string, string) (bool, error) { return false, nil }
+
+type memoryEvents struct {
+	generation   string
+	next, tokens int
+}
+
+func (e *memoryEvents) Next() (engine.Event, error) {
+	if e.next == e.tokens {
+		return engine.Event{Kind: engine.EventDone, Generation: e.generation, Tokens: e.tokens}, nil
+	}
+	e.next++
+	return engine.Event{Generation: e.generation, Offset: e.next - 1, Text: " token"}, nil
+}
+
+func (e *memoryEvents) Close() error { return nil }
+
+// discardWriter is a ResponseWriter without a connection.
+type discardWriter struct{ header http.Header }
+
+func (w discardWriter) Header() http.Header       { return w.header }
+func (discardWriter) Write(p []byte) (int, error) { return len(p), nil }
+func (discardWriter) WriteHeader(int)             {}
+func (discardWriter) Flush()                      {}
+
+// BenchmarkTokenInMemory measures the relay and the encoding of a token without connections and without the decoding of
+// the engine's event.
+func BenchmarkTokenInMemory(b *testing.B) {
+	options := testOptions(b, 0)
+	options.Source = &fixedSource{manifest: unlimitedManifest(b)}
+	options.Engines = memoryEngines{tokens: b.N}
+	f := New(options)
+	r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"model":"letters","prompt":"hello","stream":true}`))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	b.ReportAllocs()
+	b.ResetTimer()
+	f.ServeHTTP(discardWriter{header: http.Header{}}, r)
+}
+
 // BenchmarkFirstToken measures the time from the request to the first event on loopback. The instance adds the
 // difference of the two.
 func BenchmarkFirstToken(b *testing.B) {
-	engine := pacedEngine(b, func() int { return 1 }, 0, nil)
-	for _, p := range paths(b, engine) {
+	address := pacedEngine(b, func() int { return 1 }, 0, nil)
+	for _, p := range paths(b, address) {
 		b.Run(p.name, func(b *testing.B) {
 			client := &http.Client{Transport: &http.Transport{}}
 			defer client.CloseIdleConnections()
@@ -181,9 +235,9 @@
 // share is the difference of the two. Run it with -benchtime=2000x.
 func BenchmarkOpenStreams(b *testing.B) {
 	hold := make(chan struct{})
-	engine := pacedEngine(b, func() int { return 2 }, 0, hold)
+	address := pacedEngine(b, func() int { return 2 }, 0, hold)
 	defer close(hold)
-	for _, p := range paths(b, engine) {
+	for _, p := range paths(b, address) {
 		b.Run(p.name, func(b *testing.B) {
 			client := &http.Client{Transport: &http.Transport{}}
 			defer client.CloseIdleConnections()
--- a/internal/front/body.go
+++ b/internal/front/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -15,6 +16,8 @@
 )
 
 const (
+	// bodyLimit is how long a caller may take to send a body, so that slow callers cannot hold requests open.
+	bodyLimit = 30 * time.Second
 	// bytesPerToken estimates prompt lengths, as entry instances have no tokenizer.
 	bytesPerToken = 4
 	// prefixBytes is the length of the prompt prefix that identifies a cache entry: one cache block of an engine, 64
@@ -67,8 +70,12 @@
 	return nil
 }
 
-// readBody reads a body within the manifest's limit.
+// readBody reads a body within the manifest's limit of bytes and within bodyLimit.
 func readBody(w http.ResponseWriter, r *request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(r.arrived.Add(bodyLimit))
+	// Without a reset the deadline would end the connection while the answer is being streamed.
+	defer func() { _ = control.SetReadDeadline(noTime) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, r.manifest.Policy().MaxBodyBytes()))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -222,6 +222,29 @@
 	}
 }
 
+// deadlineWriter records the read deadlines of a connection.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadlines []time.Time
+}
+
+func (w *deadlineWriter) SetReadDeadline(at time.Time) error {
+	w.deadlines = append(w.deadlines, at)
+	return nil
+}
+
+// TestBodyDeadline guards against callers that hold requests open by sending a body slowly, and against a deadline that
+// stays and ends the answer.
+func TestBodyDeadline(t *testing.T) {
+	r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(validBody))
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+	New(testOptions(t, 1)).ServeHTTP(w, r)
+	if len(w.deadlines) != 2 || w.deadlines[0].IsZero() || !w.deadlines[1].IsZero() {
+		t.Errorf("read deadlines %v, want one that is then removed", w.deadlines)
+	}
+}
+
 // TestOpenLimit guards against an account that holds more requests open than it may, and against a count that is not
 // given back.
 func TestOpenLimit(t *testing.T) {
