front: check the confirmation directly before a start, and resume without it

Cause: A request that waited in a queue while the process was paused was sent to an engine under a manifest that had lost its confirmation. An answer could not be resumed at an instance without a confirmed manifest, although that is no new work. Change: The relay asks for the confirmation directly before each start. Resuming asks only whether the instance accepts requests. On a scratch copy with the mechanism switched off the named test fails: no check at the start -> TestUnconfirmedAtStart; check on resume -> TestContinue; no check in front -> TestKeyedRunState.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -125,6 +125,7 @@
 		Directory:   options.Directory,
 		Release:     releaseOver(options.Conn),
 		Backends:    options.Backends,
+		Confirmed:   options.Source.Confirmed,
 		Left:        options.Left,
 		Metrics:     options.Metrics,
 		Log:         options.Log,
@@ -199,7 +200,7 @@
 	f.router.Handle("/v1/chat/completions", f.serve(f.complete(formatChat), f.admitted, f.limited)).Methods(http.MethodPost)
 	f.router.Handle("/v1/streams", f.serve(f.resume, f.admitted, f.limited)).Methods(http.MethodGet)
 	f.router.Handle("/v1/entries", f.serve(f.serveEntries)).Methods(http.MethodGet)
-	f.router.PathPrefix("/services/{service}/").Handler(f.serve(f.callService, f.admitted, f.serviceLimited))
+	f.router.PathPrefix("/services/{service}/").Handler(f.serve(f.callService, f.admitted, f.confirmed, f.serviceLimited))
 	f.router.NotFoundHandler = f.refusing("there is no such path")
 	f.router.MethodNotAllowedHandler = f.refusing("the path has no such method")
 }
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -10,12 +10,19 @@
 
 const lastEventHeader = "Last-Event-ID"
 
-// complete serves a generation request in the given format.
+// complete serves a generation request in the given format, or resumes an answer if the request names a cursor.
 func (f *Front) complete(format format) handler {
+	generate := f.confirmed(f.generate(format))
 	return func(w http.ResponseWriter, r *request) error {
 		if r.Header.Get(lastEventHeader) != "" {
 			return f.resume(w, r)
 		}
+		return generate(w, r)
+	}
+}
+
+func (f *Front) generate(format format) handler {
+	return func(w http.ResponseWriter, r *request) error {
 		body, err := readGeneration(w, r)
 		if err != nil {
 			return err
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -58,12 +58,19 @@
 	return nil
 }
 
-// admitted refuses new work while the manifest is not confirmed or the instance is leaving.
+// admitted refuses requests while the instance is leaving.
 func (f *Front) admitted(next handler) handler {
 	return func(w http.ResponseWriter, r *request) error {
 		if !f.options.Accepting() {
 			return refuse(pond.ReasonLeaving, "this instance is leaving")
 		}
+		return next(w, r)
+	}
+}
+
+// confirmed refuses new work while the manifest is not confirmed. Resuming an answer is no new work.
+func (f *Front) confirmed(next handler) handler {
+	return func(w http.ResponseWriter, r *request) error {
 		if !f.options.Source.Confirmed(r.arrived) {
 			return refuseLater(pond.ReasonNotReady, r.arrived.Add(notReadyRetry), "the manifest is not confirmed")
 		}
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -369,10 +369,12 @@
 	fleet  fakeFleet
 	placer *fakePlacer
 	// stuck holds placements back until it is closed, whatever their context says.
-	stuck  chan struct{}
-	refs   map[pond.InstanceID]pond.InstanceRef
-	relays map[pond.InstanceID]*stream.Relay
-	states map[pond.InstanceID]pond.InstanceState
+	stuck chan struct{}
+	// unconfirmed makes the manifest unconfirmed.
+	unconfirmed bool
+	refs        map[pond.InstanceID]pond.InstanceRef
+	relays      map[pond.InstanceID]*stream.Relay
+	states      map[pond.InstanceID]pond.InstanceState
 	// unreachable instances do not answer other instances.
 	unreachable map[pond.InstanceID]bool
 }
@@ -405,6 +407,7 @@
 			Address:   func(backend string) (string, bool) { return backend, true },
 			Directory: clusterDirectory{c, id},
 			Release:   c.release,
+			Confirmed: func(time.Time) bool { return !c.unconfirmed },
 			Log:       log,
 		})
 	}
--- a/internal/stream/generate.go
+++ b/internal/stream/generate.go
@@ -151,6 +151,10 @@
 		return nil, err
 	}
 	j.timing.work.QueueWait.Observe(time.Since(asked).Seconds())
+	if now := time.Now(); !j.relay.options.Confirmed(now) {
+		placement.Done(pond.PlacementEnd{}, now)
+		return nil, pond.NewRefusal(pond.ReasonNotReady, j.run, now.Add(askLimit), "the manifest is not confirmed")
+	}
 	backend, address := placement.Backend()
 	if !j.relay.options.Backends.Accepting(backend) {
 		placement.Done(pond.PlacementEnd{BackendFailed: true}, time.Now())
@@ -285,7 +289,7 @@
 	}
 	if end.kind == endLost && s.restartable() {
 		s.abandon(end)
-		j.relay.options.Metrics.Recovered("failover")
+		j.relay.options.Metrics.Recovered(replacement(s))
 		j.avoid = append(j.avoid, s.backend)
 		return true, nil
 	}
@@ -297,6 +301,14 @@
 	return false, nil
 }
 
+// replacement names what a new generation is to the caller.
+func replacement(s *session) string {
+	if s.sequence.next > 0 {
+		return "rerun"
+	}
+	return "failover"
+}
+
 // unstarted returns the refusal of a request whose last generation ended without a token for a reason that rules out
 // another one.
 func (j *job) unstarted(end ending) error {
--- a/internal/stream/recovery_test.go
+++ b/internal/stream/recovery_test.go
@@ -102,6 +102,19 @@
 	})
 }
 
+// TestUnconfirmedAtStart guards against work that is sent to an engine after the manifest lost its confirmation while the
+// request waited.
+func TestUnconfirmedAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1")
+		c.unconfirmed = true
+		err := c.relays["entry-1"].Generate(t.Context(), testRequest("p"), &recorder{})
+		if reasonOf(err) != pond.ReasonNotReady || len(c.fleet["a"].started) != 0 || c.placer.open != 0 {
+			t.Errorf("error %v, started %v, %d placements open", err, c.fleet["a"].started, c.placer.open)
+		}
+	})
+}
+
 // TestWholeAnswerRerun guards against a whole answer that fails, or mixes generations, when an engine dies halfway.
 func TestWholeAnswerRerun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/stream/relay.go
+++ b/internal/stream/relay.go
@@ -48,6 +48,9 @@
 	Release ReleaseFunc
 	// Backends is consulted directly before each start. Nil accepts every backend server.
 	Backends pond.BackendView
+	// Confirmed is asked directly before each start, because the process may have been paused while a request waited.
+	// Nil means yes.
+	Confirmed func(now time.Time) bool
 	// Left is called with the name of an engine that answered that it is leaving. It may be nil.
 	Left func(backend string)
 	// Metrics may be nil.
@@ -88,6 +91,9 @@
 	if options.Backends == nil {
 		options.Backends = pond.BackendViewFunc(func(string) bool { return true })
 	}
+	if options.Confirmed == nil {
+		options.Confirmed = func(time.Time) bool { return true }
+	}
 	if options.Left == nil {
 		options.Left = func(string) {}
 	}
