--- a/internal/stream/generate.go
+++ b/internal/stream/generate.go
@@ -89,6 +89,8 @@
 	run pond.RunState
 	// failures counts generations that failed.
 	failures int
+	// relented is true once the engines to avoid were forgiven.
+	relented bool
 }
 
 func (r *Relay) newJob(req Request, sink Sink) *job {
@@ -104,11 +106,14 @@
 }
 
 func (j *job) do(ctx context.Context) error {
-	ctx, leave := j.relay.table.enter(ctx)
+	ctx, leave := j.relay.requests.Enter(ctx)
 	defer leave()
 	defer func() { j.timing.work.Total.Observe(time.Since(j.timing.arrived).Seconds()) }()
 	for {
 		s, err := j.place(ctx)
+		if err != nil && j.relent(err) && j.pause(ctx) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -126,6 +131,17 @@
 	}
 }
 
+// relent forgives, once, the engines that failed if no other engine is left: a connection that broke is no proof that
+// the engine failed, and in a small pool it may be the only one.
+func (j *job) relent(err error) bool {
+	var refusal *pond.Refusal
+	if j.relented || len(j.avoid) == 0 || !errors.As(err, &refusal) || refusal.Reason() != pond.ReasonNoBackend {
+		return false
+	}
+	j.relented, j.avoid = true, nil
+	return true
+}
+
 // place gets an engine and attaches a session. The session is nil if the engine stopped accepting work meanwhile.
 func (j *job) place(ctx context.Context) (*session, error) {
 	generation := j.relay.nextID()
@@ -135,6 +151,10 @@
 		return nil, err
 	}
 	j.timing.work.QueueWait.Observe(time.Since(asked).Seconds())
+	if now := time.Now(); !j.relay.options.Confirmed(now) {
+		placement.Done(pond.PlacementEnd{}, now)
+		return nil, pond.NewRefusal(pond.ReasonNotReady, j.run, now.Add(askLimit), "the manifest is not confirmed")
+	}
 	backend, address := placement.Backend()
 	if !j.relay.options.Backends.Accepting(backend) {
 		placement.Done(pond.PlacementEnd{BackendFailed: true}, time.Now())
@@ -264,12 +284,12 @@
 func (j *job) finish(s *session, end ending) (again bool, err error) {
 	defer s.stop(nil)
 	j.timing = s.timing
-	if end.failure == nil || !end.failure.NotRun() {
+	if !end.notRun {
 		j.run = pond.RunUnknown
 	}
 	if end.kind == endLost && s.restartable() {
 		s.abandon(end)
-		j.relay.options.Metrics.Recovered("failover")
+		j.relay.options.Metrics.Recovered(replacement(s))
 		j.avoid = append(j.avoid, s.backend)
 		return true, nil
 	}
@@ -281,6 +301,14 @@
 	return false, nil
 }
 
+// replacement names what a new generation is to the caller.
+func replacement(s *session) string {
+	if s.sequence.next > 0 {
+		return "rerun"
+	}
+	return "failover"
+}
+
 // unstarted returns the refusal of a request whose last generation ended without a token for a reason that rules out
 // another one.
 func (j *job) unstarted(end ending) error {
--- a/internal/stream/session.go
+++ b/internal/stream/session.go
@@ -45,8 +45,10 @@
 // ending is the result of a session.
 type ending struct {
 	kind endKind
-	// failure is the last error of the engine, or nil.
-	failure *engine.Error
+	// notRun is true if the engine surely never ran the generation.
+	notRun bool
+	// leaving is true if the engine answered that it takes no new work.
+	leaving bool
 	cause   error
 }
 
@@ -75,6 +77,11 @@
 	guarded bool
 	// failures counts consecutive failures without an accepted event.
 	failures int
+	// silent is true if the last attempt ended without an event although the engine had answered. Such an engine has
+	// the generation and is slow, so this is no failure: a replacement would wait at least as long and add load.
+	silent bool
+	// reattached is true once the session attached again after the engine ended its reader for a newer one.
+	reattached bool
 }
 
 // timing observes the metrics of one answer.
@@ -100,6 +107,7 @@
 	s.guarded = true
 	defer s.guard.Stop()
 	for {
+		s.silent = false
 		end, again := s.attempt(resume)
 		if !again {
 			return end
@@ -107,6 +115,10 @@
 		resume = true
 		s.watchDeadline()
 		s.relay.options.Metrics.Recovered("resume")
+		if s.silent {
+			s.failures = 0
+			continue
+		}
 		if s.failures > 0 && !sleep(s.ctx, backoff(s.failures-1)) {
 			return s.stopped()
 		}
@@ -164,7 +176,7 @@
 		case verdictGap:
 			return ending{}, true
 		case verdictSuperseded:
-			return ending{kind: endReleased}, false
+			return s.superseded()
 		case verdictLost:
 			return ending{kind: endLost, cause: errors.New("engine gave the generation up")}, false
 		}
@@ -212,16 +224,31 @@
 	return s.sink.Deliver(item)
 }
 
+// superseded decides about a reader that the engine ended for a newer one. The newer one may be a request of this session
+// that was presumed lost and arrived late, so the session attaches once more. It does so only once, so that two
+// instances that cannot reach each other do not take the generation from each other without end; the one that attached
+// last keeps it.
+func (s *session) superseded() (ending, bool) {
+	if s.reattached {
+		return ending{kind: endReleased}, false
+	}
+	s.reattached = true
+	return ending{}, true
+}
+
 // openFailed decides about a failed start or resume.
 func (s *session) openFailed(ctx context.Context, resume bool, err error) (ending, bool) {
 	if s.ctx.Err() != nil {
 		return s.stopped(), false
 	}
 	failure, _ := errors.Cause(err).(*engine.Error)
-	lost := ending{kind: endLost, failure: failure, cause: err}
+	lost := ending{kind: endLost, cause: err}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	switch {
 	case !resume && !stalled:
+		// Only the first request can prove this: a refused resume tells nothing about the start before it.
+		lost.notRun = failure != nil && failure.NotRun()
+		lost.leaving = failure != nil && failure.Leaving()
 		return lost, false
 	case resume && failure != nil && failure.Gone():
 		return lost, false
@@ -240,7 +267,10 @@
 	lost := ending{kind: endLost, cause: err}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	switch {
-	case s.sequence.next == 0 && !stalled:
+	case stalled:
+		s.silent = true
+		return ending{}, true
+	case s.sequence.next == 0:
 		return lost, false
 	case s.restartable() && s.failures+1 >= restartFailures:
 		return lost, false
