load: whole run on virtual time, all refusals, bounded outputs

Cause: counters, resets and slow moments were untested; a refusal after which a retry succeeded was not counted; an output larger than an engine's memory would be reported as a violation of the system. Change: run takes its transport, so that a test runs a plan against stand-ins without a network; the report counts all refusals apart from the last reason of answers that were not whole; plans have a bound of all outputs and the moments of slow engines have flags.

--- a/cmd/pondload/commands.go
+++ b/cmd/pondload/commands.go
@@ -12,7 +12,7 @@
 type runCommand struct {
 	options
 	entries addresses
-	slow    bool
+	slowed  bool
 }
 
 // Name implements subcommands.Command.
@@ -30,14 +30,14 @@
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
 	c.options.SetFlags(f)
 	f.Var(&c.entries, "entries", "comma-separated `IP:PORT` of entry instances")
-	f.BoolVar(&c.slow, "slow", false, "slow a quarter of the engines tenfold for moments")
+	f.BoolVar(&c.slowed, "slow", false, "slow a share of the engines for moments, as the other slow flags say")
 }
 
 // Execute implements subcommands.Command.
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	var slow *load.Slow
-	if c.slow {
-		slow = load.DefaultSlow()
+	if c.slowed {
+		slow = c.slow
 	}
 	return c.run(ctx, func() []load.Target {
 		return []load.Target{c.target("run", c.entries, slow)}
@@ -48,7 +48,7 @@
 	options
 	naive   addresses
 	current addresses
-	slow    bool
+	slowed  bool
 }
 
 // Name implements subcommands.Command.
@@ -70,14 +70,14 @@
 	c.options.SetFlags(f)
 	f.Var(&c.naive, "naive", "comma-separated `IP:PORT` of naive entry instances")
 	f.Var(&c.current, "current", "comma-separated `IP:PORT` of current entry instances")
-	f.BoolVar(&c.slow, "slow", false, "slow a quarter of the engines tenfold for moments")
+	f.BoolVar(&c.slowed, "slow", false, "slow a share of the engines for moments, as the other slow flags say")
 }
 
 // Execute implements subcommands.Command.
 func (c *compareCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	var slow *load.Slow
-	if c.slow {
-		slow = load.DefaultSlow()
+	if c.slowed {
+		slow = c.slow
 	}
 	return c.run(ctx, func() []load.Target {
 		return []load.Target{c.target("naive", c.naive, slow), c.target("current", c.current, slow)}
@@ -99,8 +99,8 @@
 
 // Usage implements subcommands.Command.
 func (*stragglersCommand) Usage() string {
-	return "stragglers -entries IP:PORT,... [flags]: send the same arrivals while a quarter of the engines is slowed tenfold\n" +
-		"for moments and while none is; the ratio is slowed divided by none slowed\n"
+	return "stragglers -entries IP:PORT,... [flags]: send the same arrivals while a share of the engines is slowed for\n" +
+		"moments and while none is; the ratio is slowed divided by none slowed\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -113,7 +113,7 @@
 func (c *stragglersCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	return c.run(ctx, func() []load.Target {
 		return []load.Target{
-			c.target("slowed", c.entries, load.DefaultSlow()),
+			c.target("slowed", c.entries, c.slow),
 			c.target("none slowed", c.entries, nil),
 		}
 	})
--- a/cmd/pondload/options.go
+++ b/cmd/pondload/options.go
@@ -35,6 +35,7 @@
 // options are the flags that all subcommands share.
 type options struct {
 	plan     load.Plan
+	slow     *load.Slow
 	engines  addresses
 	services addresses
 	config   string
@@ -46,6 +47,7 @@
 
 // SetFlags declares the flags.
 func (o *options) SetFlags(f *flag.FlagSet) {
+	o.slow = load.DefaultSlow()
 	f.StringVar(&o.plan.Mix, "mix", "dosis", "dosis or dentinho")
 	f.StringVar(&o.plan.Profile, "profile", "steady", "steady, deadlineDay or bedtimeRush")
 	f.Uint64Var(&o.plan.Seed, "seed", 1, "seed of the arrivals")
@@ -53,6 +55,11 @@
 	f.Float64Var(&o.plan.Rate, "rate", 20, "requests a second where the profile's factor is 1")
 	f.IntVar(&o.plan.Bursts, "bursts", 2, "number of short bursts")
 	f.IntVar(&o.plan.Accounts, "accounts", 10, "number of client accounts")
+	f.IntVar(&o.plan.MaxTokens, "max-tokens", 0, "bound of all outputs; 0 means the bounds of the mix")
+	f.DurationVar(&o.slow.Every, "slow-every", o.slow.Every, "time between the beginnings of two slow moments")
+	f.DurationVar(&o.slow.For, "slow-for", o.slow.For, "length of a slow moment")
+	f.Float64Var(&o.slow.Factor, "slow-factor", o.slow.Factor, "factor by which steps take longer in a slow moment")
+	f.Float64Var(&o.slow.Share, "slow-share", o.slow.Share, "share of the engines slowed in each moment")
 	f.Var(&o.engines, "engines", "comma-separated `IP:PORT` of the stand-in engines")
 	f.Var(&o.services, "services", "comma-separated `IP:PORT` of the stand-in services")
 	f.StringVar(&o.config, "config", "", "`IP:PORT` of the configuration service; its manifest names engines and services")
--- a/internal/load/arrival.go
+++ b/internal/load/arrival.go
@@ -103,6 +103,9 @@
 	}
 	length := float64(w.medianTokens) * math.Exp(w.sigma*random.NormFloat64())
 	a.Length = min(max(1, int(length)), w.maxTokens)
+	if p.MaxTokens > 0 {
+		a.Length = min(a.Length, p.MaxTokens)
+	}
 	if random.Float64() < w.declared {
 		a.Class = classOf(w.kind)
 	}
--- a/internal/load/arrival_test.go
+++ b/internal/load/arrival_test.go
@@ -130,6 +130,7 @@
 		{"rate", func(p *Plan) { p.Rate = 0 }},
 		{"bursts", func(p *Plan) { p.Bursts = -1 }},
 		{"accounts", func(p *Plan) { p.Accounts = 0 }},
+		{"maxTokens", func(p *Plan) { p.MaxTokens = -1 }},
 	}
 	for _, test := range tests {
 		plan := testPlan()
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -66,7 +66,8 @@
 
 // retry waits as a refusal advises. It reports false if no retry is advised, useful or left.
 func (c *caller) retry(ctx context.Context, o *outcome, p problem) bool {
-	o.refusal = p.Reason
+	o.refusals = append(o.refusals, p.Reason)
+	o.failure = p.Reason
 	if p.retryAfter == 0 || o.retries >= maxRetries || c.since()+p.retryAfter >= o.arrival.Due {
 		return false
 	}
@@ -76,7 +77,7 @@
 
 // reconnect waits a moment after a failed connection. It reports false if the caller gives up.
 func (c *caller) reconnect(ctx context.Context, o *outcome) bool {
-	o.refusal = gaveUpConnection
+	o.failure = gaveUpConnection
 	o.resumes++
 	return o.resumes <= maxResumes && c.wait(ctx, o, reconnectDelay)
 }
@@ -88,7 +89,7 @@
 	case <-timer.C:
 		return true
 	case <-ctx.Done():
-		o.refusal = gaveUpTimeout
+		o.failure = gaveUpTimeout
 		return false
 	}
 }
--- a/internal/load/caller_bench_test.go
+++ b/internal/load/caller_bench_test.go
@@ -36,7 +36,7 @@
 	defer server.Close()
 	plan := testPlan()
 	rec := newRecorder(plan)
-	c := newCaller(newClient(), plan, Target{Entries: []string{server.Address()}}, rec, time.Now())
+	c := newCaller(&http.Client{Transport: newTransport()}, plan, Target{Entries: []string{server.Address()}}, rec, time.Now())
 	for _, d := range c.directories {
 		d.addresses, d.validUntil = d.seeds, time.Now().Add(time.Hour)
 	}
@@ -50,7 +50,7 @@
 	group.Wait()
 	b.StopTimer()
 	if whole := rec.kinds[KindLong].whole; whole != streams {
-		b.Fatalf("%d of %d answers were whole: %v %v", whole, streams, rec.refusals, rec.violations)
+		b.Fatalf("%d of %d answers were whole: %v %v", whole, streams, rec.failures, rec.violations)
 	}
 	tokens := float64(length * streams)
 	b.ReportMetric(float64(processorTime(b)-began)/tokens, "cpu-ns/token")
--- a/internal/load/caller_test.go
+++ b/internal/load/caller_test.go
@@ -94,7 +94,7 @@
 		script    func(n int, w http.ResponseWriter, r *http.Request)
 		whole     bool
 		violation string
-		refusal   string
+		failure   string
 		requests  []string
 	}{
 		{"whole", func(_ int, w http.ResponseWriter, _ *http.Request) {
@@ -172,13 +172,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				rec, requests := serveOne(t, letter(), 0, test.script)
 				if whole := rec.kinds[KindLong].whole == 1; whole != test.whole {
-					t.Errorf("whole: got %v, want %v; refusals %v", whole, test.whole, rec.refusals)
+					t.Errorf("whole: got %v, want %v; failures %v", whole, test.whole, rec.failures)
 				}
 				if violation := strings.Join(rec.violations, ""); !strings.Contains(violation, test.violation) || test.violation == "" && violation != "" {
 					t.Errorf("violation: got %q, want %q", violation, test.violation)
 				}
-				if test.refusal != "" && rec.refusals[test.refusal] != 1 {
-					t.Errorf("refusals: got %v, want %s", rec.refusals, test.refusal)
+				if test.failure != "" && rec.failures[test.failure] != 1 {
+					t.Errorf("failures: got %v, want %s", rec.failures, test.failure)
 				}
 				slices.Sort(requests)
 				slices.Sort(test.requests)
--- a/internal/load/generate.go
+++ b/internal/load/generate.go
@@ -50,7 +50,7 @@
 		o.violation = "the answer ended before its last token"
 	}
 	if !o.whole && ctx.Err() != nil {
-		o.refusal = gaveUpTimeout
+		o.failure = gaveUpTimeout
 	}
 }
 
@@ -121,7 +121,7 @@
 		case "error":
 			var p problem
 			_ = json.Unmarshal([]byte(e.data), &p)
-			o.refusal, r.ended = p.Reason, true
+			o.failure, r.ended = p.Reason, true
 			return true
 		default:
 			if !c.token(o, r, e.data) {
--- a/internal/load/mix.go
+++ b/internal/load/mix.go
@@ -128,6 +128,9 @@
 	Bursts int `json:"bursts"`
 	// Accounts is the number of client accounts; a few of them send most requests.
 	Accounts int `json:"accounts"`
+	// MaxTokens bounds all outputs; zero means the bounds of the mix. It must be below the engines' memory less the
+	// prompt, because an engine ends an output that fills its whole memory.
+	MaxTokens int `json:"maxTokens"`
 }
 
 // Check returns an error that names the first invalid field.
@@ -147,6 +150,8 @@
 		return errors.Errorf("bursts is %d, must be at least 0", p.Bursts)
 	case p.Accounts < 1:
 		return errors.Errorf("accounts is %d, must be at least 1", p.Accounts)
+	case p.MaxTokens < 0:
+		return errors.Errorf("maxTokens is %d, must be at least 0", p.MaxTokens)
 	}
 	return nil
 }
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -18,8 +18,10 @@
 	firstToken time.Duration
 	tokens     int
 	whole      bool
-	// refusal is the reason of the last refusal, or why the caller gave up.
-	refusal string
+	// refusals are the reasons of all refusals.
+	refusals []string
+	// failure is the reason of the last refusal, or why the caller gave up.
+	failure string
 	// violation describes a broken token order, or is empty.
 	violation string
 	resumes   int
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -41,6 +41,7 @@
 	gaps           *hdrhistogram.Histogram
 	sendDelay      *hdrhistogram.Histogram
 	refusals       map[string]int
+	failures       map[string]int
 	violations     []string
 	violationCount int
 	retries        int
@@ -57,6 +58,7 @@
 		gaps:      newHistogram(),
 		sendDelay: newHistogram(),
 		refusals:  make(map[string]int),
+		failures:  make(map[string]int),
 		timeline:  make([]Second, int(plan.Duration/time.Second)+1),
 	}
 	for _, kind := range KindValues() {
@@ -83,6 +85,9 @@
 	record(r.sendDelay, o.sent-o.arrival.At)
 	r.retries += o.retries
 	r.resumes += o.resumes
+	for _, reason := range o.refusals {
+		r.refusals[reason]++
+	}
 	r.addKind(o)
 	r.addInterval(o)
 	if !o.whole {
@@ -135,7 +140,7 @@
 
 func (r *recorder) addFailure(o *outcome) {
 	if o.violation == "" {
-		r.refusals[o.refusal]++
+		r.failures[o.failure]++
 		return
 	}
 	r.violationCount++
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -97,8 +97,11 @@
 	Gap  Latency    `json:"gap"`
 	Peak PeakReport `json:"peak"`
 	// SendDelay is how late the generator sent requests. The run is open-loop only if it stays small.
-	SendDelay Latency        `json:"sendDelay"`
-	Refusals  map[string]int `json:"refusals"`
+	SendDelay Latency `json:"sendDelay"`
+	// Refusals counts all refusals by reason, also those after which a retry succeeded.
+	Refusals map[string]int `json:"refusals"`
+	// Failures counts the answers that were not whole, by the last reason.
+	Failures map[string]int `json:"failures"`
 	// Violations counts answers with lost, repeated, reordered or mixed tokens; ViolationTexts lists the first ones.
 	Violations     int          `json:"violations"`
 	ViolationTexts []string     `json:"violationTexts,omitempty"`
@@ -124,6 +127,7 @@
 		Peak:            r.peak,
 		SendDelay:       latency(r.sendDelay),
 		Refusals:        maps.Clone(r.refusals),
+		Failures:        maps.Clone(r.failures),
 		Violations:      r.violationCount,
 		ViolationTexts:  slices.Clone(r.violations),
 		Retries:         r.retries,
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -20,6 +20,12 @@
 
 // Run resets the stand-ins of the target, sends the arrivals of the plan and returns the results.
 func Run(ctx context.Context, plan Plan, target Target) (*Report, error) {
+	transport := newTransport()
+	defer transport.CloseIdleConnections()
+	return run(ctx, plan, target, transport)
+}
+
+func run(ctx context.Context, plan Plan, target Target, transport http.RoundTripper) (*Report, error) {
 	arrivals, err := plan.Arrivals()
 	if err != nil {
 		return nil, err
@@ -27,14 +33,12 @@
 	if len(target.Entries) == 0 {
 		return nil, errors.New("the target has no entry addresses")
 	}
-	control := &control{client: &http.Client{Timeout: controlTimeout}}
-	defer control.client.CloseIdleConnections()
+	control := &control{client: &http.Client{Transport: transport, Timeout: controlTimeout}}
 	if err := control.reset(ctx, target); err != nil {
 		return nil, err
 	}
 	recorder := newRecorder(plan)
-	caller := newCaller(newClient(), plan, target, recorder, time.Now())
-	defer caller.client.CloseIdleConnections()
+	caller := newCaller(&http.Client{Transport: transport}, plan, target, recorder, time.Now())
 	stopSlow := control.slow(ctx, plan, target)
 	err = caller.sendAll(ctx, arrivals)
 	stopSlow()
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -16,7 +16,7 @@
 	value func(*Report) float64
 }
 
-// rows returns the figures of a table. The refusals are those that any of the reports has.
+// rows returns the figures of a table. The reasons are those that any of the reports has.
 func rows(reports []*Report) []row {
 	list := []row{
 		{"offered", func(r *Report) float64 { return float64(r.total().Offered) }},
@@ -56,8 +56,11 @@
 		row{"resumes", func(r *Report) float64 { return float64(r.Resumes) }},
 		row{"send delay p99 ms", func(r *Report) float64 { return r.SendDelay.P99Millis }},
 	)
-	for _, reason := range reasons(reports) {
-		list = append(list, row{"not whole: " + reason, func(r *Report) float64 { return float64(r.Refusals[reason]) }})
+	for _, reason := range reasons(reports, func(r *Report) map[string]int { return r.Refusals }) {
+		list = append(list, row{"refused: " + reason, func(r *Report) float64 { return float64(r.Refusals[reason]) }})
+	}
+	for _, reason := range reasons(reports, func(r *Report) map[string]int { return r.Failures }) {
+		list = append(list, row{"not whole: " + reason, func(r *Report) float64 { return float64(r.Failures[reason]) }})
 	}
 	return list
 }
@@ -70,10 +73,10 @@
 	}
 }
 
-func reasons(reports []*Report) []string {
+func reasons(reports []*Report, of func(*Report) map[string]int) []string {
 	set := make(map[string]bool)
 	for _, report := range reports {
-		for reason := range report.Refusals {
+		for reason := range of(report) {
 			set[reason] = true
 		}
 	}
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -41,9 +41,8 @@
 // keyOf returns the API key of an account of a local run.
 func keyOf(account int) string { return fakes.AccountKey(account) }
 
-// newClient returns an HTTP client that keeps a connection for each open stream.
-func newClient() *http.Client {
+// newTransport returns a transport that keeps a connection for each open stream.
+func newTransport() *http.Transport {
 	const idle = 4096
-	transport := &http.Transport{MaxIdleConns: idle, MaxIdleConnsPerHost: idle, DisableCompression: true}
-	return &http.Client{Transport: transport}
+	return &http.Transport{MaxIdleConns: idle, MaxIdleConnsPerHost: idle, DisableCompression: true}
 }
