member, watch: property tests 5 and 7 in virtual time, and repeated pushes

Cause: scripts of faults showed two cases in which an instance sent work to a leaving backend server more than three seconds after others knew. A push within the first seconds of a partition went mostly to members that could not be reached, and a restarted instance took the table of another restarted instance for complete. Change: urgent pushes go half to the own region and are repeated twice; a restarted or woken instance is confirmed by peers only after a full synchronisation with a member whose manifest is confirmed. Tests run nine instances in virtual time under scripts from rapid at a fixed seed; the naive versions fail the same checks.

--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -21,12 +21,19 @@
 	// indirectProbes is the number of members asked to probe a silent member.
 	indirectProbes = 3
 	// pushFanout sends of each of n members reach all but about e^-4 of them; probes reach the rest.
-	pushFanout        = 4
+	pushFanout = 4
+	// Pushes are repeated twice, half of each within the own region. During the first seconds of a partition most members
+	// still look live but cannot be reached, and a single push would miss a large part of the own region.
+	pushRepeats       = 2
+	pushRepeatDelay   = 400 * time.Millisecond
 	goneProbeInterval = 10 * time.Second
 	// aloneProbeInterval is the time between probes of seeds while no other member is live.
 	aloneProbeInterval = 500 * time.Millisecond
 	aloneProbes        = 4
 	syncInterval       = 30 * time.Second
+	syncDelay          = 250 * time.Millisecond
+	// unsyncedInterval is the time between synchronisations until one with a ready member has succeeded.
+	unsyncedInterval = time.Second
 	// hintInterval limits probes caused by contradicting reports to a few hundred bytes a second. After a partition
 	// each instance has about one hint for each member of the other region.
 	hintInterval    = 200 * time.Millisecond
@@ -73,8 +80,11 @@
 	nextGoneProbe time.Time
 	nextAlone     time.Time
 	nextHint      time.Time
+	nextPush      time.Time
+	pushesLeft    int
 	nextSync      time.Time
 	syncWith      string
+	synced        bool
 	changes       uint64
 }
 
@@ -160,6 +170,7 @@
 		m.probeSeeds(now)
 	}
 	m.probeHint(now)
+	m.pushAgain(now)
 	return m.drain()
 }
 
@@ -171,6 +182,9 @@
 	}
 	answered := m.answered(from, d)
 	m.merge(now, sender, answered)
+	if r := m.records[pond.InstanceID(sender.GetId())]; r != nil && r.instance.Ref() == refOf(sender) {
+		r.ready = d.GetManifest().GetConfirmed()
+	}
 	m.mergeAll(now, d.GetMembers(), d.GetBackends(), true)
 	m.dispatch(now, from, d)
 	return m.drain()
@@ -261,8 +275,11 @@
 	return true
 }
 
-// resume forgets what was pending before a pause of the process and restarts suspicion deadlines.
+// resume forgets what was pending before a pause of the process, restarts suspicion deadlines and synchronises, because
+// updates sent during the pause may be lost.
 func (m *Machine) resume(now time.Time) {
+	m.synced = false
+	m.nextSync = now
 	clear(m.probes)
 	clear(m.relays)
 	for _, r := range m.records {
@@ -278,9 +295,30 @@
 
 func (m *Machine) size() int { return len(m.records) + 1 }
 
-// push sends the pending updates to random live members.
+// push sends the pending updates to random members now and schedules the repetitions.
 func (m *Machine) push() {
-	for _, r := range m.sample(pushFanout, nil) {
+	m.pushesLeft = pushRepeats
+	m.nextPush = m.lastTick.Add(pushRepeatDelay)
+	m.pushOnce()
+}
+
+func (m *Machine) pushAgain(now time.Time) {
+	if m.pushesLeft == 0 || now.Before(m.nextPush) {
+		return
+	}
+	m.pushesLeft--
+	m.nextPush = now.Add(pushRepeatDelay)
+	m.pushOnce()
+}
+
+func (m *Machine) pushOnce() {
+	near := m.sample(pushFanout/2, func(r *record) bool {
+		return r.state() != pond.InstanceGone && r.instance.Region() == m.self.instance.Region()
+	})
+	others := m.sample(pushFanout-len(near), func(r *record) bool {
+		return r.state() != pond.InstanceGone && !slices.Contains(near, r)
+	})
+	for _, r := range append(near, others...) {
 		m.send(r.address(), &peerpb.Datagram{Kind: peerpb.Datagram_KIND_PUSH}, r)
 	}
 }
@@ -314,8 +352,8 @@
 	return out
 }
 
-// sample returns up to n random members that are live or suspect, live ones first, without the excluded one.
-func (m *Machine) sample(n int, except *record) []*record {
+// sample returns up to n random members that pass the filter.
+func (m *Machine) sample(n int, filter func(*record) bool) []*record {
 	if len(m.order) == 0 {
 		return nil
 	}
@@ -328,7 +366,7 @@
 	}
 	for i := range m.order {
 		r := m.records[m.order[(start+i*step)%len(m.order)]]
-		if r == nil || r == except || r.state() != pond.InstanceLive {
+		if !filter(r) {
 			continue
 		}
 		if chosen = append(chosen, r); len(chosen) == n {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -124,6 +124,13 @@
 	return m.machine.Seeds()
 }
 
+// Synced reports whether the full table was synchronised since the start or the last pause of the process.
+func (m *Member) Synced() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Synced()
+}
+
 // Leave announces to all members that this instance is shutting down.
 func (m *Member) Leave() { m.do(func(machine *Machine) []Outgoing { return machine.Leave() }) }
 
@@ -262,9 +269,12 @@
 	resp, err := peerpb.NewDRPCMembersClient(m.options.Network.Conn(address)).SyncMembers(ctx, req)
 	if err != nil {
 		m.options.Logger.WithError(err).WithField("peer", address).Debug("table synchronisation failed")
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.machine.SyncFailed(time.Now())
 		return
 	}
-	m.do(func(machine *Machine) []Outgoing { return machine.SyncApply(time.Now(), resp) })
+	m.do(func(machine *Machine) []Outgoing { return machine.SyncApply(time.Now(), address, resp) })
 }
 
 type syncServer struct{ member *Member }
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -184,7 +184,8 @@
 	if target == nil || target.state() == pond.InstanceGone {
 		return
 	}
-	for _, r := range m.sample(indirectProbes, target) {
+	helpers := m.sample(indirectProbes, func(r *record) bool { return r != target && r.state() == pond.InstanceLive })
+	for _, r := range helpers {
 		m.send(r.address(), &peerpb.Datagram{
 			Kind:     peerpb.Datagram_KIND_PROBE_VIA,
 			Sequence: sequence,
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -9,21 +9,35 @@
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// syncSoon schedules a full synchronisation with a member that was just found. Several such members within a second
-// cause one synchronisation only.
+// syncSoon schedules a full synchronisation with a member that was just found. Several such members in a short time
+// cause one synchronisation only. Without a synchronisation so far it is due at once, because the start waits for it.
 func (m *Machine) syncSoon(now time.Time, r *record) {
 	m.syncWith = r.address()
-	if soon := now.Add(probeInterval / 4); soon.Before(m.nextSync) {
+	soon := now
+	if m.synced {
+		soon = now.Add(syncDelay)
+	}
+	if soon.Before(m.nextSync) {
 		m.nextSync = soon
 	}
 }
 
+// SyncFailed schedules another synchronisation after a failed one.
+func (m *Machine) SyncFailed(now time.Time) {
+	if !m.synced {
+		m.nextSync = now.Add(syncDelay)
+	}
+}
+
 // SyncDue returns the peer address of the member to synchronise with, if it is time to do so.
 func (m *Machine) SyncDue(now time.Time) (address string, ok bool) {
 	if now.Before(m.nextSync) {
 		return "", false
 	}
 	m.nextSync = now.Add(syncInterval)
+	if !m.synced {
+		m.nextSync = now.Add(unsyncedInterval)
+	}
 	if address = m.syncWith; address != "" {
 		m.syncWith = ""
 		return address, true
@@ -35,18 +49,22 @@
 	return r.address(), true
 }
 
-// syncPartner returns a random live member, preferably of another data centre.
+// syncPartner returns a random live member: a ready one until the first synchronisation, then preferably one of another
+// data centre.
 func (m *Machine) syncPartner() *record {
-	candidates := m.sample(len(m.order), nil)
-	for _, r := range candidates {
-		if r.instance.DataCentre() != m.self.instance.DataCentre() {
-			return r
+	preferred := m.sample(1, func(r *record) bool {
+		if !m.synced {
+			return r.state() == pond.InstanceLive && r.ready
 		}
+		return r.state() == pond.InstanceLive && r.instance.DataCentre() != m.self.instance.DataCentre()
+	})
+	if len(preferred) == 0 {
+		preferred = m.sample(1, func(r *record) bool { return r.state() == pond.InstanceLive })
 	}
-	if len(candidates) > 0 {
-		return candidates[0]
+	if len(preferred) == 0 {
+		return nil
 	}
-	return nil
+	return preferred[0]
 }
 
 // SyncRequest returns the table in compact form.
@@ -68,12 +86,21 @@
 	return resp, m.drain()
 }
 
-// SyncApply applies the answer of another member.
-func (m *Machine) SyncApply(now time.Time, resp *peerpb.SyncMembersResponse) []Outgoing {
+// SyncApply applies the answer of the member with the given peer address.
+func (m *Machine) SyncApply(now time.Time, address string, resp *peerpb.SyncMembersResponse) []Outgoing {
 	m.mergeAll(now, resp.GetMembers(), resp.GetBackends(), false)
+	for _, r := range m.records {
+		if r.ready && r.address() == address {
+			m.synced = true
+		}
+	}
 	return m.drain()
 }
 
+// Synced reports whether a full synchronisation with a ready member has succeeded since the start or the last pause of
+// the process, so that notices sent before are known. A member that has just started itself may not know them.
+func (m *Machine) Synced() bool { return m.synced }
+
 // difference returns full records of members that the request lacks or knows in an older or contradicting state.
 func (m *Machine) difference(req *peerpb.SyncMembersRequest) *peerpb.SyncMembersResponse {
 	theirs := make(map[pond.InstanceID]*peerpb.Member, len(req.GetMembers()))
--- a/internal/watch/confirm.go
+++ b/internal/watch/confirm.go
@@ -132,7 +132,8 @@
 		return
 	}
 	if !c.gather.IsZero() {
-		if m.allAnswered() || !now.Before(c.gather) {
+		synced := m.peers.Synced() || !now.Before(c.settle)
+		if synced && (m.allAnswered() || !now.Before(c.gather)) {
 			m.accept(now, PhaseConfirmed)
 		}
 		return
--- a/internal/watch/machine.go
+++ b/internal/watch/machine.go
@@ -28,6 +28,8 @@
 	pond.Directory
 	// Seeds returns peer addresses of possible instances.
 	Seeds() []string
+	// Synced reports whether notices that were sent before the start or during a pause of the process are known.
+	Synced() bool
 }
 
 // Machine holds the rules of one instance for the manifest in effect. It is not safe for concurrent use.
--- /dev/null
+++ b/internal/watch/manifest_test.go
@@ -0,0 +1,219 @@
+package watch
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+// TestMain fixes the seed of all property tests, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	// inForce is the time that an accepted manifest has to be in effect everywhere.
+	inForce = 3 * time.Second
+	// healTime is the time that parts of a partition have to find each other: one backoff probe and the exchange.
+	healTime = 12 * time.Second
+	// readyTime is the time that a started or woken instance has to be confirmed.
+	readyTime = 10 * time.Second
+	// calm is the time without faults after which a publication at the service must be noticed at once.
+	calm = 15 * time.Second
+)
+
+// op is one step of a fault script.
+type op struct {
+	kind string
+	node int
+	// length is the length of a pause, delay the time until the next step.
+	length, delay time.Duration
+}
+
+var opKinds = []string{
+	"publish", "publish", "publish", "republish", "publishOld", "stale", "down", "serviceOK", "serviceOK",
+	"pause", "pause", "restart", "restart", "restartAll", "cutRegion", "cutDataCentre", "heal", "heal", "loss",
+}
+
+func scripts() *rapid.Generator[[]op] {
+	one := rapid.Custom(func(t *rapid.T) op {
+		return op{
+			kind:   rapid.SampledFrom(opKinds).Draw(t, "kind"),
+			node:   rapid.IntRange(0, 8).Draw(t, "node"),
+			length: rapid.SampledFrom([]time.Duration{1, 3, 10, 60}).Draw(t, "length") * time.Second,
+			delay:  rapid.SampledFrom([]time.Duration{50, 300, 1500, 4000, 20000}).Draw(t, "delay") * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(one, 4, 14)
+}
+
+// forceCheck checks property 7 while a cluster runs: an accepted manifest is in effect everywhere within seconds and is
+// never reverted.
+type forceCheck struct {
+	c          *cluster
+	violations []string
+	number     uint64
+	// healed is the time of the last change that joined parts, fault that of the last fault of any kind.
+	healed, fault time.Time
+	published     time.Time
+}
+
+func newForceCheck(naive bool, seed uint64) *forceCheck {
+	f := &forceCheck{c: newCluster(9, seed), number: 1}
+	f.c.naive = naive
+	f.c.onTick = f.check
+	f.c.onAdopt = f.adopted
+	f.c.service.publish(1, "first")
+	f.c.startAll()
+	f.c.run(calm)
+	return f
+}
+
+func (f *forceCheck) fail(format string, args ...any) {
+	f.violations = append(f.violations, fmt.Sprintf(format, args...))
+}
+
+func (f *forceCheck) adopted(n *node, before *spec.Manifest) {
+	if after := n.source.Current(); before != nil && !after.Version().After(before.Version()) {
+		f.fail("%s went from %s back to %s", n.id, before.Version(), after.Version())
+	}
+}
+
+func (f *forceCheck) check(n *node) {
+	now := f.c.now
+	current := n.source.Current()
+	confirmed := n.source.Confirmed(now)
+	for _, holder := range f.c.nodes {
+		if !f.holds(holder, n) {
+			continue
+		}
+		version := holder.source.Current().Version()
+		if confirmed && version.After(current.Version()) {
+			f.fail("%s accepts work under %s; %s has %s for %s", n.id, current.Version(), holder.id, version,
+				now.Sub(holder.adopted))
+		}
+		if !confirmed && now.Sub(latest(n.awake, f.healed)) > readyTime {
+			f.fail("%s is not confirmed %s after its start", n.id, now.Sub(n.awake))
+		}
+	}
+	value := f.c.service.value.Version()
+	healthy := !f.c.service.stale && !f.c.service.down
+	calmed := healthy && now.Sub(f.fault) > calm+inForce && now.Sub(f.published) > inForce
+	if calmed && confirmed && value.Number == f.number && value.After(current.Version()) {
+		f.fail("%s has %s, the service has %s", n.id, current.Version(), value)
+	}
+}
+
+// holds reports whether holder has had its manifest for so long that n must have it too.
+func (f *forceCheck) holds(holder, n *node) bool {
+	if !holder.up || holder.paused || holder.source.Current() == nil || f.c.cut(holder, n) || f.c.cut(n, holder) {
+		return false
+	}
+	return f.c.now.Sub(latest(holder.adopted, holder.awake, f.healed)) > inForce
+}
+
+func latest(times ...time.Time) time.Time {
+	var last time.Time
+	for _, t := range times {
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last
+}
+
+func (f *forceCheck) run(script []op) {
+	for _, o := range script {
+		f.apply(o)
+		f.c.run(o.delay)
+	}
+	f.apply(op{kind: "heal"})
+	f.apply(op{kind: "serviceOK"})
+	f.c.run(2 * calm)
+	f.apply(op{kind: "publish"})
+	f.c.run(2 * inForce)
+}
+
+func (f *forceCheck) apply(o op) {
+	c, n := f.c, f.c.nodes[o.node]
+	switch o.kind {
+	case "publish":
+		f.number++
+		c.service.publish(f.number, "new")
+		f.published = c.now
+		return
+	case "republish":
+		c.service.publish(f.number, fmt.Sprint("other at ", c.service.revision))
+		f.published = c.now
+		return
+	case "publishOld":
+		c.service.publish(max(1, f.number-1), "crossed")
+		f.published = c.now
+		return
+	case "stale":
+		c.service.setMode(true, false)
+	case "down":
+		c.service.setMode(c.service.stale, true)
+	case "serviceOK":
+		c.service.setMode(false, false)
+	case "pause":
+		n.pause(o.length)
+	case "restart":
+		n.start()
+	case "restartAll":
+		c.startAll()
+	case "cutRegion":
+		c.cut = func(a, b *node) bool { return a.region != b.region }
+		f.healed = c.now.Add(healTime)
+	case "cutDataCentre":
+		c.cut = func(a, b *node) bool { return (a.dataCentre == "norte-2") != (b.dataCentre == "norte-2") }
+		f.healed = c.now.Add(healTime)
+	case "heal":
+		c.cut = func(_, _ *node) bool { return false }
+		c.loss = 0
+		f.healed = c.now.Add(healTime)
+	case "loss":
+		c.loss = 0.1
+	}
+	f.fault = c.now
+}
+
+// TestManifestInForce guards against a manifest that is reverted, and against an instance that accepts new work under
+// an older manifest than the one that the reachable instances have had for three seconds.
+func TestManifestInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newForceCheck(false, rapid.Uint64().Draw(t, "seed"))
+		f.run(scripts().Draw(t, "script"))
+		if len(f.violations) > 0 {
+			t.Fatalf("%d violations, first: %s", len(f.violations), f.violations[0])
+		}
+	})
+}
+
+// TestManifestInForceNaive guards against a check that cannot fail: the naive version must break it.
+func TestManifestInForceNaive(t *testing.T) {
+	failed := 0
+	for seed := range 20 {
+		f := newForceCheck(true, uint64(seed))
+		f.run(scripts().Example(seed))
+		if len(f.violations) > 0 {
+			failed++
+			t.Logf("script %d: %d violations, first: %s", seed, len(f.violations), f.violations[0])
+		}
+	}
+	if failed == 0 {
+		t.Error("the naive version passes the check of property 7")
+	}
+}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -152,7 +152,3 @@
 		_ = listener.Close()
 	}
 }
-
-func testBody(number uint64, deployment string) []byte {
-	return fmt.Appendf(nil, `{"number":%d,"deployment":%q}`, number, deployment)
-}
