--- a/internal/fakes/manifest.go
+++ b/internal/fakes/manifest.go
@@ -101,7 +101,7 @@
 	return EngineOrder{Model: c.Model, Version: ModelVersion, Role: engineRole}
 }
 
-const engineRole = "generate"
+const engineRole = "serve"
 
 type object map[string]any
 
--- a/pkg/spec/shape.go
+++ b/pkg/spec/shape.go
@@ -10,8 +10,11 @@
 )
 
 // checkShape returns a fault for each unknown field and each value of the wrong JSON type, so that one run reports
-// all of them; encoding/json alone stops at the first unknown field.
+// all of them; encoding/json alone stops at the first unknown field. A null counts as an absent field.
 func checkShape(value any, shape reflect.Type, path string) Faults {
+	if value == nil {
+		return nil
+	}
 	switch shape.Kind() {
 	case reflect.Struct:
 		return checkObject(value, shape, path)
