once: a lookup repeated by net/http is not reported as not run

Cause: net/http repeats a lookup after a used connection failed; if the dial of the repetition is refused, its error looked like proof that nothing was sent, and the refusal said "run: no" for a call that ran. Change: an idempotent attempt counts as not sent only if no connection stood; adds TestStoppedReplica, TestExecutorUnreachable and TestLookupRefusals.

--- a/internal/once/executor_test.go
+++ b/internal/once/executor_test.go
@@ -115,6 +115,12 @@
 
 // pair starts the instances x and y, which serve forwarded calls on loopback.
 func pair(t testing.TB, manifest *spec.Manifest) (x, y *Executor) {
+	t.Helper()
+	return pairUntil(t, t.Context(), manifest)
+}
+
+// pairUntil stops to serve forwarded calls when ctx ends.
+func pairUntil(t testing.TB, ctx context.Context, manifest *spec.Manifest) (x, y *Executor) {
 	t.Helper()
 	network := newNetwork(t)
 	listeners := []net.Listener{listen(t), listen(t)}
@@ -130,7 +136,7 @@
 		if err := peerpb.DRPCRegisterCalls(server.Mux(), executor); err != nil {
 			t.Fatal(err)
 		}
-		go server.Serve(t.Context(), listener)
+		go server.Serve(ctx, listener)
 		executors = append(executors, executor)
 	}
 	return executors[0], executors[1]
--- a/internal/once/idempotent.go
+++ b/internal/once/idempotent.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -181,13 +183,16 @@
 func (e *Executor) exchangeOnce(
 	ctx context.Context, address string, call *pond.Call,
 ) (pond.Answer, pond.Outcome, error) {
-	req, err := newRequest(ctx, address, call)
+	// The transport repeats a request after a used connection failed, so that a failed dial may follow a send.
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), address, call)
 	if err != nil {
 		return pond.Answer{}, pond.OutcomeNotSent, err
 	}
 	response, err := e.client.Do(req)
 	if err != nil {
-		return pond.Answer{}, dialOutcome(err), err
+		return pond.Answer{}, dialOutcome(err, connected.Load()), err
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusServiceUnavailable {
@@ -199,10 +204,10 @@
 	return answer, pond.OutcomeAnswered, err
 }
 
-// dialOutcome recognizes an error of the dial, after which nothing was sent.
-func dialOutcome(err error) pond.Outcome {
+// dialOutcome recognizes an error of the dial before any connection stood, after which nothing was sent.
+func dialOutcome(err error, connected bool) pond.Outcome {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	if !connected && errors.As(err, &op) && op.Op == "dial" {
 		return pond.OutcomeNotSent
 	}
 	return pond.OutcomeMaybeSent
--- a/internal/once/send_test.go
+++ b/internal/once/send_test.go
@@ -19,10 +19,12 @@
 )
 
 // replica is a plain service that counts each call when it has read the whole request. It closes the connection without
-// an answer the first time that it sees a call with the body "kill".
+// an answer the first time that it sees a call with the body or the query "kill".
 type replica struct {
 	listener net.Listener
 	reset    bool
+	// stops makes the replica accept no connection after the first that it closed.
+	stops bool
 
 	mu     sync.Mutex
 	runs   map[string]int
@@ -60,7 +62,10 @@
 		if err != nil {
 			return
 		}
-		if r.count(req) == 1 && string(body) == "kill" {
+		if r.count(req) == 1 && (string(body) == "kill" || req.URL.RawQuery == "kill") {
+			if r.stops {
+				r.listener.Close()
+			}
 			if r.reset {
 				_ = conn.(*net.TCPConn).SetLinger(0)
 			}
@@ -132,6 +137,24 @@
 	return call
 }
 
+// TestStoppedReplica guards against denying a lookup because the dial of its repetition by net/http was refused.
+func TestStoppedReplica(t *testing.T) {
+	r := newReplica(t, false)
+	r.stops = true
+	x, _ := pair(t, manifestOf(t, 100, 0, r.address()))
+	call := pond.Call{Account: testAccount, Service: "shop", Method: http.MethodGet, Path: "/status"}
+	if _, err := x.Handle(t.Context(), call); err != nil {
+		t.Fatal(err)
+	}
+	call.Header = http.Header{"Idempotency-Key": {"second"}}
+	call.Path += "?kill"
+	_, err := x.Handle(t.Context(), call)
+	wantRefusal(t, err, pond.ReasonBackendFailed, pond.RunUnknown)
+	if got := r.ran("second"); got != 1 {
+		t.Errorf("the call ran %d times, want 1", got)
+	}
+}
+
 // TestRefusedConnection guards against giving up although a refused connection proves that the call did not run.
 func TestRefusedConnection(t *testing.T) {
 	r := newReplica(t, false)
--- a/internal/once/shell_test.go
+++ b/internal/once/shell_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -80,6 +81,62 @@
 	}
 }
 
+// TestExecutorUnreachable guards against an instance that denies or repeats a call because the executor stopped to answer
+// while the call was running, or cannot be reached at all.
+func TestExecutorUnreachable(t *testing.T) {
+	g := newGate(t)
+	ctx, stop := context.WithCancel(t.Context())
+	x, y := pairUntil(t, ctx, manifestOf(t, 100, 0, g.address))
+	prefix := x.Issue(testAccount, time.Now())
+	ended := make(chan error)
+	go func() {
+		_, err := y.Handle(t.Context(), charge(prefix+":1", ""))
+		ended <- err
+	}()
+	<-g.arrived
+	stop()
+	var refusal *pond.Refusal
+	if err := <-ended; !errors.As(err, &refusal) || refusal.Run() != pond.RunUnknown {
+		t.Errorf("call in progress: error %v, want a refusal with run unknown", err)
+	}
+	close(g.open)
+	gone := &directory{self: instance("y", 2, ""), instances: []pond.Instance{instance("x", 1, "127.0.0.1:1")}}
+	z := newTestExecutor(t, gone, y.options.Source, newNetwork(t))
+	_, err := z.Handle(t.Context(), charge(prefix+":2", ""))
+	wantRefusal(t, err, pond.ReasonExecutorGone, pond.RunUnknown)
+	if got := g.runs.Load(); got != 1 {
+		t.Errorf("the service ran %d calls, want 1", got)
+	}
+}
+
+// TestLookupRefusals guards against a false "run: no" of an idempotent call: one with a key may have a copy that ran.
+func TestLookupRefusals(t *testing.T) {
+	dialError := &net.OpError{Op: "dial", Err: errors.New("refused")}
+	readError := &net.OpError{Op: "read", Err: errors.New("reset")}
+	tests := []struct {
+		name        string
+		key         string
+		unconfirmed bool
+		err         error
+		reason      pond.Reason
+		run         pond.RunState
+	}{
+		{name: "unconfirmed", unconfirmed: true, reason: pond.ReasonNotReady, run: pond.RunNo},
+		{name: "unconfirmed, key", key: "k", unconfirmed: true, reason: pond.ReasonNotReady, run: pond.RunUnknown},
+		{name: "refused connections", err: dialError, reason: pond.ReasonBackendFailed, run: pond.RunNo},
+		{name: "reset connections", err: readError, reason: pond.ReasonBackendFailed, run: pond.RunUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x, call := newLookup(t, func(*http.Request) (*http.Response, error) { return nil, test.err })
+			x.options.Source.(*source).unconfirmed.Store(test.unconfirmed)
+			call.Key = test.key
+			_, err := x.Handle(t.Context(), call)
+			wantRefusal(t, err, test.reason, test.run)
+		})
+	}
+}
+
 // senderFunc adapts a function to sender.
 type senderFunc func(ctx context.Context) (pond.Answer, pond.Outcome, error)
 
