entry: reconcile engines with the manifest

Cause: orders were not wired into an instance, and 100,000 records of calls with their answers exceed the 64 MB limit. Change: each instance runs the reconciler; homes are rendezvous winners of the membership.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/naive"
 	"github.com/dragonflypond/dragonflypond/internal/once"
+	"github.com/dragonflypond/dragonflypond/internal/order"
 	"github.com/dragonflypond/dragonflypond/internal/peer"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 	"github.com/dragonflypond/dragonflypond/internal/watch"
@@ -39,6 +40,7 @@
 	placer     *grant.Placer
 	placeLog   *placeLog
 	executor   *once.Executor
+	reconciler *order.Reconciler
 	front      *front.Front
 	metrics    *metric.Metrics
 	peerServer *peer.Server
@@ -191,6 +193,28 @@
 		MACKey:    e.network.MACKey(),
 		Logger:    e.log,
 	})
+	e.reconciler = order.New(order.Options{
+		Source:    e.watch,
+		Directory: e.members,
+		Ranking:   order.RankingFunc(e.home),
+		Backends:  e.watch,
+		Engines:   order.NewHTTPEngines(),
+		Conn:      e.network.Conn,
+		Logger:    e.log,
+	})
+}
+
+// home returns the rendezvous winner for a key among the live instances of a region, or of all regions if it is empty.
+func (e *Entry) home(key, region string) (pond.Instance, bool) {
+	var filters []member.Filter
+	if region != "" {
+		filters = append(filters, member.InRegion(region))
+	}
+	ranked := member.Rank(e.members, key, filters...)
+	if len(ranked) == 0 {
+		return pond.Instance{}, false
+	}
+	return ranked[0], true
 }
 
 func (e *Entry) assembleFront() {
@@ -231,6 +255,7 @@
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterScheduling(mux, e.placer) },
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterCalls(mux, e.executor) },
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterStreams(mux, e.front.Streams()) },
+		func(mux drpc.Mux) error { return peerpb.DRPCRegisterOrders(mux, e.reconciler) },
 	)
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -42,6 +42,7 @@
 	group.Go(func() error { return e.members.Run(ctx) })
 	group.Go(func() error { return e.watch.Run(ctx) })
 	group.Go(func() error { return e.placer.Run(ctx) })
+	group.Go(func() error { return e.reconciler.Run(ctx) })
 	group.Go(func() error { return e.peerServer.Serve(ctx, e.listeners.peer) })
 	group.Go(e.serveHTTP)
 	group.Go(func() error {
--- a/pkg/spec/entity.go
+++ b/pkg/spec/entity.go
@@ -171,8 +171,9 @@
 // MaxBodyBytes returns the limit of a request body.
 func (p Policy) MaxBodyBytes() int64 { return orDefault(p.doc.MaxBodyBytes, 1<<20) }
 
-// MaxServiceRecords returns the number of at-most-once records that one instance keeps.
-func (p Policy) MaxServiceRecords() int { return orDefault(p.doc.MaxServiceRecords, 100_000) }
+// MaxServiceRecords returns the number of at-most-once records that one instance keeps. The default carries 22 calls a
+// second for the 15 minutes that a record lives, in about 10 MB.
+func (p Policy) MaxServiceRecords() int { return orDefault(p.doc.MaxServiceRecords, 20_000) }
 
 func orDefault[T comparable](value, fallback T) T {
 	var zero T
