member, watch: fault tests, bounded reads after a mass start, smaller datagrams

A restarted instance could synchronise with a restarted member under the ready mark of its former incarnation. After a mass start datagrams were full for minutes with records that everybody also gets by synchronisation. Change: an instance watches only after its confirmation, spread over two seconds; a synchronisation counts only if the incarnation that answered is ready; records learned by synchronisation are not queued as updates; deadlines are scanned only when one is due.

--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -61,7 +61,7 @@
 	random  *rand.Rand
 	self    *record
 	records map[pond.InstanceID]*record
-	order   []pond.InstanceID
+	order   []*record
 	next    int
 
 	sequence uint64
@@ -85,7 +85,12 @@
 	nextSync      time.Time
 	syncWith      string
 	synced        bool
-	changes       uint64
+	// syncing is true while a table of another member is merged. Its records are not queued as updates: at 350 members
+	// the datagrams would be full for minutes after a mass start with what everybody gets by synchronisation too.
+	syncing bool
+	changes uint64
+	// nextExpiry is at or before the earliest deadline in the table; zero for none.
+	nextExpiry time.Time
 }
 
 // probe is a probe that waits for its ack. ref is zero if only the address is known.
@@ -267,7 +272,7 @@
 
 // alone reports whether no other member is live or suspect.
 func (m *Machine) alone() bool {
-	for _, r := range m.records {
+	for _, r := range m.order {
 		if r.state() != pond.InstanceGone {
 			return false
 		}
@@ -284,7 +289,7 @@
 	clear(m.relays)
 	for _, r := range m.records {
 		if !r.deadline.IsZero() {
-			r.deadline = now.Add(m.suspicionTimeout())
+			m.startDeadline(now, r)
 		}
 	}
 }
@@ -365,7 +370,7 @@
 		step++
 	}
 	for i := range m.order {
-		r := m.records[m.order[(start+i*step)%len(m.order)]]
+		r := m.order[(start+i*step)%len(m.order)]
 		if !filter(r) {
 			continue
 		}
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -84,10 +84,10 @@
 	first := m.alone()
 	r := &record{instance: decodeInstance(e), version: e.GetVersion()}
 	if state == pond.InstanceSuspect {
-		r.deadline = now.Add(m.suspicionTimeout())
+		m.startDeadline(now, r)
 	}
 	m.records[r.id()] = r
-	m.order = append(m.order, r.id())
+	m.order = append(m.order, r)
 	// A random place in the order keeps the time until the first probe of a new member uniform.
 	i := m.random.IntN(len(m.order))
 	last := len(m.order) - 1
@@ -120,7 +120,7 @@
 	r.deadline = time.Time{}
 	r.doubted = false
 	if state == pond.InstanceSuspect {
-		r.deadline = now.Add(m.suspicionTimeout())
+		m.startDeadline(now, r)
 	}
 	m.changes++
 	m.queueMember(r, true)
@@ -149,7 +149,7 @@
 	case state == pond.InstanceGone:
 		m.markGone(now, r)
 	case state == pond.InstanceSuspect && r.state() == pond.InstanceLeaving:
-		r.deadline = now.Add(m.suspicionTimeout())
+		m.startDeadline(now, r)
 	default:
 		m.become(now, r, state)
 	}
@@ -177,9 +177,9 @@
 	r.deadline = time.Time{}
 	switch state {
 	case pond.InstanceSuspect:
-		r.deadline = now.Add(m.suspicionTimeout())
+		m.startDeadline(now, r)
 	case pond.InstanceGone:
-		r.forget = now.Add(forgetAfter)
+		m.forgetLater(now, r)
 	}
 	m.changeState(r, state)
 }
@@ -197,6 +197,9 @@
 
 // queueMember queues the record for other members.
 func (m *Machine) queueMember(r *record, full bool) {
+	if m.syncing && r != m.self {
+		return
+	}
 	e := r.compact()
 	if full {
 		e = r.full()
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -15,7 +15,7 @@
 			m.random.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
 			m.next = 0
 		}
-		r := m.records[m.order[m.next]]
+		r := m.order[m.next]
 		m.next++
 		if r.state() != pond.InstanceGone {
 			m.probeMember(now, r)
@@ -29,8 +29,7 @@
 	var gone []*record
 	known := make(map[string]bool, len(m.records)+1)
 	known[m.self.address()] = true
-	for _, id := range m.order {
-		r := m.records[id]
+	for _, r := range m.order {
 		known[r.address()] = true
 		if r.state() == pond.InstanceGone {
 			gone = append(gone, r)
@@ -54,8 +53,8 @@
 // probeSeeds looks for any other instance.
 func (m *Machine) probeSeeds(now time.Time) {
 	addresses := slices.Clone(m.seeds)
-	for _, id := range m.order {
-		addresses = append(addresses, m.records[id].address())
+	for _, r := range m.order {
+		addresses = append(addresses, r.address())
 	}
 	m.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses[:min(aloneProbes, len(addresses))] {
@@ -202,45 +201,66 @@
 	}
 	switch r.state() {
 	case pond.InstanceLive:
-		r.deadline = now.Add(m.suspicionTimeout())
+		m.startDeadline(now, r)
 		m.changeState(r, pond.InstanceSuspect)
 	case pond.InstanceLeaving:
 		// A leaving member keeps its state, so that no lookup names it, until the deadline.
-		r.deadline = now.Add(m.suspicionTimeout())
+		m.startDeadline(now, r)
 	}
 }
 
+// expireRecords ends suspicions and drops records that have been gone for long.
 func (m *Machine) expireRecords(now time.Time) {
-	for _, id := range m.order {
-		r := m.records[id]
-		if r.state() != pond.InstanceGone && !r.deadline.IsZero() && !now.Before(r.deadline) {
+	if m.nextExpiry.IsZero() || now.Before(m.nextExpiry) {
+		return
+	}
+	m.nextExpiry = time.Time{}
+	forgotten := false
+	for _, r := range m.order {
+		if !r.deadline.IsZero() && !now.Before(r.deadline) {
 			m.markGone(now, r)
 		}
+		forgotten = forgotten || r.forgotten(now)
+		m.expireAt(r.deadline)
+		if r.state() == pond.InstanceGone {
+			m.expireAt(r.forget)
+		}
 	}
-	m.forget(now)
-}
-
-func (m *Machine) forget(now time.Time) {
-	expired := func(id pond.InstanceID) bool {
-		r := m.records[id]
-		return r.state() == pond.InstanceGone && !now.Before(r.forget)
-	}
-	if !slices.ContainsFunc(m.order, expired) {
+	if !forgotten {
 		return
 	}
-	m.order = slices.DeleteFunc(m.order, func(id pond.InstanceID) bool {
-		if !expired(id) {
-			return false
+	m.order = slices.DeleteFunc(m.order, func(r *record) bool {
+		if r.forgotten(now) {
+			delete(m.records, r.id())
+			m.changes++
 		}
-		delete(m.records, id)
-		return true
+		return r.forgotten(now)
 	})
 	m.next = min(m.next, len(m.order))
 }
 
+// expireAt makes sure that the table is checked at a time, unless it is zero.
+func (m *Machine) expireAt(t time.Time) {
+	if !t.IsZero() && (m.nextExpiry.IsZero() || t.Before(m.nextExpiry)) {
+		m.nextExpiry = t
+	}
+}
+
+// startDeadline starts the time that a silent member has to refute.
+func (m *Machine) startDeadline(now time.Time, r *record) {
+	r.deadline = now.Add(m.suspicionTimeout())
+	m.expireAt(r.deadline)
+}
+
+// forgetLater starts the time after which a gone member is dropped.
+func (m *Machine) forgetLater(now time.Time, r *record) {
+	r.forget = now.Add(forgetAfter)
+	m.expireAt(r.forget)
+}
+
 func (m *Machine) markGone(now time.Time, r *record) {
 	r.deadline = time.Time{}
-	r.forget = now.Add(forgetAfter)
+	m.forgetLater(now, r)
 	m.changeState(r, pond.InstanceGone)
 }
 
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -35,6 +35,10 @@
 	r.instance = pond.NewInstance(i.Ref(), state, i.HTTPAddress(), i.PeerAddress(), i.DataCentre(), i.Region())
 }
 
+func (r *record) forgotten(now time.Time) bool {
+	return r.state() == pond.InstanceGone && !now.Before(r.forget)
+}
+
 // full encodes the record with its addresses, for receivers that may not know the member.
 func (r *record) full() *peerpb.Member {
 	e := r.compact()
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -70,8 +70,8 @@
 // SyncRequest returns the table in compact form.
 func (m *Machine) SyncRequest() *peerpb.SyncMembersRequest {
 	req := &peerpb.SyncMembersRequest{Members: []*peerpb.Member{m.self.full()}}
-	for _, id := range m.order {
-		req.Members = append(req.Members, m.records[id].compact())
+	for _, r := range m.order {
+		req.Members = append(req.Members, r.compact())
 	}
 	for _, backend := range slices.Sorted(maps.Keys(m.notices)) {
 		req.Backends = append(req.Backends, m.notices[backend])
@@ -82,37 +82,47 @@
 // SyncAnswer applies the table of another member and returns what that member does not know.
 func (m *Machine) SyncAnswer(now time.Time, req *peerpb.SyncMembersRequest) (*peerpb.SyncMembersResponse, []Outgoing) {
 	resp := m.difference(req)
-	m.mergeAll(now, req.GetMembers(), req.GetBackends(), false)
+	if members := req.GetMembers(); len(members) > 0 {
+		// The first record is that of the member that asks; nobody else may know it yet.
+		m.mergeAll(now, members[:1], nil, false)
+		m.mergeTable(now, members[1:], req.GetBackends())
+	}
 	return resp, m.drain()
 }
 
 // SyncApply applies the answer of the member with the given peer address.
 func (m *Machine) SyncApply(now time.Time, address string, resp *peerpb.SyncMembersResponse) []Outgoing {
-	m.mergeAll(now, resp.GetMembers(), resp.GetBackends(), false)
-	for _, r := range m.records {
-		if r.ready && r.address() == address {
+	m.mergeTable(now, resp.GetMembers(), resp.GetBackends())
+	for _, e := range resp.GetMembers() {
+		// The member that answered may be another incarnation than the one known to be ready.
+		r := m.records[pond.InstanceID(e.GetId())]
+		if e.GetPeerAddress() == address && r != nil && r.ready && r.instance.Ref() == refOf(e) {
 			m.synced = true
 		}
 	}
 	return m.drain()
 }
 
+func (m *Machine) mergeTable(now time.Time, members []*peerpb.Member, backends []*peerpb.BackendNotice) {
+	m.syncing = true
+	m.mergeAll(now, members, backends, false)
+	m.syncing = false
+}
+
 // Synced reports whether a full synchronisation with a ready member has succeeded since the start or the last pause of
 // the process, so that notices sent before are known. A member that has just started itself may not know them.
 func (m *Machine) Synced() bool { return m.synced }
 
-// difference returns full records of members that the request lacks or knows in an older or contradicting state.
+// difference returns the own record and full records of members that the request lacks or knows in an older or
+// contradicting state.
 func (m *Machine) difference(req *peerpb.SyncMembersRequest) *peerpb.SyncMembersResponse {
 	theirs := make(map[pond.InstanceID]*peerpb.Member, len(req.GetMembers()))
 	for _, e := range req.GetMembers() {
 		theirs[pond.InstanceID(e.GetId())] = e
 	}
-	resp := new(peerpb.SyncMembersResponse)
-	if e := theirs[m.self.id()]; !sameReport(m.self, e) {
-		resp.Members = append(resp.Members, m.self.full())
-	}
-	for _, id := range m.order {
-		if r := m.records[id]; !sameReport(r, theirs[id]) {
+	resp := &peerpb.SyncMembersResponse{Members: []*peerpb.Member{m.self.full()}}
+	for _, r := range m.order {
+		if !sameReport(r, theirs[r.id()]) {
 			resp.Members = append(resp.Members, r.full())
 		}
 	}
--- a/internal/watch/cluster_test.go
+++ b/internal/watch/cluster_test.go
@@ -364,17 +364,6 @@
 	n.send(n.machine.NoticeBackend(backend, state))
 }
 
-// sees returns how many nodes the node believes live.
-func (n *node) sees() int {
-	live := 0
-	for _, i := range n.Instances() {
-		if i.State() == pond.InstanceLive {
-			live++
-		}
-	}
-	return live
-}
-
 // service is the configuration service.
 type service struct {
 	c *cluster
@@ -385,6 +374,8 @@
 	pending     []func()
 	// reads counts calls by second.
 	reads map[int64]int
+	// cut reports whether a node cannot reach the service.
+	cut func(*node) bool
 }
 
 func (s *service) publish(number uint64, content string) { s.publishBody(testBody(number, content)) }
@@ -420,6 +411,10 @@
 }
 
 func (s *service) read(n *node, read Read, done func(ReadResult)) {
+	if s.cut != nil && s.cut(n) {
+		n.deliver(platformTimeout, func() { done(ReadResult{Err: errUnreachable}) })
+		return
+	}
 	s.reads[s.c.now.Unix()]++
 	const latency = 2 * time.Millisecond
 	ended := false
@@ -509,7 +504,10 @@
 func (noNotices) NoticeBackend(string, member.BackendState) {}
 
 // testBody returns a manifest with three backend servers whose content depends on the given text.
-func testBody(number uint64, text string) []byte {
+func testBody(number uint64, text string) []byte { return sizedBody(number, text, testBackends) }
+
+// sizedBody returns a manifest with a number of backend servers; 4,500 of them make about 1 MB.
+func sizedBody(number uint64, text string, backends int) []byte {
 	const format = `{"number": %d, "deployment": %q,
 	"regions": [{"name": "norte", "dataCentres": ["norte-1", "norte-2"]}, {"name": "sul", "dataCentres": ["sul-1"]}],
 	"link": {"bytesPerSecond": 3750000, "bytesPerHour": 1000000000},
@@ -520,7 +518,7 @@
 	"clientAccounts": [],
 	"policy": {}}`
 	var servers []string
-	for i := range testBackends {
+	for i := range backends {
 		servers = append(servers, fmt.Sprintf(`{"name": "letter-%d", "address": "127.0.0.1:%d", "dataCentre": "norte-1",
 	"kind": "engine", "memoryTokens": 100000, "maxRunning": 32,
 	"placement": {"model": "letter", "version": "v1", "role": "serve"}}`, i, 8000+i))
--- a/internal/watch/confirm.go
+++ b/internal/watch/confirm.go
@@ -148,6 +148,9 @@
 	m.peersUntil = now.Add(peersLimit)
 	m.validUntil = now.Add(pauseLimit)
 	m.setPhase(phase)
+	if m.reader.watching = m.watches(); m.reader.watching {
+		m.readSoon(now)
+	}
 }
 
 func (m *Machine) allAnswered() bool {
--- /dev/null
+++ b/internal/watch/faults_test.go
@@ -0,0 +1,180 @@
+package watch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
+)
+
+// TestOneWayCut guards against members that become gone although some other members can reach them.
+func TestOneWayCut(t *testing.T) {
+	tests := []struct {
+		name string
+		cut  func(from, to *node) bool
+	}{
+		{name: "one pair", cut: func(from, to *node) bool { return from.id == "entry-000" && to.id == "entry-001" }},
+		{name: "one data centre to another", cut: func(from, to *node) bool {
+			return from.dataCentre == "norte-1" && to.dataCentre == "sul-1"
+		}},
+		{name: "one instance to its region", cut: func(from, to *node) bool {
+			return from.id == "entry-000" && to.region == "norte"
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(12, 3)
+			c.service.publish(1, "first")
+			c.startAll()
+			c.run(calm)
+			c.cut = test.cut
+			for range 120 {
+				c.run(time.Second)
+				for _, n := range c.nodes {
+					if got := len(n.Instances()); got != len(c.nodes) {
+						t.Fatalf("%s knows %d instances that are not gone, want %d", n.id, got, len(c.nodes))
+					}
+				}
+			}
+			c.service.publish(2, "second")
+			c.run(inForce)
+			wantVersion(t, c, 2)
+		})
+	}
+}
+
+// TestDataCentreGone guards against a lost data centre that stays in the view, and against manifests that are not noticed
+// because the watchers were there.
+func TestDataCentreGone(t *testing.T) {
+	c := newCluster(30, 4)
+	c.service.publish(1, "first")
+	c.startAll()
+	c.run(calm)
+	for _, n := range c.nodes {
+		if n.dataCentre == "norte-2" {
+			n.stop()
+		}
+	}
+	c.service.publish(2, "second")
+	c.run(inForce)
+	wantVersion(t, c, 2)
+	c.run(20 * time.Second)
+	for _, n := range c.nodes {
+		if got := len(n.Instances()); n.up && got != 20 {
+			t.Errorf("%s knows %d instances that are not gone, want 20", n.id, got)
+		}
+	}
+}
+
+// TestRegionsApart guards against regions that do not find each other after an hour, that mark each other's members gone
+// while they merge, or of which one stops serving or reverts its manifest.
+func TestRegionsApart(t *testing.T) {
+	c := newCluster(24, 5)
+	c.service.publish(1, "first")
+	c.onAdopt = noRevert(t)
+	c.startAll()
+	c.run(calm)
+	c.cut = func(a, b *node) bool { return a.region != b.region }
+	c.service.cut = func(n *node) bool { return n.region == "sul" }
+	for number := uint64(2); number <= 7; number++ {
+		c.run(10 * time.Minute)
+		c.service.publish(number, "later")
+	}
+	c.run(inForce)
+	for _, n := range c.nodes {
+		want := map[string]uint64{"norte": 7, "sul": 1}[n.region]
+		if got := n.source.Current().Version().Number; got != want || !n.source.Confirmed(c.now) {
+			t.Errorf("%s has manifest %d, confirmed %t; want %d, true", n.id, got, n.source.Confirmed(c.now), want)
+		}
+	}
+	c.cut = func(_, _ *node) bool { return false }
+	for range 60 {
+		c.run(time.Second)
+		for _, n := range c.nodes {
+			if seen, want := n.seesRegion(), map[string]int{"norte": 16, "sul": 8}[n.region]; seen != want {
+				t.Fatalf("%s sees %d live members of its own region during the merge, want %d", n.id, seen, want)
+			}
+		}
+	}
+	wantVersion(t, c, 7)
+	for _, n := range c.nodes {
+		if n.sees() != len(c.nodes) {
+			t.Errorf("%s sees %d live members after the merge, want %d", n.id, n.sees(), len(c.nodes))
+		}
+	}
+}
+
+// TestReads guards against instances that together read the configuration service more than a fraction of its limit of
+// 2,000 a second: at a mass restart, on an ordinary minute, when a manifest is published and around an outage.
+func TestReads(t *testing.T) {
+	const limit = 400
+	c := newCluster(350, 6)
+	c.service.publish(1, "first")
+	c.startAll()
+	check := func(situation string, d time.Duration, most int) {
+		t.Helper()
+		start := c.now
+		c.run(d)
+		if got := c.service.maxReads(start); got > most {
+			t.Errorf("%s: %d reads in one second, want at most %d", situation, got, most)
+		} else {
+			t.Logf("%s: at most %d reads in one second", situation, got)
+		}
+	}
+	check("mass start", 6*time.Second, limit)
+	for _, n := range c.nodes {
+		if !n.source.Confirmed(c.now) {
+			t.Errorf("%s is not confirmed 6 s after a mass start", n.id)
+		}
+	}
+	check("ordinary", 75*time.Second, 60)
+	c.service.publish(2, "second")
+	check("publication", inForce, 100)
+	wantVersion(t, c, 2)
+	c.service.setMode(false, true)
+	check("outage", 8*time.Second, 100)
+	c.service.setMode(false, false)
+	check("after the outage", 8*time.Second, 100)
+	c.startAll()
+	check("mass restart", 6*time.Second, limit)
+}
+
+func wantVersion(t *testing.T, c *cluster, number uint64) {
+	t.Helper()
+	for _, n := range c.nodes {
+		if n.up && n.source.Current().Version().Number != number {
+			t.Errorf("%s has manifest %s, want number %d", n.id, n.source.Current().Version(), number)
+		}
+	}
+}
+
+func noRevert(t *testing.T) func(*node, *spec.Manifest) {
+	return func(n *node, before *spec.Manifest) {
+		if after := n.source.Current(); before != nil && !after.Version().After(before.Version()) {
+			t.Errorf("%s went from %s back to %s", n.id, before.Version(), after.Version())
+		}
+	}
+}
+
+// sees returns how many nodes the node believes live.
+func (n *node) sees() int {
+	live := 0
+	for _, i := range n.Instances() {
+		if i.State() == pond.InstanceLive {
+			live++
+		}
+	}
+	return live
+}
+
+// seesRegion returns how many nodes of its own region the node does not believe gone.
+func (n *node) seesRegion() int {
+	present := 0
+	for _, i := range n.Instances() {
+		if i.Region() == n.region {
+			present++
+		}
+	}
+	return present
+}
--- a/internal/watch/reader.go
+++ b/internal/watch/reader.go
@@ -56,13 +56,18 @@
 func (m *Machine) checkWatch(now time.Time) {
 	watches := m.watches()
 	if watches && !m.reader.watching {
-		if soon := now.Add(m.within(readSpread)); soon.Before(m.reader.next) {
-			m.reader.next = soon
-		}
+		m.readSoon(now)
 	}
 	m.reader.watching = watches
 }
 
+// readSoon brings the next read forward to a random time within readSpread.
+func (m *Machine) readSoon(now time.Time) {
+	if soon := now.Add(m.within(readSpread)); soon.Before(m.reader.next) {
+		m.reader.next = soon
+	}
+}
+
 // ReadDone handles the result of a Read.
 func (m *Machine) ReadDone(now time.Time, result ReadResult) []Action {
 	r := &m.reader
@@ -97,8 +102,10 @@
 }
 
 func (m *Machine) nextRead(now time.Time, useless bool) time.Time {
+	// An instance that starts may not know the other members yet and takes itself for a watcher.
+	watching := m.reader.watching && m.phase != PhaseStarting
 	switch {
-	case !m.reader.watching && m.Current() != nil:
+	case !watching && m.Current() != nil:
 		return now.Add(backstopMin + m.within(backstopSpan))
 	case useless || m.Current() == nil:
 		return now.Add(minRetry + m.within(readSpread-minRetry))
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -73,7 +73,8 @@
 	var seeds []string
 	const instances = 4
 	for i := range instances {
-		seeds = append(seeds, startInstance(t, ctx, &running, client, server.URL, i, seeds, adopted))
+		address, _ := startInstance(t, ctx, &running, client, server.URL, i, seeds, adopted)
+		seeds = append(seeds, address)
 	}
 	for number := uint64(1); number <= 2; number++ {
 		for count := 0; count < instances; {
@@ -92,8 +93,8 @@
 	goleak.VerifyNone(t)
 }
 
-func startInstance(t *testing.T, ctx context.Context, running *sync.WaitGroup, client *http.Client, url string, i int,
-	seeds []string, adopted chan<- spec.Version) string {
+func startInstance(t testing.TB, ctx context.Context, running *sync.WaitGroup, client *http.Client, url string, i int,
+	seeds []string, adopted chan<- spec.Version) (string, *member.Member) {
 	t.Helper()
 	network, err := peer.NewNetwork([]byte("0123456789abcdef"))
 	if err != nil {
@@ -134,11 +135,11 @@
 		parts.Wait()
 		_ = network.Close()
 	})
-	return address
+	return address, m
 }
 
 // listen opens a TCP and a UDP socket on the same port.
-func listen(t *testing.T) (net.Listener, net.PacketConn) {
+func listen(t testing.TB) (net.Listener, net.PacketConn) {
 	t.Helper()
 	for {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
