once, front: advise a retry after a refusal that another instance can serve

Cause: in scripts/wholepath with "kill" one charge was refused as "leaving" without Retry-After, so its caller gave up, although a new run key of another instance would have served it at once. Change: refusals for leaving, an unconfirmed manifest and a full table carry Retry-After of one second; the load generator looks up a new run key after a refusal that says "not run". Measured: before: scripts/wholepath DIR kill: 539 of 541 whole, one charge lost to "leaving", one to "executorGone".

--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -62,7 +62,7 @@
 func (f *Front) admitted(next handler) handler {
 	return func(w http.ResponseWriter, r *request) error {
 		if !f.options.Accepting() {
-			return refuse(pond.ReasonLeaving, "this instance is leaving")
+			return refuseLater(pond.ReasonLeaving, r.arrived.Add(leavingRetry), "this instance is leaving")
 		}
 		return next(w, r)
 	}
--- a/internal/front/problem.go
+++ b/internal/front/problem.go
@@ -19,6 +19,8 @@
 	problemNamespace = "urn:dragonflypond:refusal:"
 	// notReadyRetry is the advised delay while the instance starts or looks for a confirmed peer.
 	notReadyRetry = time.Second
+	// leavingRetry is the advised delay after which a caller should use another instance.
+	leavingRetry = time.Second
 
 	keyHeader    = "Idempotency-Key"
 	runKeyHeader = "X-Run-Key"
--- a/internal/load/service.go
+++ b/internal/load/service.go
@@ -60,6 +60,8 @@
 		if p.Run == runNo {
 			o.charge.notRun = append(o.charge.notRun, key)
 			key = ""
+			// The instance that issued the key may be leaving; another one issues the next.
+			directory.expire()
 		}
 		if !c.again(ctx, o, p) {
 			return
--- a/internal/once/core.go
+++ b/internal/once/core.go
@@ -76,10 +76,10 @@
 // objection returns why a new call is refused, or nil.
 func (c *core) objection(call *pond.Call, t terms) *pond.Refusal {
 	if c.phase != phaseServing {
-		return refuseNo(pond.ReasonLeaving, "the instance that must run the call is leaving")
+		return refuseSoon(pond.ReasonLeaving, t.now, "the instance that must run the call is leaving")
 	}
 	if t.manifest == nil || !t.confirmed {
-		return refuseNo(pond.ReasonNotReady, "the manifest is not confirmed")
+		return refuseSoon(pond.ReasonNotReady, t.now, "the manifest is not confirmed")
 	}
 	service, ok := t.manifest.Service(call.Service)
 	if !ok {
@@ -89,7 +89,7 @@
 		return refuseNo(pond.ReasonNotFound, "the service declares no such route")
 	}
 	if c.table.calls() >= t.manifest.Policy().MaxServiceRecords() || c.table.answerBytes >= c.maxAnswerBytes {
-		return refuseNo(pond.ReasonTableFull, "the table of records is full")
+		return refuseSoon(pond.ReasonTableFull, t.now, "the table of records is full")
 	}
 	return c.limits.objection(call.Account, c.table.openOf[call.Account], t)
 }
@@ -116,9 +116,9 @@
 func (c *core) clear(r *record, deadline time.Time, t terms) *pond.Refusal {
 	switch {
 	case c.phase == phaseClosed:
-		return refuseNo(pond.ReasonLeaving, "the instance that must run the call is leaving")
+		return refuseSoon(pond.ReasonLeaving, t.now, "the instance that must run the call is leaving")
 	case t.manifest == nil || !t.confirmed:
-		return refuseNo(pond.ReasonNotReady, "the manifest is not confirmed")
+		return refuseSoon(pond.ReasonNotReady, t.now, "the manifest is not confirmed")
 	case !t.now.Before(r.expiry):
 		return refuseNo(pond.ReasonKeyExpired, "the run key expired before the call was sent")
 	case !t.now.Before(deadline):
@@ -134,6 +134,11 @@
 	return pond.NewRefusal(reason, pond.RunNo, time.Time{}, detail)
 }
 
+// refuseSoon advises a retry with a new run key, which another instance may issue at once.
+func refuseSoon(reason pond.Reason, now time.Time, detail string) *pond.Refusal {
+	return pond.NewRefusal(reason, pond.RunNo, now.Add(newKeyDelay), detail)
+}
+
 func refuseUnknown(reason pond.Reason, detail string) *pond.Refusal {
 	return pond.NewRefusal(reason, pond.RunUnknown, time.Time{}, detail)
 }
--- a/internal/once/options.go
+++ b/internal/once/options.go
@@ -20,6 +20,9 @@
 
 	// answerRetention is the time after a key's expiry during which the answer is kept for repeats.
 	answerRetention = 10 * time.Minute
+
+	// newKeyDelay is the time after which a caller should try again with a new run key.
+	newKeyDelay = time.Second
 )
 
 // Options configures an Executor. Source, Directory, Backends, Conn and MACKey are required.
