load: the test of charges expects a new run key after "not run"

Cause: the caller now looks up again after a refusal that says "not run"; the test named the old prefix. Change: the expected second request carries the prefix of the second lookup. The test still fails if a key of unknown fate is replaced or a refused key is sent again.

--- a/internal/load/caller_test.go
+++ b/internal/load/caller_test.go
@@ -225,7 +225,7 @@
 		{"connection closed", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, []string{"key0:c0.0", "key0:c0.0"}, 1, 0},
 		{"unknown with advice", func(w http.ResponseWriter) { refuse(w, 502, "1", unknown) }, []string{"key0:c0.0", "key0:c0.0"}, 1, 0},
 		{"unknown without advice", func(w http.ResponseWriter) { refuse(w, 502, "", unknown) }, []string{"key0:c0.0"}, 0, 0},
-		{"not run with advice", func(w http.ResponseWriter) { refuse(w, 503, "1", notRun) }, []string{"key0:c0.0", "key0:c0.1"}, 1, 1},
+		{"not run with advice", func(w http.ResponseWriter) { refuse(w, 503, "1", notRun) }, []string{"key0:c0.0", "key1:c0.1"}, 1, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
