--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -93,7 +93,7 @@
 		{name: "invalid timeout", header: []string{"Request-Timeout", "1.5"}, status: 400, reason: pond.ReasonBadRequest},
 		{name: "deadline has passed", header: []string{"X-Deadline", "2020-01-01T00:00:00Z"}, status: 504, reason: pond.ReasonDeadline},
 		{name: "no time at all", header: []string{"Request-Timeout", "0"}, status: 504, reason: pond.ReasonDeadline},
-		{name: "leaving", change: func(o *Options) { o.Accepting = func() bool { return false } }, status: 503, reason: pond.ReasonLeaving},
+		{name: "leaving", change: func(o *Options) { o.Accepting = func() bool { return false } }, status: 503, reason: pond.ReasonLeaving, later: true},
 		{name: "not confirmed", change: func(o *Options) { o.Source.(*fixedSource).unconfirmed = true }, status: 503, reason: pond.ReasonNotReady, later: true},
 		{name: "no manifest", change: func(o *Options) { o.Source = &fixedSource{} }, status: 503, reason: pond.ReasonNotReady, later: true},
 		{name: "overloaded", change: func(o *Options) {
--- a/internal/stream/generate.go
+++ b/internal/stream/generate.go
@@ -52,6 +52,9 @@
 	if err := j.do(ctx); err != nil {
 		return Answer{}, err
 	}
+	if c.last.Reason == pond.ReasonLeaving {
+		return Answer{}, j.leaving()
+	}
 	if c.last.Kind != ItemDone {
 		return Answer{}, j.refusal(c.last.Reason, c.last.Detail)
 	}
@@ -262,11 +265,16 @@
 	return pond.NewRefusal(reason, j.run, time.Time{}, detail)
 }
 
+// leaving refuses a request that another instance can serve.
+func (j *job) leaving() *pond.Refusal {
+	return pond.NewRefusal(pond.ReasonLeaving, j.run, time.Now().Add(leavingRetry), "this instance is leaving")
+}
+
 // givenUp returns the refusal of a request whose deadline passed or whose caller is gone.
 func (j *job) givenUp(ctx context.Context) error {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errMoved):
-		return j.refusal(pond.ReasonLeaving, "this instance is leaving")
+		return j.leaving()
 	case cause != nil:
 		return j.refusal(pond.ReasonCanceled, "the caller is gone")
 	}
@@ -316,7 +324,7 @@
 	case endDeadline:
 		return j.refusal(pond.ReasonDeadline, "the deadline passed before the first token")
 	case endMoved:
-		return j.refusal(pond.ReasonLeaving, "this instance is leaving")
+		return j.leaving()
 	case endReleased:
 		return j.refusal(pond.ReasonSuperseded, "another reader took the generation")
 	default:
--- a/internal/stream/relay.go
+++ b/internal/stream/relay.go
@@ -22,6 +22,8 @@
 	defaultStallLimit = 3 * time.Second
 	// releasedLimit is how long an instance remembers who took a generation.
 	releasedLimit = 10 * time.Minute
+	// leavingRetry is the advised delay after which a caller should use another instance.
+	leavingRetry = time.Second
 	// cancelLimit bounds the attempts to cancel a generation; the pool's home cancels what is left over.
 	cancelLimit = 5 * time.Second
 )
--- a/internal/stream/takeover_test.go
+++ b/internal/stream/takeover_test.go
@@ -280,6 +280,28 @@
 	}
 }
 
+// TestDrainRefusesWaiting guards against a shutdown that keeps requests waiting in a queue, or refuses them without the
+// truth about their run state and advice to retry.
+func TestDrainRefusesWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(fakeFleet{"a": newFakeEngine(8)}, "entry-1")
+		c.stuck = make(chan struct{})
+		ended := make(chan error, 1)
+		go func() { ended <- c.relays["entry-1"].Generate(t.Context(), testRequest("p"), &recorder{}) }()
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if err := c.relays["entry-1"].Drain(ctx); err == nil {
+			t.Error("drain reported the end of a request that had to be refused")
+		}
+		var refusal *pond.Refusal
+		if err := <-ended; !errors.As(err, &refusal) || refusal.Reason() != pond.ReasonLeaving || refusal.Run() != pond.RunNo || refusal.RetryAt().IsZero() {
+			t.Errorf("error %v, want leaving, run state no and advice", err)
+		}
+		close(c.stuck)
+	})
+}
+
 // TestForeignCursor guards against an account that reads the answer of another one, and against altered cursors.
 func TestForeignCursor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
