load: wait of short work counts requests that got no token

Cause: the time to the first token lacks requests without one, so a system that refuses late looks better. Change: the report has the wait to the first token or, if none came, to the end; table and plot show it. Measured: go test -race ./internal/load passes.

--- a/internal/load/caller_test.go
+++ b/internal/load/caller_test.go
@@ -190,6 +190,23 @@
 	}
 }
 
+// Guards against a figure that improves when requests are refused late instead of served.
+func TestWaitCountsRefusedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rec, _ := serveOne(t, letter(), 0, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(7 * time.Second)
+			refuse(w, 504, "", `{"reason":"deadline","run":"no"}`)
+		})
+		k := rec.kinds[KindLong]
+		if got := latency(k.wait); got.Count != 1 || got.P50Millis < 6990 || got.P50Millis > 7010 {
+			t.Errorf("wait: %+v, want one of 7000 ms", got)
+		}
+		if got := k.firstToken.TotalCount(); got != 0 {
+			t.Errorf("%d first tokens, want none", got)
+		}
+	})
+}
+
 // Guards against latencies that count from the send instead of the intended time, which would hide a late generator.
 func TestCallerCountsFromIntendedTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -31,6 +31,15 @@
 
 func (o *outcome) onTime() bool { return o.whole && o.ended <= o.arrival.Due }
 
+// waited returns the time from the intended send time to the first token or, if none came, to the end. Requests that
+// were never served count too, so that a system can't improve the figure by refusing late.
+func (o *outcome) waited() time.Duration {
+	if o.firstToken > 0 {
+		return o.firstToken - o.arrival.At
+	}
+	return o.ended - o.arrival.At
+}
+
 // chargeLog holds what the caller of a charge was told about each key it used.
 type chargeLog struct {
 	answered []string
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -19,8 +19,8 @@
 	plotGap    = 5 * vg.Millimeter
 )
 
-// WritePlot writes a PNG with the arrivals and the answers on time in each second above the percentiles of the time to
-// the first token of short work and of the time between tokens.
+// WritePlot writes a PNG with the arrivals and the answers on time in each second above the percentiles of the wait
+// of short work and of the time between tokens.
 func WritePlot(w io.Writer, reports ...*Report) error {
 	timeline, err := timelinePlot(reports)
 	if err != nil {
@@ -73,7 +73,7 @@
 	var lines []any
 	for _, report := range reports {
 		lines = append(lines,
-			report.Target+" short first token", percentiles(report.Kind(KindShort).FirstToken),
+			report.Target+" short wait", percentiles(report.Kind(KindShort).Wait),
 			report.Target+" between tokens", percentiles(report.Gap),
 		)
 	}
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -28,8 +28,8 @@
 type kindStats struct {
 	offered, whole, onTime int
 	tokens                 int64
-	// firstToken, answer and tokenTime count from the intended send time, firstTokenSent from the send.
-	firstToken, firstTokenSent, answer, tokenTime *hdrhistogram.Histogram
+	// wait, firstToken, answer and tokenTime count from the intended send time, firstTokenSent from the send.
+	wait, firstToken, firstTokenSent, answer, tokenTime *hdrhistogram.Histogram
 }
 
 // recorder gathers the results of a run.
@@ -63,6 +63,7 @@
 	}
 	for _, kind := range KindValues() {
 		r.kinds[kind] = &kindStats{
+			wait:           newHistogram(),
 			firstToken:     newHistogram(),
 			firstTokenSent: newHistogram(),
 			answer:         newHistogram(),
@@ -102,6 +103,7 @@
 	k := r.kinds[o.arrival.Kind]
 	k.offered++
 	k.tokens += int64(o.tokens)
+	record(k.wait, o.waited())
 	if o.firstToken > 0 {
 		record(k.firstToken, o.firstToken-o.arrival.At)
 		record(k.firstTokenSent, o.firstToken-o.sent)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -34,7 +34,9 @@
 	Whole   int   `json:"whole"`
 	OnTime  int   `json:"onTime"`
 	Tokens  int64 `json:"tokens"`
-	// FirstToken counts from the intended send time, FirstTokenSent from the send.
+	// Wait is the time from the intended send time to the first token or, if none came, to the refusal.
+	Wait Latency `json:"wait"`
+	// FirstToken counts from the intended send time, FirstTokenSent from the send. Both lack requests without a token.
 	FirstToken     Latency `json:"firstToken"`
 	FirstTokenSent Latency `json:"firstTokenSent"`
 	// Answer is the time from the intended send time to the end of whole answers.
@@ -142,6 +144,7 @@
 			Whole:          k.whole,
 			OnTime:         k.onTime,
 			Tokens:         k.tokens,
+			Wait:           latency(k.wait),
 			FirstToken:     latency(k.firstToken),
 			FirstTokenSent: latency(k.firstTokenSent),
 			Answer:         latency(k.answer),
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -27,6 +27,7 @@
 		{"peak share on time %", func(r *Report) float64 { return 100 * r.Peak.Share() }},
 	}
 	for _, kind := range []Kind{KindShort, KindLong} {
+		list = append(list, latencyRows(kind.String()+" wait", func(r *Report) Latency { return r.Kind(kind).Wait })...)
 		list = append(list, latencyRows(kind.String()+" first token", func(r *Report) Latency { return r.Kind(kind).FirstToken })...)
 		list = append(list, latencyRows(kind.String()+" first token from send", func(r *Report) Latency { return r.Kind(kind).FirstTokenSent })...)
 		list = append(list, latencyRows(kind.String()+" time a token", func(r *Report) Latency { return r.Kind(kind).TokenTime })...)
