--- a/internal/load/caller_test.go
+++ b/internal/load/caller_test.go
@@ -94,7 +94,7 @@
 		script    func(n int, w http.ResponseWriter, r *http.Request)
 		whole     bool
 		violation string
-		refusal   string
+		failure   string
 		requests  []string
 	}{
 		{"whole", func(_ int, w http.ResponseWriter, _ *http.Request) {
@@ -172,13 +172,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				rec, requests := serveOne(t, letter(), 0, test.script)
 				if whole := rec.kinds[KindLong].whole == 1; whole != test.whole {
-					t.Errorf("whole: got %v, want %v; refusals %v", whole, test.whole, rec.refusals)
+					t.Errorf("whole: got %v, want %v; failures %v", whole, test.whole, rec.failures)
 				}
 				if violation := strings.Join(rec.violations, ""); !strings.Contains(violation, test.violation) || test.violation == "" && violation != "" {
 					t.Errorf("violation: got %q, want %q", violation, test.violation)
 				}
-				if test.refusal != "" && rec.refusals[test.refusal] != 1 {
-					t.Errorf("refusals: got %v, want %s", rec.refusals, test.refusal)
+				if test.failure != "" && rec.failures[test.failure] != 1 {
+					t.Errorf("failures: got %v, want %s", rec.failures, test.failure)
 				}
 				slices.Sort(requests)
 				slices.Sort(test.requests)
@@ -190,6 +190,23 @@
 	}
 }
 
+// Guards against a figure that improves when requests are refused late instead of served.
+func TestWaitCountsRefusedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rec, _ := serveOne(t, letter(), 0, func(_ int, w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(7 * time.Second)
+			refuse(w, 504, "", `{"reason":"deadline","run":"no"}`)
+		})
+		k := rec.kinds[KindLong]
+		if got := latency(k.wait); got.Count != 1 || got.P50Millis < 6990 || got.P50Millis > 7010 {
+			t.Errorf("wait: %+v, want one of 7000 ms", got)
+		}
+		if got := k.firstToken.TotalCount(); got != 0 {
+			t.Errorf("%d first tokens, want none", got)
+		}
+	})
+}
+
 // Guards against latencies that count from the send instead of the intended time, which would hide a late generator.
 func TestCallerCountsFromIntendedTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -225,7 +242,7 @@
 		{"connection closed", func(http.ResponseWriter) { panic(http.ErrAbortHandler) }, []string{"key0:c0.0", "key0:c0.0"}, 1, 0},
 		{"unknown with advice", func(w http.ResponseWriter) { refuse(w, 502, "1", unknown) }, []string{"key0:c0.0", "key0:c0.0"}, 1, 0},
 		{"unknown without advice", func(w http.ResponseWriter) { refuse(w, 502, "", unknown) }, []string{"key0:c0.0"}, 0, 0},
-		{"not run with advice", func(w http.ResponseWriter) { refuse(w, 503, "1", notRun) }, []string{"key0:c0.0", "key0:c0.1"}, 1, 1},
+		{"not run with advice", func(w http.ResponseWriter) { refuse(w, 503, "1", notRun) }, []string{"key0:c0.0", "key1:c0.1"}, 1, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -28,8 +28,8 @@
 type kindStats struct {
 	offered, whole, onTime int
 	tokens                 int64
-	// firstToken, answer and tokenTime count from the intended send time, firstTokenSent from the send.
-	firstToken, firstTokenSent, answer, tokenTime *hdrhistogram.Histogram
+	// wait, firstToken, answer and tokenTime count from the intended send time, firstTokenSent from the send.
+	wait, firstToken, firstTokenSent, answer, tokenTime *hdrhistogram.Histogram
 }
 
 // recorder gathers the results of a run.
@@ -41,6 +41,7 @@
 	gaps           *hdrhistogram.Histogram
 	sendDelay      *hdrhistogram.Histogram
 	refusals       map[string]int
+	failures       map[string]int
 	violations     []string
 	violationCount int
 	retries        int
@@ -57,10 +58,12 @@
 		gaps:      newHistogram(),
 		sendDelay: newHistogram(),
 		refusals:  make(map[string]int),
+		failures:  make(map[string]int),
 		timeline:  make([]Second, int(plan.Duration/time.Second)+1),
 	}
 	for _, kind := range KindValues() {
 		r.kinds[kind] = &kindStats{
+			wait:           newHistogram(),
 			firstToken:     newHistogram(),
 			firstTokenSent: newHistogram(),
 			answer:         newHistogram(),
@@ -83,6 +86,9 @@
 	record(r.sendDelay, o.sent-o.arrival.At)
 	r.retries += o.retries
 	r.resumes += o.resumes
+	for _, reason := range o.refusals {
+		r.refusals[reason]++
+	}
 	r.addKind(o)
 	r.addInterval(o)
 	if !o.whole {
@@ -97,6 +103,7 @@
 	k := r.kinds[o.arrival.Kind]
 	k.offered++
 	k.tokens += int64(o.tokens)
+	record(k.wait, o.waited())
 	if o.firstToken > 0 {
 		record(k.firstToken, o.firstToken-o.arrival.At)
 		record(k.firstTokenSent, o.firstToken-o.sent)
@@ -135,7 +142,7 @@
 
 func (r *recorder) addFailure(o *outcome) {
 	if o.violation == "" {
-		r.refusals[o.refusal]++
+		r.failures[o.failure]++
 		return
 	}
 	r.violationCount++
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -34,7 +34,9 @@
 	Whole   int   `json:"whole"`
 	OnTime  int   `json:"onTime"`
 	Tokens  int64 `json:"tokens"`
-	// FirstToken counts from the intended send time, FirstTokenSent from the send.
+	// Wait is the time from the intended send time to the first token or, if none came, to the refusal.
+	Wait Latency `json:"wait"`
+	// FirstToken counts from the intended send time, FirstTokenSent from the send. Both lack requests without a token.
 	FirstToken     Latency `json:"firstToken"`
 	FirstTokenSent Latency `json:"firstTokenSent"`
 	// Answer is the time from the intended send time to the end of whole answers.
@@ -97,8 +99,11 @@
 	Gap  Latency    `json:"gap"`
 	Peak PeakReport `json:"peak"`
 	// SendDelay is how late the generator sent requests. The run is open-loop only if it stays small.
-	SendDelay Latency        `json:"sendDelay"`
-	Refusals  map[string]int `json:"refusals"`
+	SendDelay Latency `json:"sendDelay"`
+	// Refusals counts all refusals by reason, also those after which a retry succeeded.
+	Refusals map[string]int `json:"refusals"`
+	// Failures counts the answers that were not whole, by the last reason.
+	Failures map[string]int `json:"failures"`
 	// Violations counts answers with lost, repeated, reordered or mixed tokens; ViolationTexts lists the first ones.
 	Violations     int          `json:"violations"`
 	ViolationTexts []string     `json:"violationTexts,omitempty"`
@@ -124,6 +129,7 @@
 		Peak:            r.peak,
 		SendDelay:       latency(r.sendDelay),
 		Refusals:        maps.Clone(r.refusals),
+		Failures:        maps.Clone(r.failures),
 		Violations:      r.violationCount,
 		ViolationTexts:  slices.Clone(r.violations),
 		Retries:         r.retries,
@@ -138,6 +144,7 @@
 			Whole:          k.whole,
 			OnTime:         k.onTime,
 			Tokens:         k.tokens,
+			Wait:           latency(k.wait),
 			FirstToken:     latency(k.firstToken),
 			FirstTokenSent: latency(k.firstTokenSent),
 			Answer:         latency(k.answer),
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -19,6 +19,8 @@
 	nextHint time.Time
 	// doubted is true while another member reports this version as gone. The member is told, so that it refutes.
 	doubted bool
+	// ready is true if the member's last datagram said that its manifest is confirmed. It then knows earlier notices.
+	ready bool
 	// retired is the incarnation that this one replaced; late reports about it are ignored.
 	retired pond.Incarnation
 }
@@ -33,6 +35,10 @@
 	r.instance = pond.NewInstance(i.Ref(), state, i.HTTPAddress(), i.PeerAddress(), i.DataCentre(), i.Region())
 }
 
+func (r *record) forgotten(now time.Time) bool {
+	return r.state() == pond.InstanceGone && !now.Before(r.forget)
+}
+
 // full encodes the record with its addresses, for receivers that may not know the member.
 func (r *record) full() *peerpb.Member {
 	e := r.compact()
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -9,21 +9,35 @@
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// syncSoon schedules a full synchronisation with a member that was just found. Several such members within a second
-// cause one synchronisation only.
+// syncSoon schedules a full synchronisation with a member that was just found. Several such members in a short time
+// cause one synchronisation only. Without a synchronisation so far it is due at once, because the start waits for it.
 func (m *Machine) syncSoon(now time.Time, r *record) {
 	m.syncWith = r.address()
-	if soon := now.Add(probeInterval / 4); soon.Before(m.nextSync) {
+	soon := now
+	if m.synced {
+		soon = now.Add(syncDelay)
+	}
+	if soon.Before(m.nextSync) {
 		m.nextSync = soon
 	}
 }
 
+// SyncFailed schedules another synchronisation after a failed one.
+func (m *Machine) SyncFailed(now time.Time) {
+	if !m.synced {
+		m.nextSync = now.Add(syncDelay)
+	}
+}
+
 // SyncDue returns the peer address of the member to synchronise with, if it is time to do so.
 func (m *Machine) SyncDue(now time.Time) (address string, ok bool) {
 	if now.Before(m.nextSync) {
 		return "", false
 	}
 	m.nextSync = now.Add(syncInterval)
+	if !m.synced {
+		m.nextSync = now.Add(unsyncedInterval)
+	}
 	if address = m.syncWith; address != "" {
 		m.syncWith = ""
 		return address, true
@@ -35,25 +49,29 @@
 	return r.address(), true
 }
 
-// syncPartner returns a random live member, preferably of another data centre.
+// syncPartner returns a random live member: a ready one until the first synchronisation, then preferably one of another
+// data centre.
 func (m *Machine) syncPartner() *record {
-	candidates := m.sample(len(m.order), nil)
-	for _, r := range candidates {
-		if r.instance.DataCentre() != m.self.instance.DataCentre() {
-			return r
+	preferred := m.sample(1, func(r *record) bool {
+		if !m.synced {
+			return r.state() == pond.InstanceLive && r.ready
 		}
+		return r.state() == pond.InstanceLive && r.instance.DataCentre() != m.self.instance.DataCentre()
+	})
+	if len(preferred) == 0 {
+		preferred = m.sample(1, func(r *record) bool { return r.state() == pond.InstanceLive })
 	}
-	if len(candidates) > 0 {
-		return candidates[0]
+	if len(preferred) == 0 {
+		return nil
 	}
-	return nil
+	return preferred[0]
 }
 
 // SyncRequest returns the table in compact form.
 func (m *Machine) SyncRequest() *peerpb.SyncMembersRequest {
 	req := &peerpb.SyncMembersRequest{Members: []*peerpb.Member{m.self.full()}}
-	for _, id := range m.order {
-		req.Members = append(req.Members, m.records[id].compact())
+	for _, r := range m.order {
+		req.Members = append(req.Members, r.compact())
 	}
 	for _, backend := range slices.Sorted(maps.Keys(m.notices)) {
 		req.Backends = append(req.Backends, m.notices[backend])
@@ -64,28 +82,47 @@
 // SyncAnswer applies the table of another member and returns what that member does not know.
 func (m *Machine) SyncAnswer(now time.Time, req *peerpb.SyncMembersRequest) (*peerpb.SyncMembersResponse, []Outgoing) {
 	resp := m.difference(req)
-	m.mergeAll(now, req.GetMembers(), req.GetBackends(), false)
+	if members := req.GetMembers(); len(members) > 0 {
+		// The first record is that of the member that asks; nobody else may know it yet.
+		m.mergeAll(now, members[:1], nil, false)
+		m.mergeTable(now, members[1:], req.GetBackends())
+	}
 	return resp, m.drain()
 }
 
-// SyncApply applies the answer of another member.
-func (m *Machine) SyncApply(now time.Time, resp *peerpb.SyncMembersResponse) []Outgoing {
-	m.mergeAll(now, resp.GetMembers(), resp.GetBackends(), false)
+// SyncApply applies the answer of the member with the given peer address.
+func (m *Machine) SyncApply(now time.Time, address string, resp *peerpb.SyncMembersResponse) []Outgoing {
+	m.mergeTable(now, resp.GetMembers(), resp.GetBackends())
+	for _, e := range resp.GetMembers() {
+		// The member that answered may be another incarnation than the one known to be ready.
+		r := m.records[pond.InstanceID(e.GetId())]
+		if e.GetPeerAddress() == address && r != nil && r.ready && r.instance.Ref() == refOf(e) {
+			m.synced = true
+		}
+	}
 	return m.drain()
 }
 
-// difference returns full records of members that the request lacks or knows in an older or contradicting state.
+func (m *Machine) mergeTable(now time.Time, members []*peerpb.Member, backends []*peerpb.BackendNotice) {
+	m.syncing = true
+	m.mergeAll(now, members, backends, false)
+	m.syncing = false
+}
+
+// Synced reports whether a full synchronisation with a ready member has succeeded since the start or the last pause of
+// the process, so that notices sent before are known. A member that has just started itself may not know them.
+func (m *Machine) Synced() bool { return m.synced }
+
+// difference returns the own record and full records of members that the request lacks or knows in an older or
+// contradicting state.
 func (m *Machine) difference(req *peerpb.SyncMembersRequest) *peerpb.SyncMembersResponse {
 	theirs := make(map[pond.InstanceID]*peerpb.Member, len(req.GetMembers()))
 	for _, e := range req.GetMembers() {
 		theirs[pond.InstanceID(e.GetId())] = e
 	}
-	resp := new(peerpb.SyncMembersResponse)
-	if e := theirs[m.self.id()]; !sameReport(m.self, e) {
-		resp.Members = append(resp.Members, m.self.full())
-	}
-	for _, id := range m.order {
-		if r := m.records[id]; !sameReport(r, theirs[id]) {
+	resp := &peerpb.SyncMembersResponse{Members: []*peerpb.Member{m.self.full()}}
+	for _, r := range m.order {
+		if !sameReport(r, theirs[r.id()]) {
 			resp.Members = append(resp.Members, r.full())
 		}
 	}
--- a/internal/once/executor_test.go
+++ b/internal/once/executor_test.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
 
 	"github.com/dragonflypond/dragonflypond/internal/peer"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
@@ -45,8 +47,9 @@
 	return pond.NewInstance(ref, pond.InstanceLive, "", peerAddress, "a1", "a")
 }
 
-// manifestOf returns a manifest with the service "shop" on replicas with the given addresses, named r0, r1 and so on.
-func manifestOf(t testing.TB, maxRecords int, addresses ...string) *spec.Manifest {
+// manifestOf returns a manifest with the service "shop" on replicas with the given addresses, named r0, r1 and so on. A
+// maxOpen of zero means no limits of the account.
+func manifestOf(t testing.TB, maxRecords, maxOpen int, addresses ...string) *spec.Manifest {
 	t.Helper()
 	type object = map[string]any
 	var backends []object
@@ -55,6 +58,10 @@
 		names = append(names, "r"+string(rune('0'+i)))
 		backends = append(backends, object{"name": names[i], "address": address, "dataCentre": "a1", "kind": "service"})
 	}
+	rate := 2 * maxOpen
+	if maxOpen == 0 {
+		maxOpen, rate = 1<<30, 1<<30
+	}
 	body, err := json.Marshal(object{
 		"number":         1,
 		"deployment":     "test",
@@ -64,8 +71,9 @@
 			{"method": "POST", "path": "/charge", "repeat": "atMostOnce"},
 			{"method": "GET", "path": "/status", "repeat": "idempotent"},
 		}}},
-		"clientAccounts": []object{{"name": testAccount, "keyHashes": []string{}, "weight": 1}},
-		"policy":         object{"maxServiceRecords": maxRecords, "hedgeBudget": 1, "retryBudget": 1},
+		"clientAccounts": []object{{"name": testAccount, "keyHashes": []string{strings.Repeat("0", 64)},
+			"weight": 1, "maxOpen": maxOpen, "requestsPerSecond": rate}},
+		"policy": object{"maxServiceRecords": maxRecords, "hedgeBudget": 0.05, "retryBudget": 0.1},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -112,6 +120,12 @@
 
 // pair starts the instances x and y, which serve forwarded calls on loopback.
 func pair(t testing.TB, manifest *spec.Manifest) (x, y *Executor) {
+	t.Helper()
+	return pairUntil(t, t.Context(), manifest)
+}
+
+// pairUntil stops to serve forwarded calls when ctx ends.
+func pairUntil(t testing.TB, ctx context.Context, manifest *spec.Manifest) (x, y *Executor) {
 	t.Helper()
 	network := newNetwork(t)
 	listeners := []net.Listener{listen(t), listen(t)}
@@ -127,7 +141,7 @@
 		if err := peerpb.DRPCRegisterCalls(server.Mux(), executor); err != nil {
 			t.Fatal(err)
 		}
-		go server.Serve(t.Context(), listener)
+		go server.Serve(ctx, listener)
 		executors = append(executors, executor)
 	}
 	return executors[0], executors[1]
@@ -147,7 +161,7 @@
 		io.Copy(w, r.Body)
 	}))
 	defer service.Close()
-	x, y := pair(t, manifestOf(t, 100, service.Listener.Addr().String()))
+	x, y := pair(t, manifestOf(t, 100, 0, service.Listener.Addr().String()))
 	key := x.Issue(testAccount, time.Now()) + ":1"
 	for _, executor := range []*Executor{y, x, y} {
 		answer, err := executor.Handle(t.Context(), charge(key, "5 euros"))
@@ -165,7 +179,7 @@
 
 // TestRefusals guards against a wrong reason or a false "run: no" for keys that this instance does not own.
 func TestRefusals(t *testing.T) {
-	x, y := pair(t, manifestOf(t, 100))
+	x, y := pair(t, manifestOf(t, 100, 0))
 	now := time.Now()
 	otherIncarnation := &keyring{
 		ref:      pond.InstanceRef{ID: "x", Incarnation: 99},
@@ -205,6 +219,31 @@
 	}
 }
 
+// TestKey guards against keys that their own deployment cannot read, whatever the names, and against a changed key or
+// another account that is accepted.
+func TestKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		account := rapid.String().Draw(t, "account")
+		now := time.Unix(1000, 0)
+		keys := &keyring{macKey: []byte("key"), started: now, validity: time.Minute}
+		keys.ref.ID = pond.InstanceID(rapid.StringOf(rapid.RuneFrom([]rune(".:%+ab~ é"))).Draw(t, "instance"))
+		keys.ref.Incarnation = pond.Incarnation(rapid.Uint64().Draw(t, "incarnation"))
+		prefix := keys.issue(account, now)
+		key, err := keys.parse(prefix+":a:b", account)
+		if err != nil || key.ref != keys.ref || key.expiry != time.Minute {
+			t.Fatalf("key %+v, error %v", key, err)
+		}
+		if _, err := keys.parse(prefix+":a", account+"x"); err == nil {
+			t.Fatal("the key of another account was accepted")
+		}
+		at := rapid.IntRange(0, len(prefix)-1).Draw(t, "changed byte")
+		changed := prefix[:at] + "-" + prefix[at+1:]
+		if _, err := keys.parse(changed+":a", account); err == nil && changed != prefix {
+			t.Fatalf("the changed prefix %q was accepted", changed)
+		}
+	})
+}
+
 func wantRefusal(t testing.TB, err error, reason pond.Reason, run pond.RunState) {
 	t.Helper()
 	var refusal *pond.Refusal
--- a/internal/stream/generate.go
+++ b/internal/stream/generate.go
@@ -52,6 +52,9 @@
 	if err := j.do(ctx); err != nil {
 		return Answer{}, err
 	}
+	if c.last.Reason == pond.ReasonLeaving {
+		return Answer{}, j.leaving()
+	}
 	if c.last.Kind != ItemDone {
 		return Answer{}, j.refusal(c.last.Reason, c.last.Detail)
 	}
@@ -89,6 +92,8 @@
 	run pond.RunState
 	// failures counts generations that failed.
 	failures int
+	// relented is true once the engines to avoid were forgiven.
+	relented bool
 }
 
 func (r *Relay) newJob(req Request, sink Sink) *job {
@@ -104,11 +109,14 @@
 }
 
 func (j *job) do(ctx context.Context) error {
-	ctx, leave := j.relay.table.enter(ctx)
+	ctx, leave := j.relay.requests.Enter(ctx)
 	defer leave()
 	defer func() { j.timing.work.Total.Observe(time.Since(j.timing.arrived).Seconds()) }()
 	for {
 		s, err := j.place(ctx)
+		if err != nil && j.relent(err) && j.pause(ctx) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -126,6 +134,17 @@
 	}
 }
 
+// relent forgives, once, the engines that failed if no other engine is left: a connection that broke is no proof that
+// the engine failed, and in a small pool it may be the only one.
+func (j *job) relent(err error) bool {
+	var refusal *pond.Refusal
+	if j.relented || len(j.avoid) == 0 || !errors.As(err, &refusal) || refusal.Reason() != pond.ReasonNoBackend {
+		return false
+	}
+	j.relented, j.avoid = true, nil
+	return true
+}
+
 // place gets an engine and attaches a session. The session is nil if the engine stopped accepting work meanwhile.
 func (j *job) place(ctx context.Context) (*session, error) {
 	generation := j.relay.nextID()
@@ -135,6 +154,10 @@
 		return nil, err
 	}
 	j.timing.work.QueueWait.Observe(time.Since(asked).Seconds())
+	if now := time.Now(); !j.relay.options.Confirmed(now) {
+		placement.Done(pond.PlacementEnd{}, now)
+		return nil, pond.NewRefusal(pond.ReasonNotReady, j.run, now.Add(askLimit), "the manifest is not confirmed")
+	}
 	backend, address := placement.Backend()
 	if !j.relay.options.Backends.Accepting(backend) {
 		placement.Done(pond.PlacementEnd{BackendFailed: true}, time.Now())
@@ -242,11 +265,16 @@
 	return pond.NewRefusal(reason, j.run, time.Time{}, detail)
 }
 
+// leaving refuses a request that another instance can serve.
+func (j *job) leaving() *pond.Refusal {
+	return pond.NewRefusal(pond.ReasonLeaving, j.run, time.Now().Add(leavingRetry), "this instance is leaving")
+}
+
 // givenUp returns the refusal of a request whose deadline passed or whose caller is gone.
 func (j *job) givenUp(ctx context.Context) error {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, errMoved):
-		return j.refusal(pond.ReasonLeaving, "this instance is leaving")
+		return j.leaving()
 	case cause != nil:
 		return j.refusal(pond.ReasonCanceled, "the caller is gone")
 	}
@@ -264,12 +292,12 @@
 func (j *job) finish(s *session, end ending) (again bool, err error) {
 	defer s.stop(nil)
 	j.timing = s.timing
-	if end.failure == nil || !end.failure.NotRun() {
+	if !end.notRun {
 		j.run = pond.RunUnknown
 	}
 	if end.kind == endLost && s.restartable() {
 		s.abandon(end)
-		j.relay.options.Metrics.Recovered("failover")
+		j.relay.options.Metrics.Recovered(replacement(s))
 		j.avoid = append(j.avoid, s.backend)
 		return true, nil
 	}
@@ -281,6 +309,14 @@
 	return false, nil
 }
 
+// replacement names what a new generation is to the caller.
+func replacement(s *session) string {
+	if s.sequence.next > 0 {
+		return "rerun"
+	}
+	return "failover"
+}
+
 // unstarted returns the refusal of a request whose last generation ended without a token for a reason that rules out
 // another one.
 func (j *job) unstarted(end ending) error {
@@ -288,7 +324,7 @@
 	case endDeadline:
 		return j.refusal(pond.ReasonDeadline, "the deadline passed before the first token")
 	case endMoved:
-		return j.refusal(pond.ReasonLeaving, "this instance is leaving")
+		return j.leaving()
 	case endReleased:
 		return j.refusal(pond.ReasonSuperseded, "another reader took the generation")
 	default:
--- a/internal/stream/relay.go
+++ b/internal/stream/relay.go
@@ -22,6 +22,8 @@
 	defaultStallLimit = 3 * time.Second
 	// releasedLimit is how long an instance remembers who took a generation.
 	releasedLimit = 10 * time.Minute
+	// leavingRetry is the advised delay after which a caller should use another instance.
+	leavingRetry = time.Second
 	// cancelLimit bounds the attempts to cancel a generation; the pool's home cancels what is left over.
 	cancelLimit = 5 * time.Second
 )
@@ -36,6 +38,8 @@
 	Placer pond.Placer
 	Runner engine.Runner
 	Cancel engine.Canceler
+	// Observer tells whether another instance reads an abandoned generation. Nil means that this instance is alone.
+	Observer engine.Observer
 	// MACKey authenticates cursors; all instances of a deployment have the same one.
 	MACKey []byte
 	// Address returns the IP:PORT of a backend server named in a cursor.
@@ -46,6 +50,9 @@
 	Release ReleaseFunc
 	// Backends is consulted directly before each start. Nil accepts every backend server.
 	Backends pond.BackendView
+	// Confirmed is asked directly before each start, because the process may have been paused while a request waited.
+	// Nil means yes.
+	Confirmed func(now time.Time) bool
 	// Left is called with the name of an engine that answered that it is leaving. It may be nil.
 	Left func(backend string)
 	// Metrics may be nil.
@@ -61,10 +68,12 @@
 type Relay struct {
 	options Options
 	// self is the text form of this instance's reference.
-	self    string
-	table   *table
-	serial  atomic.Uint64
-	cancels cancels
+	self   string
+	table  *table
+	serial atomic.Uint64
+	// requests counts the requests in progress, also those that wait for a placement.
+	requests Gate
+	cancels  cancels
 }
 
 // NewRelay returns a relay.
@@ -84,54 +93,39 @@
 	if options.Backends == nil {
 		options.Backends = pond.BackendViewFunc(func(string) bool { return true })
 	}
+	if options.Confirmed == nil {
+		options.Confirmed = func(time.Time) bool { return true }
+	}
 	if options.Left == nil {
 		options.Left = func(string) {}
 	}
 	return &Relay{
 		options: options,
 		self:    options.Ref.String(),
-		table:   newTable(),
-		cancels: cancels{canceler: options.Cancel, log: options.Log},
+		table:   newTable(options.Ref.String() + ".0"),
+		cancels: cancels{canceler: options.Cancel, observer: options.Observer, log: options.Log},
 	}
 }
 
 // Open returns the number of requests in progress.
-func (r *Relay) Open() int {
-	callers, _ := r.table.waiting()
-	return len(callers)
-}
+func (r *Relay) Open() int { return r.requests.Open() }
 
 // Drain waits until no request is in progress. When ctx ends first, every stream gets an ItemMove with its cursor,
 // requests without a token are refused, and Drain returns the error of ctx once all have ended.
 func (r *Relay) Drain(ctx context.Context) error {
-	if r.wait(ctx.Done()) {
-		r.cancels.wait()
-		return nil
+	finished := r.requests.Wait(ctx.Done())
+	if !finished {
+		r.requests.Stop(errMoved)
+		// Sinks are bounded by the write deadline of the connection, so this ends.
+		r.requests.Wait(nil)
 	}
-	callers, _ := r.table.waiting()
-	for _, c := range callers {
-		c.stop(errMoved)
+	r.cancels.open.Wait(nil)
+	if finished {
+		return nil
 	}
-	// Sinks are bounded by the write deadline of the connection, so this ends.
-	r.wait(nil)
-	r.cancels.wait()
 	return ctx.Err()
 }
 
-func (r *Relay) wait(done <-chan struct{}) bool {
-	for {
-		callers, changed := r.table.waiting()
-		if len(callers) == 0 {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-done:
-			return false
-		}
-	}
-}
-
 func (r *Relay) nextID() string {
 	return r.self + "." + strconv.FormatUint(r.serial.Add(1), 10)
 }
--- a/internal/watch/confirm.go
+++ b/internal/watch/confirm.go
@@ -132,7 +132,8 @@
 		return
 	}
 	if !c.gather.IsZero() {
-		if m.allAnswered() || !now.Before(c.gather) {
+		synced := m.peers.Synced() || !now.Before(c.settle)
+		if synced && (m.allAnswered() || !now.Before(c.gather)) {
 			m.accept(now, PhaseConfirmed)
 		}
 		return
@@ -147,6 +148,9 @@
 	m.peersUntil = now.Add(peersLimit)
 	m.validUntil = now.Add(pauseLimit)
 	m.setPhase(phase)
+	if m.reader.watching = m.watches(); m.reader.watching {
+		m.readSoon(now)
+	}
 }
 
 func (m *Machine) allAnswered() bool {
