grant: bound the bytes of progress reports

Cause: an instance reported each running request every 100 ms. An item takes about 45 bytes, so the 80 requests that run at one instance at the target size would send 36 KB a second, above the 5 KB for control (by calculation). Bytes on the wire: not measured, 40 items of 45 bytes are 1.8 KB a second.

--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -251,14 +251,33 @@
 	}
 }
 
-// flush reports the progress of all running tickets.
+// flush reports the progress of running tickets, those of other instances' pools at a pace that bounds the messages.
 func (p *Placer) flush(now time.Time) {
+	next := now.Add(p.progressPause())
 	for _, t := range p.tickets {
-		if t.state != ticketRunning || t.holder == nil {
+		if t.state != ticketRunning || t.holder == nil || now.Before(t.reportAt) {
 			continue
 		}
-		if progress, ok := t.report(); ok {
-			t.holder.progress(t.req.Generation, progress, now)
+		progress, ok := t.report()
+		if !ok {
+			continue
+		}
+		t.holder.progress(t.req.Generation, progress, now)
+		if _, remote := t.holder.(*link); remote {
+			t.reportAt = next
+		}
+	}
+}
+
+// progressPause returns the time between two reports of one running request, so that all of them together send
+// progressRate items a second.
+func (p *Placer) progressPause() time.Duration {
+	remote := 0
+	for _, t := range p.tickets {
+		if _, ok := t.holder.(*link); ok && t.state == ticketRunning {
+			remote++
 		}
 	}
+	pause := time.Duration(remote) * time.Second / progressRate
+	return min(max(pause, idleInterval), maxProgressPause)
 }
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -24,6 +24,13 @@
 	// and between two checks of which instance is the home.
 	idleInterval = 100 * time.Millisecond
 
+	// progressRate bounds the progress items that an instance sends in a second. An item takes about 45 bytes, and 80
+	// running requests reporting every idleInterval would send 36 KB a second, far above the 5 KB for control.
+	progressRate = 40
+
+	// maxProgressPause bounds the age of the progress that a home knows, however many requests run.
+	maxProgressPause = 2 * time.Second
+
 	// homeSilence is the time after which a home that owes an answer counts as lost. A home that has waiting requests
 	// sends a message every beatInterval.
 	homeSilence = time.Second
--- a/internal/grant/ticket.go
+++ b/internal/grant/ticket.go
@@ -48,6 +48,7 @@
 	shown    atomic.Int64 // tokens
 	shownAt  atomic.Int64 // Unix nanoseconds
 	firstAt  atomic.Int64 // Unix nanoseconds of the first token
+	reportAt time.Time    // when the next report may be sent
 	sent     int64        // tokens in the last report
 	sentAt   int64
 }
