spec: decode a valid manifest in one pass

Cause: each manifest was decoded twice, once into maps to find all unknown fields, and the check of services compared each replica with all backend servers. Change: a strict decode comes first; the walk that finds all faults runs only for a faulty manifest. The check of services uses a map.

--- a/pkg/spec/manifest.go
+++ b/pkg/spec/manifest.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"reflect"
 	"slices"
 	"time"
@@ -59,21 +60,46 @@
 	if len(body) > MaxBodyBytes {
 		return nil, Faults{{path: "", rule: "manifest exceeds 1 MB"}}
 	}
+	var doc manifestDoc
+	if err := decodeStrict(body, &doc); err != nil {
+		return nil, explain(body, err)
+	}
+	if faults := validate(&doc); len(faults) > 0 {
+		return nil, faults
+	}
+	return newManifest(doc, body, revision), nil
+}
+
+// decodeStrict decodes a document of the expected form. It stops at the first unknown field or wrong type.
+func decodeStrict(body []byte, doc *manifestDoc) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(doc); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("data follows the document")
+	}
+	return nil
+}
+
+// explain returns every fault of a body that decodeStrict does not accept. It is slower than decodeStrict and runs for
+// faulty manifests only.
+func explain(body []byte, cause error) error {
 	var value any
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.UseNumber()
 	if err := decoder.Decode(&value); err != nil {
-		return nil, errors.Wrap(err, "manifest is not valid JSON")
+		return errors.Wrap(err, "manifest is not valid JSON")
 	}
 	faults := checkShape(value, reflect.TypeFor[manifestDoc](), "")
-	var doc manifestDoc
-	if err := json.Unmarshal(body, &doc); err != nil && len(faults) == 0 {
-		return nil, errors.Wrap(err, "decode manifest")
+	if len(faults) == 0 {
+		return errors.Wrap(cause, "decode manifest")
 	}
-	if faults = append(faults, validate(&doc)...); len(faults) > 0 {
-		return nil, faults
-	}
-	return newManifest(doc, body, revision), nil
+	var doc manifestDoc
+	// The fields that could be decoded are checked too; those that could not are among the faults already.
+	_ = json.Unmarshal(body, &doc)
+	return append(faults, validate(&doc)...)
 }
 
 func newManifest(doc manifestDoc, body []byte, revision uint64) *Manifest {
--- a/pkg/spec/validate.go
+++ b/pkg/spec/validate.go
@@ -131,13 +131,15 @@
 
 func (c *checker) checkServices() {
 	services := c.doc.Services
+	kinds := make(map[string]string, len(c.doc.BackendServers))
+	for _, backend := range c.doc.BackendServers {
+		kinds[backend.Name] = backend.Kind
+	}
 	c.checkUnique(len(services), "services", "name", func(i int) string { return services[i].Name })
 	for i, service := range services {
 		path := fmt.Sprintf("services[%d]", i)
 		for j, name := range service.BackendServers {
-			known := slices.ContainsFunc(c.doc.BackendServers, func(b backendDoc) bool {
-				return b.Name == name && b.Kind == BackendService.String()
-			})
+			known := kinds[name] == BackendService.String()
 			namePath := fmt.Sprintf("%s.backendServers[%d]", path, j)
 			c.require(known, namePath, "must be a declared backend server of kind service")
 		}
