grant: short handles in progress reports

Cause: with membership and grants, progress reports that name each generation by its ID of about 30 bytes would exceed 5 KB a second for control at the target size (by calculation 5.8 KB). Change: an offer gives its generation a handle on the stream, and reports carry the handle.

--- a/internal/grant/link.go
+++ b/internal/grant/link.go
@@ -25,6 +25,9 @@
 	heardAt  time.Time
 	usedAt   time.Time
 	openedAt time.Time
+	// handles are the short names of open requests on this stream; lastHandle is the newest.
+	handles    map[string]uint32
+	lastHandle uint32
 }
 
 // newLink starts to connect. The end of the stream is reported to the placer once.
@@ -39,6 +42,7 @@
 		heardAt:  now,
 		usedAt:   now,
 		openedAt: now,
+		handles:  make(map[string]uint32),
 	}
 	placer.group.Add(1)
 	go func() {
@@ -116,16 +120,24 @@
 	}
 }
 
-func (l *link) offer(t *ticket, now time.Time) (sched.Decision, bool) {
+// newOffer returns the offer of a request with a new handle.
+func (l *link) newOffer(t *ticket, now time.Time) *peerpb.Offer {
 	l.usedAt = now
+	l.lastHandle++
+	l.handles[t.req.Generation] = l.lastHandle
 	offer := offerOf(t.req, now)
+	offer.Handle = l.lastHandle
+	return offer
+}
+
+func (l *link) offer(t *ticket, now time.Time) (sched.Decision, bool) {
+	offer := l.newOffer(t, now)
 	l.add(func(up *peerpb.ScheduleUp) { up.Offers = append(up.Offers, offer) })
 	return sched.Decision{}, false
 }
 
 func (l *link) register(t *ticket, now time.Time) {
-	l.usedAt = now
-	offer := offerOf(t.req, now)
+	offer := l.newOffer(t, now)
 	offer.RunningOn, offer.ShownTokens = t.backend, int32(t.shown.Load())
 	l.add(func(up *peerpb.ScheduleUp) { up.Offers = append(up.Offers, offer) })
 }
@@ -133,7 +145,7 @@
 func (l *link) progress(id string, progress sched.Progress, now time.Time) {
 	l.usedAt = now
 	item := &peerpb.ProgressItem{
-		Generation:      id,
+		Handle:          l.handles[id],
 		Tokens:          int32(progress.Tokens),
 		GapMicro:        progress.Gap.Microseconds(),
 		FirstTokenMicro: progress.FirstToken.Microseconds(),
@@ -143,6 +155,7 @@
 
 func (l *link) finish(id string, end sched.End, now time.Time) {
 	l.usedAt = now
+	delete(l.handles, id)
 	item := &peerpb.Finish{
 		Generation:    id,
 		Tokens:        int32(end.Tokens),
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -24,8 +24,8 @@
 	// and between two checks of which instance is the home.
 	idleInterval = 100 * time.Millisecond
 
-	// progressRate bounds the progress items that an instance sends in a second. An item takes about 45 bytes, and 80
-	// running requests reporting every idleInterval would send 36 KB a second, far above the 5 KB for control.
+	// progressRate bounds the progress items that an instance sends in a second. An item takes about 15 bytes, and 120
+	// running requests reporting every idleInterval would send 18 KB a second, above the 5 KB for control.
 	progressRate = 40
 
 	// maxProgressPause bounds the age of the progress that a home knows, however many requests run.
--- a/internal/grant/serve.go
+++ b/internal/grant/serve.go
@@ -26,10 +26,18 @@
 	mu        sync.Mutex
 	decisions []*peerpb.ScheduleDecision
 	beat      bool
-	// open maps the instance's requests to their pools. waiting holds those without a final decision.
-	open    map[string]*pool
+	// open holds the instance's requests. waiting holds those without a final decision.
+	open    map[string]openRequest
 	waiting map[string]struct{}
-	closed  bool
+	// byHandle maps the instance's short names to its open requests.
+	byHandle map[uint32]string
+	closed   bool
+}
+
+// openRequest is a request of another instance that has not ended.
+type openRequest struct {
+	pool   *pool
+	handle uint32
 }
 
 // Schedule serves the requests of one other instance. It implements peerpb.DRPCSchedulingServer.
@@ -74,8 +82,10 @@
 	o := &outlet{
 		origin:  p.lastOrigin,
 		wake:    make(chan struct{}, 1),
-		open:    make(map[string]*pool),
+		open:    make(map[string]openRequest),
 		waiting: make(map[string]struct{}),
+
+		byHandle: make(map[uint32]string),
 	}
 	p.outlets[o.origin] = o
 	return o, nil
@@ -88,8 +98,8 @@
 	o.mu.Lock()
 	o.closed = true
 	byPool := make(map[*pool][]string)
-	for id, pool := range o.open {
-		byPool[pool] = append(byPool[pool], id)
+	for id, request := range o.open {
+		byPool[request.pool] = append(byPool[request.pool], id)
 	}
 	o.mu.Unlock()
 	for pool, ids := range byPool {
@@ -119,8 +129,8 @@
 		}
 	}
 	for _, item := range up.GetProgress() {
-		if pool := o.pool(item.GetGeneration()); pool != nil {
-			pool.progress(item.GetGeneration(), progressOf(item), now)
+		if id, pool := o.named(item.GetHandle()); pool != nil {
+			pool.progress(id, progressOf(item), now)
 		}
 	}
 	for pool := range freed {
@@ -137,7 +147,7 @@
 		o.push(notReady(offer.GetGeneration(), now))
 		return
 	}
-	o.add(offer.GetGeneration(), pool)
+	o.add(offer.GetGeneration(), offer.GetHandle(), pool)
 	request := requestOfOffer(offer, o.origin, now)
 	if offer.GetRunningOn() != "" {
 		o.decided(offer.GetGeneration(), true)
@@ -161,10 +171,12 @@
 	return o.closed
 }
 
-func (o *outlet) add(id string, pool *pool) {
+func (o *outlet) add(id string, handle uint32, pool *pool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.open[id] = pool
+	delete(o.byHandle, o.open[id].handle)
+	o.byHandle[handle] = id
+	o.open[id] = openRequest{pool: pool, handle: handle}
 	o.waiting[id] = struct{}{}
 }
 
@@ -178,20 +190,23 @@
 func (o *outlet) settle(id string, running bool) {
 	delete(o.waiting, id)
 	if !running {
+		delete(o.byHandle, o.open[id].handle)
 		delete(o.open, id)
 	}
 }
 
-func (o *outlet) pool(id string) *pool {
+// named returns the open request with a handle, and its pool, which is nil if the request has ended.
+func (o *outlet) named(handle uint32) (string, *pool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.open[id]
+	id := o.byHandle[handle]
+	return id, o.open[id].pool
 }
 
 func (o *outlet) drop(id string) *pool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	pool := o.open[id]
+	pool := o.open[id].pool
 	o.settle(id, false)
 	return pool
 }
