peerpb: times of retries are sent as the time that remains

Cause: refusals between instances carried a wall clock time, so a difference of clocks shifted Retry-After. Change: RefusalInfo carries the remaining milliseconds; one pair of functions serves grants and forwarded calls.

--- a/internal/grant/convert.go
+++ b/internal/grant/convert.go
@@ -104,7 +104,7 @@
 	}
 }
 
-func messageOf(decision sched.Decision) *peerpb.ScheduleDecision {
+func messageOf(decision sched.Decision, now time.Time) *peerpb.ScheduleDecision {
 	message := &peerpb.ScheduleDecision{Generation: decision.ID}
 	switch decision.Verdict {
 	case sched.VerdictServe:
@@ -116,15 +116,14 @@
 			Reason: decision.Reason.String(),
 			Run:    uint32(pond.RunNo),
 			Detail: decision.Detail,
-		}
-		if !decision.RetryAt.IsZero() {
-			message.Refusal.RetryAtUnixMilli = decision.RetryAt.UnixMilli()
+
+			RetryAfterMilli: peerpb.RetryAfter(decision.RetryAt, now),
 		}
 	}
 	return message
 }
 
-func decisionOf(message *peerpb.ScheduleDecision) sched.Decision {
+func decisionOf(message *peerpb.ScheduleDecision, now time.Time) sched.Decision {
 	decision := sched.Decision{ID: message.GetGeneration(), Engine: message.GetBackend()}
 	refusal := message.GetRefusal()
 	switch {
@@ -134,9 +133,7 @@
 		decision.Verdict = sched.VerdictRefuse
 		decision.Reason, _ = pond.ReasonString(refusal.GetReason())
 		decision.Detail = refusal.GetDetail()
-		if milli := refusal.GetRetryAtUnixMilli(); milli > 0 {
-			decision.RetryAt = time.UnixMilli(milli)
-		}
+		decision.RetryAt = peerpb.RetryAt(refusal.GetRetryAfterMilli(), now)
 	}
 	return decision
 }
--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -128,7 +128,7 @@
 		p.rehome(now)
 	}
 	for _, message := range decisions {
-		p.decide(l, decisionOf(message), now)
+		p.decide(l, decisionOf(message, now), now)
 	}
 }
 
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -278,7 +278,7 @@
 		if decision.Origin == localOrigin {
 			p.decide(localHolder{pool}, decision, now)
 		} else if o, ok := p.outlets[decision.Origin]; ok {
-			o.push(decision)
+			o.push(decision, now)
 		} else if decision.Verdict == sched.VerdictServe {
 			// The instance is no longer connected and never learned of the decision.
 			pool.finish(decision.ID, sched.End{}, now)
--- a/internal/grant/serve.go
+++ b/internal/grant/serve.go
@@ -144,7 +144,7 @@
 func (p *Placer) handleOffer(offer *peerpb.Offer, o *outlet, now time.Time) {
 	pool := p.localPool(poolKey{model: offer.GetModel(), region: p.region()})
 	if pool == nil {
-		o.push(notReady(offer.GetGeneration(), now))
+		o.push(notReady(offer.GetGeneration(), now), now)
 		return
 	}
 	o.add(offer.GetGeneration(), offer.GetHandle(), pool)
@@ -154,7 +154,7 @@
 		pool.register(request, offer.GetRunningOn(), int(offer.GetShownTokens()), now)
 	} else {
 		decision := pool.offer(request, now)
-		o.push(decision)
+		o.push(decision, now)
 		if decision.Verdict == sched.VerdictWait {
 			p.wakeUp()
 		}
@@ -213,9 +213,9 @@
 
 // push queues a decision for the instance. A final one for a request that was ended meanwhile is sent all the same; the
 // instance ignores it.
-func (o *outlet) push(decision sched.Decision) {
+func (o *outlet) push(decision sched.Decision, now time.Time) {
 	o.mu.Lock()
-	o.decisions = append(o.decisions, messageOf(decision))
+	o.decisions = append(o.decisions, messageOf(decision, now))
 	if decision.Verdict != sched.VerdictWait {
 		o.settle(decision.ID, decision.Verdict == sched.VerdictServe)
 	}
--- a/internal/once/forward.go
+++ b/internal/once/forward.go
@@ -31,7 +31,7 @@
 	for range forwardAttempts {
 		response, err := peerpb.NewDRPCCallsClient(e.options.Conn(address)).Execute(ctx, encodeCall(call))
 		if err == nil {
-			return decodeResponse(response)
+			return decodeResponse(response, e.options.Clock())
 		}
 		if ctx.Err() != nil {
 			return pond.Answer{}, refuseEnded(ctx, pond.RunUnknown)
@@ -47,7 +47,7 @@
 	defer cancel()
 	answer, err := e.Handle(ctx, decodeCall(req))
 	if err != nil {
-		return &peerpb.ExecuteResponse{Refusal: encodeRefusal(asRefusal(err))}, nil
+		return &peerpb.ExecuteResponse{Refusal: encodeRefusal(asRefusal(err), e.options.Clock())}, nil
 	}
 	return &peerpb.ExecuteResponse{
 		Status: int32(answer.Status),
@@ -106,21 +106,19 @@
 	return header
 }
 
-func encodeRefusal(refusal *pond.Refusal) *peerpb.RefusalInfo {
-	info := &peerpb.RefusalInfo{
+func encodeRefusal(refusal *pond.Refusal, now time.Time) *peerpb.RefusalInfo {
+	return &peerpb.RefusalInfo{
 		Reason: refusal.Reason().String(),
 		Run:    uint32(refusal.Run()),
 		Detail: refusal.Detail(),
+
+		RetryAfterMilli: peerpb.RetryAfter(refusal.RetryAt(), now),
 	}
-	if !refusal.RetryAt().IsZero() {
-		info.RetryAtUnixMilli = refusal.RetryAt().UnixMilli()
-	}
-	return info
 }
 
 // decodeResponse returns the answer or the refusal of the executor. Values that this version does not know become
 // ReasonInternal and RunUnknown.
-func decodeResponse(response *peerpb.ExecuteResponse) (pond.Answer, error) {
+func decodeResponse(response *peerpb.ExecuteResponse, now time.Time) (pond.Answer, error) {
 	info := response.GetRefusal()
 	if info == nil {
 		return pond.Answer{
@@ -137,9 +135,6 @@
 	if !run.IsARunState() {
 		run = pond.RunUnknown
 	}
-	var retryAt time.Time
-	if milli := info.GetRetryAtUnixMilli(); milli != 0 {
-		retryAt = time.UnixMilli(milli)
-	}
+	retryAt := peerpb.RetryAt(info.GetRetryAfterMilli(), now)
 	return pond.Answer{}, pond.NewRefusal(reason, run, retryAt, info.GetDetail())
 }
