grant: read load reports with the client of package engine

Cause: grant had a second client of the engine protocol and a second type of the load report. Change: package engine's client serves both; a read and its cancels have a time limit at the call.

--- a/internal/grant/cluster_test.go
+++ b/internal/grant/cluster_test.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
@@ -79,8 +80,8 @@
 // noEngines stands for engines whose reports cannot be read.
 type noEngines struct{}
 
-func (noEngines) Load(context.Context, string) (LoadReport, error) {
-	return LoadReport{}, errors.New("no report")
+func (noEngines) Load(context.Context, string) (engine.Load, error) {
+	return engine.Load{}, errors.New("no report")
 }
 
 func (noEngines) Cancel(context.Context, string, string) error { return nil }
--- a/internal/grant/options.go
+++ b/internal/grant/options.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
@@ -23,7 +24,8 @@
 	Connect func(peerAddress string) drpc.Conn
 	// Rank orders candidates for a key by rendezvous; nil means the weights of package member.
 	Rank RankFunc
-	// Engines reads load reports and cancels generations; nil means HTTPEngines with default settings.
+	// Engines reads load reports and cancels generations; nil means a client with its own
+	// connections, so that control calls never wait behind generations.
 	Engines Engines
 	// Log receives warnings and changes of home; nil discards them.
 	Log logrus.FieldLogger
@@ -40,20 +42,7 @@
 // Engines is the part of the engine protocol that a home uses.
 type Engines interface {
 	// Load returns the engine's load report from GET /v1/load.
-	Load(ctx context.Context, address string) (LoadReport, error)
+	Load(ctx context.Context, address string) (engine.Load, error)
 	// Cancel ends a generation with DELETE /v1/generations/ID.
 	Cancel(ctx context.Context, address, generation string) error
 }
-
-// LoadReport is what an engine says about its load. The engine publishes it with a lag.
-type LoadReport struct {
-	State        string `json:"state"`
-	Running      int    `json:"running"`
-	Waiting      int    `json:"waiting"`
-	MemoryTokens int    `json:"memoryTokens"`
-	UsedTokens   int    `json:"usedTokens"`
-	// Preemptions counts since the engine started.
-	Preemptions int64 `json:"preemptions"`
-	// Unread lists the generations that have no reader.
-	Unread []string `json:"unread"`
-}
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 	"github.com/dragonflypond/dragonflypond/internal/sched"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
@@ -95,7 +96,7 @@
 		options.Rank = RendezvousRank
 	}
 	if options.Engines == nil {
-		options.Engines = NewHTTPEngines()
+		options.Engines = engine.NewClient(engine.NewTransport())
 	}
 	if options.Log == nil {
 		log := logrus.New()
--- a/internal/grant/placer_test.go
+++ b/internal/grant/placer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/sched"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -386,7 +387,7 @@
 			p := newPool(poolKey{model: "letters", region: "north"}, accepting, testSpec{north: 1, maxRunning: 1}.manifest(t), 1)
 			now, got := time.Unix(1_800_000_000, 0), 0
 			for i, id := range test.unread {
-				report := LoadReport{}
+				report := engine.Load{}
 				if id != "" {
 					report.Unread = []string{id}
 				}
--- a/internal/grant/report.go
+++ b/internal/grant/report.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/sched"
 )
 
@@ -17,6 +18,9 @@
 	// not state. Too large a value only makes memory of other homes' requests show up later.
 	assumedReportAge = 500 * time.Millisecond
 
+	// engineCallTimeout bounds one read of a report with the cancels that follow from it.
+	engineCallTimeout = 2 * time.Second
+
 	// maxReports bounds the reads and cancels that are in progress.
 	maxReports = 32
 )
@@ -49,9 +53,9 @@
 		pool.mu.Lock()
 		engines := pool.engines
 		pool.mu.Unlock()
-		for _, engine := range engines {
-			if r.begin(engine.Name()) {
-				r.group.Go(func() { r.readEngine(ctx, pool, engine.Name(), engine.Address()) })
+		for _, backend := range engines {
+			if r.begin(backend.Name()) {
+				r.group.Go(func() { r.readEngine(ctx, pool, backend.Name(), backend.Address()) })
 			}
 		}
 	}
@@ -81,6 +85,8 @@
 	case <-ctx.Done():
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
+	defer cancel()
 	report, err := r.placer.options.Engines.Load(ctx, address)
 	if err != nil {
 		return // The membership view and the relays tell about dead engines; a missing report decides nothing.
@@ -131,10 +137,10 @@
 
 // report passes an engine's report to the scheduler and returns the generations to cancel: those that have had no
 // reader for longer than the resume limit, or twice that while their instance is present and cancels them itself.
-func (p *pool) report(engine string, report LoadReport, now time.Time, present map[string]bool) []string {
+func (p *pool) report(name string, report engine.Load, now time.Time, present map[string]bool) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.scheduler.Report(engine, sched.Report{
+	p.scheduler.Report(name, sched.Report{
 		Running:     report.Running,
 		Waiting:     report.Waiting,
 		UsedTokens:  report.UsedTokens,
