--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -10,7 +10,7 @@
 )
 
 // homesInterval is the time between two rankings of the instances. At 350 instances and 34 models a ranking of all
-// pools is too dear for every maintenance.
+// pools is too expensive for every maintenance.
 const homesInterval = 250 * time.Millisecond
 
 // errSilent is the cause of the end of a stream whose home owed an answer for homeSilence.
--- a/internal/grant/options.go
+++ b/internal/grant/options.go
@@ -14,7 +14,7 @@
 
 // Options holds what a Placer needs. Fields without a stated default are required.
 type Options struct {
-	// Manifests gives the manifest in force.
+	// Manifests gives the manifest in effect.
 	Manifests spec.Source
 	// Directory is the live view of the entry instances.
 	Directory pond.Directory
--- a/internal/load/service.go
+++ b/internal/load/service.go
@@ -32,7 +32,7 @@
 	return name
 }
 
-// charge sends a call that may not run twice. A call whose fate is unknown is repeated only under the same key; a new
+// charge sends a call that may not run twice. A call whose outcome is unknown is repeated only under the same key; a new
 // key is used only after a refusal that says "not run".
 func (c *caller) charge(ctx context.Context, o *outcome) {
 	name := chargeName(o.arrival)
--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -354,18 +354,18 @@
 	d.Sender = m.self.full()
 	d.Manifest = m.manifest
 	if to != nil {
-		d.Members = appendDoubt(d.Members, to)
+		d.Members = appendSuspicion(d.Members, to)
 	}
 	m.updates.fill(d)
 	m.out = append(m.out, Outgoing{Address: address, Datagram: d})
 }
 
-func appendDoubt(members []*peerpb.Member, to *record) []*peerpb.Member {
-	if !to.doubted && to.state() != pond.InstanceSuspect && to.state() != pond.InstanceGone {
+func appendSuspicion(members []*peerpb.Member, to *record) []*peerpb.Member {
+	if !to.disputed && to.state() != pond.InstanceSuspect && to.state() != pond.InstanceGone {
 		return members
 	}
 	e := to.compact()
-	if to.doubted {
+	if to.disputed {
 		e.State = uint32(pond.InstanceGone)
 	}
 	return append(members, e)
--- a/internal/member/machine_test.go
+++ b/internal/member/machine_test.go
@@ -44,7 +44,7 @@
 		{name: "gone after suspicion", known: report(5, 3, suspect), next: report(5, 3, gone), state: gone, incarnation: 5},
 		{name: "gone elsewhere", known: report(5, 3, live), next: report(5, 3, gone), state: live, incarnation: 5},
 		{name: "leaving", known: report(5, 3, live), next: report(5, 4, leaving), state: leaving, incarnation: 5},
-		{name: "doubt of leaving", known: report(5, 4, leaving), next: report(5, 4, suspect), state: leaving, incarnation: 5},
+		{name: "suspicion of leaving", known: report(5, 4, leaving), next: report(5, 4, suspect), state: leaving, incarnation: 5},
 		{name: "hearsay of a restart", known: report(5, 3, live), next: report(4, 9, live), state: live, incarnation: 5},
 		{name: "answer after a restart", known: report(5, 3, live), next: report(4, 1, live), answered: true, state: live, incarnation: 4},
 		{name: "gone incarnation", known: report(5, 3, live), next: report(4, 9, gone), answered: false, state: live, incarnation: 5},
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -67,8 +67,8 @@
 	if pond.Incarnation(e.GetIncarnation()) != m.self.incarnation() {
 		return
 	}
-	doubted := precedence(pond.InstanceState(e.GetState())) > precedence(m.self.state())
-	if e.GetVersion() < m.self.version || e.GetVersion() == m.self.version && !doubted {
+	disputed := precedence(pond.InstanceState(e.GetState())) > precedence(m.self.state())
+	if e.GetVersion() < m.self.version || e.GetVersion() == m.self.version && !disputed {
 		return
 	}
 	m.self.version = e.GetVersion() + 1
@@ -118,7 +118,7 @@
 	r.instance = decodeInstance(e)
 	r.version = e.GetVersion()
 	r.deadline = time.Time{}
-	r.doubted = false
+	r.disputed = false
 	if state == pond.InstanceSuspect {
 		m.startDeadline(now, r)
 	}
@@ -143,7 +143,7 @@
 	switch {
 	case state == pond.InstanceGone && r.state() != pond.InstanceSuspect:
 		// The member may only be unreachable from another part of the fleet.
-		r.doubted = true
+		r.disputed = true
 		m.hint(now, r, "")
 		return false
 	case state == pond.InstanceGone:
@@ -160,7 +160,7 @@
 func (m *Machine) advance(now time.Time, r *record, version uint64, state pond.InstanceState) bool {
 	returned := r.state() == pond.InstanceGone
 	r.version = version
-	r.doubted = false
+	r.disputed = false
 	if state == pond.InstanceGone && !returned {
 		// This table missed a refutation that others did not accept either; it decides for itself.
 		state = pond.InstanceSuspect
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -17,8 +17,8 @@
 	forget time.Time
 	// nextHint is the earliest time of the next probe that a contradicting report may cause.
 	nextHint time.Time
-	// doubted is true while another member reports this version as gone. The member is told, so that it refutes.
-	doubted bool
+	// disputed is true while another member reports this version as gone. The member is told, so that it refutes.
+	disputed bool
 	// ready is true if the member's last datagram said that its manifest is confirmed. It then knows earlier notices.
 	ready bool
 	// retired is the incarnation that this one replaced; late reports about it are ignored.
--- a/internal/naive/placer.go
+++ b/internal/naive/placer.go
@@ -21,7 +21,7 @@
 	next      atomic.Uint64
 }
 
-// NewPlacer returns a placer that reads engines from the manifest in force and skips those that are not accepting.
+// NewPlacer returns a placer that reads engines from the manifest in effect and skips those that are not accepting.
 func NewPlacer(manifests spec.Source, backends pond.BackendView) *Placer {
 	return &Placer{manifests: manifests, backends: backends}
 }
--- a/internal/once/core.go
+++ b/internal/once/core.go
@@ -57,7 +57,7 @@
 		return decision{refusal: refuseUnknown(pond.ReasonKeyExpired, "the run key has expired")}
 	}
 	if refusal := c.objection(call, t); refusal != nil {
-		return decision{refusal: c.bury(key.text, expiry, refusal, t)}
+		return decision{refusal: c.refuseWithTombstone(key.text, expiry, refusal, t)}
 	}
 	return decision{record: c.table.start(key.text, call.Account, hash, expiry), run: true}
 }
@@ -94,12 +94,12 @@
 	return c.limits.objection(call.Account, c.table.openOf[call.Account], t)
 }
 
-// bury keeps the promise of a refusal with a tombstone. Without room for one, the refusal promises nothing.
-func (c *core) bury(key string, expiry time.Time, refusal *pond.Refusal, t terms) *pond.Refusal {
+// refuseWithTombstone makes a refusal final with a tombstone. Without room for one, the run state is unknown.
+func (c *core) refuseWithTombstone(key string, expiry time.Time, refusal *pond.Refusal, t terms) *pond.Refusal {
 	if c.table.tombstones >= maxTombstones(t.manifest) {
 		return pond.NewRefusal(refusal.Reason(), pond.RunUnknown, refusal.RetryAt(), refusal.Detail())
 	}
-	c.table.bury(key, expiry, refusal)
+	c.table.addTombstone(key, expiry, refusal)
 	return refusal
 }
 
--- a/internal/once/doc.go
+++ b/internal/once/doc.go
@@ -6,7 +6,7 @@
 // it. A repeat attaches to the record and gets the same result. There is no other owner that could run the key, so
 // neither divergent membership views nor a paused process can cause a second run.
 //
-// A refusal with "run: no" is a promise. Only the executor gives it for a valid key, and it keeps a record or a
+// A refusal with "run: no" is final. Only the executor gives it for a valid key, and it keeps a record or a
 // tombstone of the key until the key has expired, so a copy of the request that arrives later is refused as well.
 //
 // The rules are in core, which takes the current time as a parameter and starts no goroutine. Executor adds locking,
--- a/internal/once/executor.go
+++ b/internal/once/executor.go
@@ -69,7 +69,7 @@
 	repeat, declared := repeatRule(manifest, &call)
 	if declared && repeat == spec.RepeatIdempotent && !call.Forwarded {
 		answer, err := e.handleIdempotent(ctx, manifest, &call)
-		return answer, withoutPromise(err, call.Key)
+		return answer, withUnknownRun(err, call.Key)
 	}
 	if call.Key == "" {
 		return pond.Answer{}, refuseKeyless(manifest, declared)
@@ -77,8 +77,8 @@
 	return e.handleKeyed(ctx, &call)
 }
 
-// withoutPromise withdraws "run: no" from an idempotent call with a key, because another instance may have run a copy.
-func withoutPromise(err error, key string) error {
+// withUnknownRun replaces "run: no" for an idempotent call with a key, because another instance may have run a copy.
+func withUnknownRun(err error, key string) error {
 	var refusal *pond.Refusal
 	if key == "" || !errors.As(err, &refusal) || refusal.Run() != pond.RunNo {
 		return err
--- a/internal/once/idempotent.go
+++ b/internal/once/idempotent.go
@@ -228,7 +228,7 @@
 	return pond.NewRefusal(pond.ReasonTooLarge, pond.RunYes, time.Time{}, err.Error())
 }
 
-// asRefusal returns the refusal in err, or one that promises nothing.
+// asRefusal returns the refusal in err, or one with an unknown run state.
 func asRefusal(err error) *pond.Refusal {
 	var refusal *pond.Refusal
 	if errors.As(err, &refusal) {
--- a/internal/once/options.go
+++ b/internal/once/options.go
@@ -27,7 +27,7 @@
 
 // Options configures an Executor. Source, Directory, Backends, Conn and MACKey are required.
 type Options struct {
-	// Source gives the manifest in force.
+	// Source gives the manifest in effect.
 	Source spec.Source
 	// Directory gives the addresses of other instances. Self must be valid when New is called.
 	Directory pond.Directory
--- a/internal/once/property_test.go
+++ b/internal/once/property_test.go
@@ -54,7 +54,7 @@
 func TestSchedules(t *testing.T) {
 	const schedules, length = 400, 600
 	naiveViolations := 0
-	executed, promised, forwards := 0, 0, 0
+	executed, deniedRun, forwards := 0, 0, 0
 	reasons := make(map[pond.Reason]int)
 	for seed := range uint64(schedules) {
 		schedule := randomSchedule(seed, length)
@@ -64,7 +64,7 @@
 			t.Fatalf("seed %d: %s", seed, w.violation)
 		}
 		executed += len(w.executed)
-		promised += len(w.promised)
+		deniedRun += len(w.deniedRun)
 		forwards += w.forwards
 		for reason, count := range w.reasons {
 			reasons[reason] += count
@@ -76,7 +76,7 @@
 		}
 	}
 	t.Logf("%d keys ran, %d refused with run: no, %d forwards, refusals %v, naive violations in %d of %d schedules",
-		executed, promised, forwards, reasons, naiveViolations, schedules)
+		executed, deniedRun, forwards, reasons, naiveViolations, schedules)
 	if naiveViolations == 0 {
 		t.Error("the naive executor ran no key twice, so the schedules prove nothing")
 	}
--- a/internal/once/table.go
+++ b/internal/once/table.go
@@ -104,8 +104,8 @@
 	close(r.done)
 }
 
-// bury adds a tombstone. After its expiry a key is refused anyway, so a tombstone is dropped then.
-func (t *table) bury(key string, expiry time.Time, refusal *pond.Refusal) {
+// addTombstone records a refused key. After its expiry a key is refused anyway, so a tombstone is dropped then.
+func (t *table) addTombstone(key string, expiry time.Time, refusal *pond.Refusal) {
 	r := &record{key: key, expiry: expiry, dropAt: expiry, tombstone: true}
 	r.result = result{refusal: refusal}
 	t.records[key] = r
--- a/internal/once/world_test.go
+++ b/internal/once/world_test.go
@@ -142,7 +142,7 @@
 	copies    []copyInFlight
 	runs      []*run
 	executed  map[string]int
-	promised  map[string]bool
+	deniedRun map[string]bool
 	forwards  int
 	reasons   map[pond.Reason]int
 	violation string
@@ -165,13 +165,13 @@
 
 func newWorld(t testing.TB, newRules func(*world, pond.InstanceRef) rules) *world {
 	w := &world{
-		newRules: newRules,
-		now:      time.Unix(1000, 0),
-		manifest: manifestOf(t, worldRecords, worldOpen, "127.0.0.1:1", "127.0.0.1:2"),
-		down:     make(map[string]bool),
-		executed: make(map[string]int),
-		promised: make(map[string]bool),
-		reasons:  make(map[pond.Reason]int),
+		newRules:  newRules,
+		now:       time.Unix(1000, 0),
+		manifest:  manifestOf(t, worldRecords, worldOpen, "127.0.0.1:1", "127.0.0.1:2"),
+		down:      make(map[string]bool),
+		executed:  make(map[string]int),
+		deniedRun: make(map[string]bool),
+		reasons:   make(map[pond.Reason]int),
 	}
 	for i := range worldNodes {
 		n := &simNode{world: w, index: i}
@@ -424,7 +424,7 @@
 	if w.executed[key] > 1 {
 		w.violation = "key " + key + " ran twice"
 	}
-	if w.promised[key] {
+	if w.deniedRun[key] {
 		w.violation = "key " + key + " ran after a refusal with run: no"
 	}
 }
@@ -434,7 +434,7 @@
 	if refusal.Run() != pond.RunNo {
 		return
 	}
-	w.promised[key] = true
+	w.deniedRun[key] = true
 	if w.executed[key] > 0 {
 		w.violation = "key " + key + " ran, but a refusal (" + refusal.Error() + ") denies it"
 	}
--- a/internal/order/doc.go
+++ b/internal/order/doc.go
@@ -2,7 +2,7 @@
 //
 // The desired state of an engine is a pure function of the manifest. One instance, the home of the engine by rendezvous
 // over the live instances, reads the engine's state in each reconcile interval and sends an order if it differs. An
-// order is idempotent and carries the manifest number as fencing token. Two instances that both believe to be home send
+// order is idempotent and carries the manifest number as fencing token. Two instances that both act as home send
 // the same order if they hold the same manifest; if not, an engine that checks the token keeps the newer one. An engine
 // that ignores the token may obey an old order that was delayed after the checks of its sender, and its home corrects
 // it within one reconcile interval.
--- a/internal/order/judge.go
+++ b/internal/order/judge.go
@@ -22,8 +22,8 @@
 	loadBy  time.Time
 }
 
-// hasten moves the next look to t if that is not zero and earlier.
-func (m *memory) hasten(t time.Time) {
+// dueNoLaterThan moves the next look to t if that is not zero and earlier.
+func (m *memory) dueNoLaterThan(t time.Time) {
 	if !t.IsZero() && t.Before(m.dueAt) {
 		m.dueAt = t
 	}
--- a/internal/order/options.go
+++ b/internal/order/options.go
@@ -33,7 +33,7 @@
 
 // Options configures a Reconciler. Source, Directory, Ranking, Backends, Engines and Conn are required.
 type Options struct {
-	// Source gives the manifest in force.
+	// Source gives the manifest in effect.
 	Source spec.Source
 	// Directory names this instance and notices changes of the live instances.
 	Directory pond.Directory
--- a/internal/order/reconciler.go
+++ b/internal/order/reconciler.go
@@ -165,7 +165,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m.busy = false
-	m.hasten(dueAt)
+	m.dueNoLaterThan(dueAt)
 }
 
 // resetMemories makes every engine due, also one that is being looked at, and drops the memory of engines that have
@@ -230,7 +230,7 @@
 		if !granted {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			m.hasten(retryAt)
+			m.dueNoLaterThan(retryAt)
 			return nil
 		}
 		m.expectLoad(order.State, r.options.Clock())
--- a/internal/sched/account.go
+++ b/internal/sched/account.go
@@ -125,7 +125,7 @@
 	return nil
 }
 
-// classify chooses the queue. A declared class is believed unless the account's own outputs of that class are mostly
+// classify chooses the queue. A declared class is accepted unless the account's own outputs of that class are mostly
 // long. An unknown class is short only if the learned quantile says so, because a long output in the short queue
 // would block short work.
 func (s *Scheduler) classify(r *request) queueKind {
--- a/internal/stream/generate.go
+++ b/internal/stream/generate.go
@@ -92,8 +92,8 @@
 	run pond.RunState
 	// failures counts generations that failed.
 	failures int
-	// relented is true once the engines to avoid were forgiven.
-	relented bool
+	// avoidCleared is true once the list of engines to avoid was cleared.
+	avoidCleared bool
 }
 
 func (r *Relay) newJob(req Request, sink Sink) *job {
@@ -114,7 +114,7 @@
 	defer func() { j.timing.work.Total.Observe(time.Since(j.timing.arrived).Seconds()) }()
 	for {
 		s, err := j.place(ctx)
-		if err != nil && j.relent(err) && j.pause(ctx) {
+		if err != nil && j.clearAvoided(err) && j.pause(ctx) {
 			continue
 		}
 		if err != nil {
@@ -134,14 +134,14 @@
 	}
 }
 
-// relent forgives, once, the engines that failed if no other engine is left: a connection that broke is no proof that
-// the engine failed, and in a small pool it may be the only one.
-func (j *job) relent(err error) bool {
+// clearAvoided clears, once, the list of engines to avoid if no other engine is left: a broken connection does not prove
+// that the engine failed, and in a small pool it may be the only one.
+func (j *job) clearAvoided(err error) bool {
 	var refusal *pond.Refusal
-	if j.relented || len(j.avoid) == 0 || !errors.As(err, &refusal) || refusal.Reason() != pond.ReasonNoBackend {
+	if j.avoidCleared || len(j.avoid) == 0 || !errors.As(err, &refusal) || refusal.Reason() != pond.ReasonNoBackend {
 		return false
 	}
-	j.relented, j.avoid = true, nil
+	j.avoidCleared, j.avoid = true, nil
 	return true
 }
 
--- a/internal/watch/reader.go
+++ b/internal/watch/reader.go
@@ -102,7 +102,7 @@
 }
 
 func (m *Machine) nextRead(now time.Time, useless bool) time.Time {
-	// An instance that starts may not know the other members yet and takes itself for a watcher.
+	// An instance that starts may not know the other members yet and would rank itself as a watcher.
 	watching := m.reader.watching && m.phase != PhaseStarting
 	switch {
 	case !watching && m.Current() != nil:
--- a/pkg/spec/manifest.go
+++ b/pkg/spec/manifest.go
@@ -46,9 +46,9 @@
 	regionOf map[string]string
 }
 
-// Source gives the manifest in force.
+// Source gives the manifest in effect.
 type Source interface {
-	// Current returns the manifest in force, or nil before the first one.
+	// Current returns the manifest in effect, or nil before the first one.
 	Current() *Manifest
 	// Confirmed reports whether new work may be accepted under Current at the given time.
 	Confirmed(now time.Time) bool
