entry: figures of the status page as metrics

Cause: invalid, conflicting and older manifests were reported in log and status, but not in /metrics. Measured: go test ./internal/entry: TestStatusMetrics checks each name and value.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -135,6 +135,9 @@
 	}
 	e.assembleWork()
 	e.assembleFront()
+	if err := e.metrics.Registry().Register(newStatusCollector(metric.Namespace, e.Status)); err != nil {
+		return errors.Wrap(err, "register status metrics")
+	}
 	return e.assembleServers()
 }
 
--- /dev/null
+++ b/internal/entry/metrics_test.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/dragonflypond/dragonflypond/internal/watch"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// TestStatusMetrics guards against a report that operators cannot see in the metrics, and against a metric that shows the
+// figure of another.
+func TestStatusMetrics(t *testing.T) {
+	status := Status{
+		Manifest: ManifestStatus{
+			Number: 7, Confirmed: true, ServiceReads: 5,
+			Reports: watch.Reports{Invalid: 2, Conflicts: 3, Rollbacks: 4},
+		},
+		Instances: []InstanceStatus{{State: pond.InstanceLive}, {State: pond.InstanceLeaving}},
+		Closed:    []string{"a", "b"},
+		Work:      WorkStatus{OpenGenerations: 6, CallRecords: 8, CallTombstones: 9},
+		Bytes:     BytesStatus{Sent: 10, Received: 11},
+	}
+	tests := []struct {
+		name string
+		want float64
+	}{
+		{name: "manifest_number", want: 7},
+		{name: "manifest_confirmed", want: 1},
+		{name: "manifest_invalid_total", want: 2},
+		{name: "manifest_conflicts_total", want: 3},
+		{name: "manifest_rollbacks_total", want: 4},
+		{name: "config_reads_total", want: 5},
+		{name: "instances_live", want: 1},
+		{name: "backends_closed", want: 2},
+		{name: "open_generations", want: 6},
+		{name: "call_records", want: 8},
+		{name: "call_tombstones", want: 9},
+		{name: "membership_sent_bytes_total", want: 10},
+		{name: "membership_received_bytes_total", want: 11},
+	}
+	registry := prometheus.NewPedanticRegistry()
+	registry.MustRegister(newStatusCollector("test", func() Status { return status }))
+	if got, err := testutil.GatherAndCount(registry); err != nil || got != len(tests) {
+		t.Fatalf("%d metrics, error %v; want %d", got, err, len(tests))
+	}
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := make(map[string]float64)
+	for _, family := range families {
+		m := family.GetMetric()[0]
+		values[family.GetName()] = m.GetGauge().GetValue() + m.GetCounter().GetValue()
+	}
+	for _, test := range tests {
+		if got := values["test_"+test.name]; got != test.want {
+			t.Errorf("%s: got %g, want %g", test.name, got, test.want)
+		}
+	}
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	namespace = "dragonflypond"
+	// Namespace precedes the name of each metric.
+	Namespace = "dragonflypond"
+
 	// maxPriorityLevel bounds the label values that a manifest can cause; higher priorities share the last level.
 	maxPriorityLevel = 9
 )
@@ -94,10 +96,10 @@
 
 func histogram(name, help string, buckets []float64) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
-		Namespace: namespace, Name: name, Help: help, Buckets: buckets,
+		Namespace: Namespace, Name: name, Help: help, Buckets: buckets,
 	}, []string{"priority", "class"})
 }
 
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, labels)
 }
