--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -165,6 +165,9 @@
 	}
 	r := s.requests.At(slot)
 	e := s.engines.At(r.engine)
+	if progress.Tokens > r.shown {
+		e.speed.lastToken = now
+	}
 	if e.speed.probe == slot {
 		e.speed.observeProbe(progress, r.prompt, now)
 	} else {
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -374,8 +374,8 @@
 	}
 }
 
-// TestStraggler guards against new work for an engine that is slow, more than one probing request after the
-// avoidance, and an engine that stays avoided after it has recovered.
+// TestStraggler guards against new work for an engine that is slow, a probing request while running requests show that it
+// still is, more than one probing request after the avoidance, and an engine that stays avoided after it has recovered.
 func TestStraggler(t *testing.T) {
 	engines := testEngines(4, 100_000, 100)
 	s := newTestScheduler(testPolicy(), engines...)
@@ -396,6 +396,12 @@
 		t.Fatalf("%d requests went to the straggler", got)
 	}
 	now = now.Add(firstAvoidance + observeInterval)
+	observeAll(s, engines, 6, 10, now)
+	s.Tick(now)
+	if got := onSlow(150, 20); got != 0 {
+		t.Fatalf("%d requests probe an engine whose running requests are slow", got)
+	}
+	now = now.Add(max(runningFigureAge, 2*firstAvoidance) + observeInterval)
 	s.Tick(now)
 	if got := onSlow(200, 20); got != 1 {
 		t.Fatalf("%d requests probe the straggler, want 1", got)
@@ -403,12 +409,12 @@
 	observeAll(s, engines, 10, 10, now)
 	now = now.Add(observeInterval)
 	s.Tick(now)
-	now = now.Add(firstAvoidance + observeInterval)
+	now = now.Add(2*firstAvoidance + observeInterval)
 	s.Tick(now)
 	if got := onSlow(300, 20); got != 0 {
 		t.Fatalf("%d requests went to the straggler before its longer avoidance ended", got)
 	}
-	now = now.Add(firstAvoidance + observeInterval)
+	now = now.Add(2*firstAvoidance + observeInterval)
 	s.Tick(now)
 	onSlow(400, 20)
 	observeAll(s, engines, 15, 1, now)
@@ -419,6 +425,28 @@
 	}
 }
 
+// TestStragglerRecovers guards against an engine that stays avoided although its running requests are fast again.
+func TestStragglerRecovers(t *testing.T) {
+	engines := testEngines(4, 100_000, 100)
+	s := newTestScheduler(testPolicy(), engines...)
+	offerAll(s, 0, 8, pond.ClassShort, 10, 100)
+	now := epoch
+	observeAll(s, engines, 5, 10, now)
+	s.Tick(now)
+	if trust := trustOf(s, engines[3].Name); trust != trustAvoided {
+		t.Fatalf("trust is %d, want avoided", trust)
+	}
+	for i := range 10 {
+		now = now.Add(20 * time.Millisecond)
+		observeAll(s, engines, 6+i, 1, now)
+	}
+	now = now.Add(observeInterval)
+	s.Tick(now)
+	if trust := trustOf(s, engines[3].Name); trust != trustNormal {
+		t.Errorf("trust is %d, want normal before the avoidance ends", trust)
+	}
+}
+
 // TestSilentEngine guards against a stalled engine that gets work because it reports no slow tokens either.
 func TestSilentEngine(t *testing.T) {
 	engines := testEngines(4, 100_000, 100)
@@ -615,3 +643,8 @@
 		}
 	}
 }
+
+func trustOf(s *Scheduler, engine string) trust {
+	slot, _ := s.engines.Slot(engine)
+	return s.engines.At(slot).trust
+}
--- a/internal/sched/speed.go
+++ b/internal/sched/speed.go
@@ -25,6 +25,9 @@
 	silentGaps     = 20
 	minSilentLimit = time.Second
 
+	// An avoided engine is judged by its running requests if their figures are at most this old.
+	runningFigureAge = time.Second
+
 	firstAvoidance = 500 * time.Millisecond
 	maxAvoidance   = 8 * time.Second
 	probeLimit     = 2 * time.Second
@@ -63,7 +66,6 @@
 }
 
 func (v *speed) observe(progress Progress, prompt int, now time.Time) {
-	v.lastToken = now
 	if progress.Gap > 0 {
 		v.gap = average(v.gap, progress.Gap, now.Sub(v.gapAt) < maxSpeedAge)
 		v.gapAt = now
@@ -81,9 +83,13 @@
 
 // slow reports whether the observed figures exceed the pool's medians by the ratio.
 func (v *speed) slow(m medians, ratio float64, now time.Time) bool {
-	gap := m.gaps >= minObservedEngines && now.Sub(v.gapAt) < maxSpeedAge && float64(v.gap) > ratio*float64(m.gap)
 	first := m.firsts >= minObservedEngines && now.Sub(v.firstAt) < maxSpeedAge && float64(v.first) > ratio*float64(m.first)
-	return gap || first
+	return first || v.slowGap(m, ratio, now)
+}
+
+// slowGap is slow for the time between tokens alone.
+func (v *speed) slowGap(m medians, ratio float64, now time.Time) bool {
+	return m.gaps >= minObservedEngines && now.Sub(v.gapAt) < maxSpeedAge && float64(v.gap) > ratio*float64(m.gap)
 }
 
 // silent reports whether an engine with running requests has shown no token for too long.
@@ -168,15 +174,32 @@
 			e.avoid(now)
 		}
 	case trustAvoided:
-		if !now.Before(v.avoidUntil) {
-			e.trust, v.probe, v.probeStart = trustProbing, table.None, now
-			s.dispatchDue = true
-		}
+		s.judgeAvoided(e, now)
 	case trustProbing:
 		s.judgeProbe(e, now)
 	}
 }
 
+// judgeAvoided ends or prolongs an avoidance by what the engine's running requests show. Only an engine without them needs
+// a probing request, which would be slow if the engine still is.
+func (s *Scheduler) judgeAvoided(e *engine, now time.Time) {
+	v := &e.speed
+	observed := e.running > 0 && s.medians.gaps >= minObservedEngines && now.Sub(v.gapAt) < runningFigureAge
+	slow := v.slowGap(s.medians, s.policy.StragglerRatio, now)
+	switch {
+	case observed && !slow && now.Sub(v.lastToken) < runningFigureAge:
+		// The first-token figure is from before the recovery.
+		e.trust, v.avoidance, v.firstAt = trustNormal, 0, time.Time{}
+		s.dispatchDue = true
+	case now.Before(v.avoidUntil):
+	case observed && slow:
+		e.avoid(now)
+	default:
+		e.trust, v.probe, v.probeStart = trustProbing, table.None, now
+		s.dispatchDue = true
+	}
+}
+
 func (s *Scheduler) judgeProbe(e *engine, now time.Time) {
 	v := &e.speed
 	switch {
