once: keep at most 8 MB of answers by default

Cause: the sum of a full record table, its answers and three manifests of 1 MB was 69 MB, above 64 MB for control.

--- a/internal/once/options.go
+++ b/internal/once/options.go
@@ -16,7 +16,7 @@
 	DefaultKeyValidity = 5 * time.Minute
 	// DefaultMaxAnswerBytes bounds the kept answers of one instance. With 100,000 records, the default of the manifest,
 	// records take 41 MB without their answers and as many tombstones 35 MB.
-	DefaultMaxAnswerBytes = 16 << 20
+	DefaultMaxAnswerBytes = 8 << 20
 
 	// answerRetention is the time after a key's expiry during which the answer is kept for repeats.
 	answerRetention = 10 * time.Minute
