entry: queues and engines in the status

Cause: the status did not show where requests wait, nor the load of engines and its age. Change: sched gives figures for each engine, grant for each pool, and status prints both.

--- a/cmd/dragonflypond/status.go
+++ b/cmd/dragonflypond/status.go
@@ -8,6 +8,7 @@
 	"os"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -46,6 +47,23 @@
 	return subcommands.ExitSuccess
 }
 
+// describeEngine gives the load of an engine and the age of its last report.
+func describeEngine(engine entry.EngineStatus, now time.Time) string {
+	state := "accepting"
+	switch {
+	case !engine.Accepting:
+		state = "closed"
+	case engine.Avoided:
+		state = "avoided as a straggler"
+	}
+	report := "no report"
+	if !engine.ReportedAt.IsZero() {
+		report = fmt.Sprintf("reported %d, %s ago", engine.Reported, now.Sub(engine.ReportedAt).Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s, running %d, %d of %d tokens reserved, %s, gap %s", state, engine.Running, engine.Reserved,
+		engine.Usable, report, engine.Gap)
+}
+
 // manifestReports describes what was wrong with published manifests.
 func manifestReports(manifest entry.ManifestStatus) []string {
 	kinds := []struct {
@@ -81,6 +99,13 @@
 	for _, instance := range s.Instances {
 		row("member\t%s\t%s %s %s", instance.Instance, instance.State, instance.HTTPAddress, instance.DataCentre)
 	}
+	for _, pool := range s.Pools {
+		row("pool\t%s in %s\thome %s, waiting %d short and %d long, running %d", pool.Model, pool.Region, pool.Home,
+			pool.WaitingShort, pool.WaitingLong, pool.Running)
+		for _, engine := range pool.Engines {
+			row("engine\t%s\t%s", engine.Backend, describeEngine(engine, s.Now))
+		}
+	}
 	for _, refusal := range s.Refusals {
 		row("refusal\t%s %s\t%s %s: %s", refusal.At.Format("15:04:05"), refusal.Account, refusal.Class, refusal.Reason, refusal.Detail)
 	}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/grant"
+	"github.com/dragonflypond/dragonflypond/internal/sched"
 	"github.com/dragonflypond/dragonflypond/internal/watch"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -21,6 +23,8 @@
 	Closed []string    `json:"closed"`
 	Work   WorkStatus  `json:"work"`
 	Bytes  BytesStatus `json:"bytes"`
+	// Pools are those for which this instance has a scheduler; it decides for those of which it is home.
+	Pools []PoolStatus `json:"pools"`
 	// Refusals are the last refused placements, the oldest first.
 	Refusals []RefusalStatus `json:"refusals"`
 }
@@ -89,10 +93,69 @@
 			CallsRunning:    running,
 		},
 		Bytes:    BytesStatus{Sent: members.SentBytes, Received: members.ReceivedBytes},
+		Pools:    poolStatuses(e.placer.Pools()),
 		Refusals: e.placeLog.refusals.list(),
 	}
 }
 
+// PoolStatus describes the queues and engines of one pool.
+type PoolStatus struct {
+	Model        string         `json:"model"`
+	Region       string         `json:"region"`
+	Home         string         `json:"home"`
+	WaitingShort int            `json:"waitingShort"`
+	WaitingLong  int            `json:"waitingLong"`
+	Running      int            `json:"running"`
+	Engines      []EngineStatus `json:"engines"`
+}
+
+// EngineStatus describes one engine as the scheduler sees it; memory is in tokens.
+type EngineStatus struct {
+	Backend    string    `json:"backend"`
+	Accepting  bool      `json:"accepting"`
+	Avoided    bool      `json:"avoided"`
+	Running    int       `json:"running"`
+	Reserved   int       `json:"reserved"`
+	Usable     int       `json:"usable"`
+	Reported   int       `json:"reported"`
+	ReportedAt time.Time `json:"reportedAt"`
+	// Gap is the observed time between tokens, such as "16ms".
+	Gap string `json:"gap"`
+}
+
+func poolStatuses(pools []grant.PoolStats) []PoolStatus {
+	statuses := make([]PoolStatus, 0, len(pools))
+	for _, pool := range pools {
+		status := PoolStatus{
+			Model:        pool.Model,
+			Region:       pool.Region,
+			Home:         string(pool.Home),
+			WaitingShort: pool.Counts.WaitingShort,
+			WaitingLong:  pool.Counts.WaitingLong,
+			Running:      pool.Counts.Running,
+		}
+		for _, engine := range pool.Engines {
+			status.Engines = append(status.Engines, engineStatus(engine))
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+func engineStatus(engine sched.EngineStats) EngineStatus {
+	return EngineStatus{
+		Backend:    engine.Name,
+		Accepting:  engine.Accepting,
+		Avoided:    engine.Avoided,
+		Running:    engine.Running,
+		Reserved:   engine.Reserved,
+		Usable:     engine.Usable,
+		Reported:   engine.Reported,
+		ReportedAt: engine.ReportedAt,
+		Gap:        engine.Gap.Round(time.Millisecond).String(),
+	}
+}
+
 func instanceStatuses(instances []pond.Instance) []InstanceStatus {
 	statuses := make([]InstanceStatus, 0, len(instances))
 	for _, instance := range instances {
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -301,6 +302,33 @@
 	return len(p.tickets)
 }
 
+// PoolStats describes one pool for which this instance has a scheduler.
+type PoolStats struct {
+	Model, Region string
+	// Home is the instance that decides for the pool.
+	Home    pond.InstanceID
+	Counts  sched.Stats
+	Engines []sched.EngineStats
+}
+
+// Pools describes the pools for which this instance has a scheduler, in the order of model and region.
+func (p *Placer) Pools() []PoolStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pools := make([]PoolStats, 0, len(p.pools))
+	for key, pool := range p.pools {
+		stats := PoolStats{Model: key.model, Region: key.region, Counts: pool.stats(), Engines: pool.engineStats()}
+		if homes := p.ranked(key); len(homes) > 0 {
+			stats.Home = homes[0].ID()
+		}
+		pools = append(pools, stats)
+	}
+	slices.SortFunc(pools, func(a, b PoolStats) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Region, b.Region))
+	})
+	return pools
+}
+
 // Stats returns the counts of each pool that this instance decides for, by "MODEL/REGION".
 func (p *Placer) Stats() map[string]sched.Stats {
 	p.mu.Lock()
--- a/internal/grant/pool.go
+++ b/internal/grant/pool.go
@@ -185,3 +185,9 @@
 	defer p.mu.Unlock()
 	return p.scheduler.Stats()
 }
+
+func (p *pool) engineStats() []sched.EngineStats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.EngineStats()
+}
--- a/internal/once/options.go
+++ b/internal/once/options.go
@@ -14,8 +14,8 @@
 	// DefaultKeyValidity is the time during which a run key may be used. Callers look up addresses every 15 s and get a
 	// new prefix with every response, so five minutes leaves room for many repeats of one call.
 	DefaultKeyValidity = 5 * time.Minute
-	// DefaultMaxAnswerBytes bounds the kept answers of one instance. With 100,000 records, the default of the manifest,
-	// records take 41 MB without their answers and as many tombstones 35 MB.
+	// DefaultMaxAnswerBytes bounds the kept answers of one instance. With 20,000 records, the default of the manifest,
+	// records take 9 MB without their answers and as many tombstones 7 MB.
 	DefaultMaxAnswerBytes = 8 << 20
 
 	// answerRetention is the time after a key's expiry during which the answer is kept for repeats.
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -60,6 +60,9 @@
 	maxLong      int
 	// external is the memory that the engine reports beyond the requests of this scheduler.
 	external int
+	// reportedUsed is the memory in the last report, and reportedAt the time of its figures.
+	reportedUsed int
+	reportedAt   time.Time
 	// perToken and perRequest are the inverse limits, because two divisions for each engine took 40 % of a decision.
 	perToken   float64
 	perRequest float64
@@ -245,6 +248,7 @@
 	if report.Age >= maxReportAge {
 		return
 	}
+	e.reportedUsed, e.reportedAt = report.UsedTokens, now.Add(-report.Age)
 	explained := e.used + e.releasedSince(report.Age, now)
 	e.external = max(report.UsedTokens-explained, 0)
 	e.externalUntil = now.Add(maxReportAge - report.Age)
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -316,37 +316,6 @@
 	s.requests.Remove(r.id)
 }
 
-// Stats are counts of the tables at one moment.
-type Stats struct {
-	Engines, WaitingShort, WaitingLong, Running int
-	// Reserved and Usable are in tokens over all engines.
-	Reserved, Usable int
-	// Avoided counts engines that are stragglers now.
-	Avoided int
-}
-
-// Stats returns the present counts.
-func (s *Scheduler) Stats() Stats {
-	stats := Stats{
-		Engines:      s.engines.Len(),
-		WaitingShort: s.queues[queueShort].waiting,
-		WaitingLong:  s.queues[queueLong].waiting,
-	}
-	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
-		if !s.engines.Used(slot) {
-			continue
-		}
-		e := s.engines.At(slot)
-		stats.Running += e.running
-		stats.Reserved += e.reserved
-		stats.Usable += e.usable
-		if e.trust != trustNormal {
-			stats.Avoided++
-		}
-	}
-	return stats
-}
-
 // Owner reports whether the scheduler knows a request of an origin, and whether it runs.
 func (s *Scheduler) Owner(id string, origin uint64) (running, known bool) {
 	r, ok := s.requests.Get(id)
--- /dev/null
+++ b/internal/sched/stats.go
@@ -0,0 +1,71 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/table"
+)
+
+// Stats are counts of the tables at one moment.
+type Stats struct {
+	Engines, WaitingShort, WaitingLong, Running int
+	// Reserved and Usable are in tokens over all engines.
+	Reserved, Usable int
+	// Avoided counts engines that are stragglers now.
+	Avoided int
+}
+
+// Stats returns the present counts.
+func (s *Scheduler) Stats() Stats {
+	stats := Stats{
+		Engines:      s.engines.Len(),
+		WaitingShort: s.queues[queueShort].waiting,
+		WaitingLong:  s.queues[queueLong].waiting,
+	}
+	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
+		if !s.engines.Used(slot) {
+			continue
+		}
+		e := s.engines.At(slot)
+		stats.Running += e.running
+		stats.Reserved += e.reserved
+		stats.Usable += e.usable
+		if e.trust != trustNormal {
+			stats.Avoided++
+		}
+	}
+	return stats
+}
+
+// EngineStats describes one engine as the scheduler sees it.
+type EngineStats struct {
+	Name      string
+	Accepting bool
+	Avoided   bool
+	Running   int
+	// Reserved, Usable and Reported are in tokens; Reported is what the engine's last load report says.
+	Reserved, Usable, Reported int
+	// ReportedAt is the time of the figures in the last report; zero for none.
+	ReportedAt time.Time
+	// Gap is the observed time between two tokens of one generation.
+	Gap time.Duration
+}
+
+// EngineStats returns the engines in the order of their names.
+func (s *Scheduler) EngineStats() []EngineStats {
+	stats := make([]EngineStats, 0, s.engines.Len())
+	for name, e := range s.engines.All() {
+		stats = append(stats, EngineStats{
+			Name:       name,
+			Accepting:  e.accepting,
+			Avoided:    e.trust != trustNormal,
+			Running:    e.running,
+			Reserved:   e.reserved,
+			Usable:     e.usable,
+			Reported:   e.reportedUsed,
+			ReportedAt: e.reportedAt,
+			Gap:        e.speed.gap,
+		})
+	}
+	return stats
+}
