once: a shutdown without calls in progress reports no error

Cause: after a second SIGTERM an idle instance warned that work was handed over; Drain chose at random between two ready channels. Change: Drain looks again whether calls are in progress after its limit has passed. Measured: TestDrainWithoutCalls fails without the change.

--- a/internal/once/drain.go
+++ b/internal/once/drain.go
@@ -16,6 +16,12 @@
 	case <-idle:
 		return nil
 	case <-ctx.Done():
+	}
+	// Both may be ready; a limit that has passed matters only if calls are in progress.
+	select {
+	case <-idle:
+		return nil
+	default:
 		return errors.Wrap(ctx.Err(), "drain calls to plain services")
 	}
 }
--- a/internal/once/shell_test.go
+++ b/internal/once/shell_test.go
@@ -261,6 +261,19 @@
 	wantRefusal(t, err, pond.ReasonLeaving, pond.RunNo)
 }
 
+// TestDrainWithoutCalls guards against a warning about calls handed over when the limit has passed but no call is in
+// progress.
+func TestDrainWithoutCalls(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 20 {
+		x, _ := pair(t, manifestOf(t, 100, 0, "127.0.0.1:1"))
+		if err := x.Drain(ctx); err != nil {
+			t.Fatalf("drain without calls: %v", err)
+		}
+	}
+}
+
 // roundTrip is a stand-in for the transport to replicas.
 type roundTrip func(*http.Request) (*http.Response, error)
 
