--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,6 +21,7 @@
 	subcommands.Register(&listCommand{}, "")
 	subcommands.Register(&weightsCommand{}, "")
 	subcommands.Register(&manifestCommand{}, "")
+	subcommands.Register(&linkCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
