grant: no reports of overdue tokens

The reported silence counted as a gap, raised the pool's median gap and with it the predicted wait, so requests were refused as overloaded although they would have been served in time. Judging an avoided engine by its running requests stays.

--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -271,7 +271,7 @@
 		if t.state != ticketRunning || t.holder == nil || now.Before(t.reportAt) {
 			continue
 		}
-		progress, ok := t.report(now)
+		progress, ok := t.report()
 		if !ok {
 			continue
 		}
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -30,11 +30,6 @@
 	// running requests reporting every idleInterval would send 18 KB a second, above the 5 KB for control.
 	progressRate = 40
 
-	// A token is overdue after this many gaps, but not before minOverdue, which is more than an engine's prompt phase for
-	// another request takes.
-	overdueGaps = 3
-	minOverdue  = 60 * time.Millisecond
-
 	// maxProgressPause bounds the age of the progress that a home knows, however many requests run.
 	maxProgressPause = 2 * time.Second
 
--- a/internal/grant/ticket.go
+++ b/internal/grant/ticket.go
@@ -51,7 +51,6 @@
 	reportAt time.Time    // when the next report may be sent
 	sent     int64        // tokens in the last report
 	sentAt   int64
-	gap      time.Duration // in the last report
 }
 
 // Backend implements pond.Placement.
@@ -73,12 +72,11 @@
 	t.placer.end(t, sched.End{Tokens: tokens, Complete: end.Complete, BackendFailed: end.BackendFailed}, now)
 }
 
-// report returns what the ticket has shown since the last report, and false if that is nothing and tokens are not
-// overdue.
-func (t *ticket) report(now time.Time) (sched.Progress, bool) {
+// report returns what the ticket has shown since the last report, and false if that is nothing.
+func (t *ticket) report() (sched.Progress, bool) {
 	shown, shownAt := t.shown.Load(), t.shownAt.Load()
 	if shown <= t.sent {
-		return t.silence(now)
+		return sched.Progress{}, false
 	}
 	progress := sched.Progress{Tokens: int(shown)}
 	if t.sent == 0 {
@@ -91,22 +89,9 @@
 		progress.Gap = time.Duration((shownAt - t.sentAt) / (shown - t.sent))
 	}
 	t.sent, t.sentAt = shown, shownAt
-	if progress.Gap > 0 {
-		t.gap = progress.Gap
-	}
 	return progress, true
 }
 
-// silence reports the time since the last token as a gap once a token is overdue, so that a slow engine is noticed before
-// its next token arrives.
-func (t *ticket) silence(now time.Time) (sched.Progress, bool) {
-	silent := time.Duration(now.UnixNano() - t.sentAt)
-	if t.sent == 0 || t.gap == 0 || silent < max(overdueGaps*t.gap, minOverdue) {
-		return sched.Progress{}, false
-	}
-	return sched.Progress{Tokens: int(t.sent), Gap: silent}, true
-}
-
 // localHolder makes a pool of this instance a holder.
 type localHolder struct{ *pool }
 
