grant: pause a pool when an offer tells first that its home is lost

Cause: TestHomeLost failed in 8 of 480 runs with eight processes at once: the next home gave out room that was taken (up to 7 generations on an engine for 4). An offer of another instance could arrive before this one had noticed the loss, so its scheduler was not paused and knew nothing of what ran. Change: such an offer pauses the pool for takeoverPause, at most once in 5 s, so that split views cannot stop it.

--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -20,6 +20,9 @@
 // instances can register what runs. Without it, the first instance to arrive was given room that was taken.
 const takeoverPause = 200 * time.Millisecond
 
+// takeoverRepeat is the least time between two pauses that offers of other instances cause.
+const takeoverRepeat = 5 * time.Second
+
 // holder returns who decides for a pool now. For a pool of this region that is this instance's own scheduler until a
 // home answers; for another region it may be nil. The lock must be held.
 func (p *Placer) holder(key poolKey, now time.Time) holder {
@@ -76,6 +79,19 @@
 	}
 }
 
+// noteTakeover pauses a pool when another instance sends an offer although this instance still regards a third one as the
+// home: it may be the first to learn that the home is lost. Without the pause its scheduler, which knows nothing of what
+// runs, gave out room that was taken. Under split views the pause is repeated only after takeoverRepeat.
+func (p *Placer) noteTakeover(pool *pool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.deciders[pool.key] == nil && p.isHome(pool.key) || now.Before(p.takeoverUntil[pool.key]) {
+		return
+	}
+	p.takeoverUntil[pool.key] = now.Add(takeoverRepeat)
+	pool.pause(now.Add(takeoverPause))
+}
+
 // ranked returns the instances that may be the home of a pool, the home first. The order is refreshed by maintain.
 func (p *Placer) ranked(key poolKey) []pond.Instance {
 	homes, ok := p.homes[key]
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -73,10 +73,12 @@
 	rankedFrom *pond.Instance
 	homesAt    time.Time // when the homes are ranked again
 	links      map[string]*link
-	deciders   map[poolKey]*link    // the link that decided last; nil for this instance itself
-	paused     map[string]time.Time // addresses of lost homes, with the end of the pause
-	outlets    map[uint64]*outlet
-	lastOrigin uint64
+	deciders   map[poolKey]*link // the link that decided last; nil for this instance itself
+	// takeoverUntil holds the times until which offers of other instances cause no further pause of a pool.
+	takeoverUntil map[poolKey]time.Time
+	paused        map[string]time.Time // addresses of lost homes, with the end of the pause
+	outlets       map[uint64]*outlet
+	lastOrigin    uint64
 }
 
 var (
@@ -109,19 +111,20 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Placer{
-		options:  options,
-		budget:   new(linkBudget),
-		ctx:      ctx,
-		stop:     stop,
-		wake:     make(chan struct{}, 1),
-		drained:  make(chan struct{}),
-		tickets:  make(map[string]*ticket),
-		pools:    make(map[poolKey]*pool),
-		homes:    make(map[poolKey][]pond.Instance),
-		links:    make(map[string]*link),
-		deciders: make(map[poolKey]*link),
-		paused:   make(map[string]time.Time),
-		outlets:  make(map[uint64]*outlet),
+		options:       options,
+		budget:        new(linkBudget),
+		ctx:           ctx,
+		stop:          stop,
+		wake:          make(chan struct{}, 1),
+		drained:       make(chan struct{}),
+		tickets:       make(map[string]*ticket),
+		pools:         make(map[poolKey]*pool),
+		homes:         make(map[poolKey][]pond.Instance),
+		links:         make(map[string]*link),
+		deciders:      make(map[poolKey]*link),
+		takeoverUntil: make(map[poolKey]time.Time),
+		paused:        make(map[string]time.Time),
+		outlets:       make(map[uint64]*outlet),
 	}
 }
 
--- a/internal/grant/serve.go
+++ b/internal/grant/serve.go
@@ -147,6 +147,7 @@
 		o.push(notReady(offer.GetGeneration(), now), now)
 		return
 	}
+	p.noteTakeover(pool, now)
 	o.add(offer.GetGeneration(), offer.GetHandle(), pool)
 	request := requestOfOffer(offer, o.origin, now)
 	if offer.GetRunningOn() != "" {
