spec: one generic container for the entities of a manifest

Cause: four sections repeated the same index and list code. Change: catalog holds entities in order and by name.

--- a/pkg/spec/manifest.go
+++ b/pkg/spec/manifest.go
@@ -39,10 +39,10 @@
 	version  Version
 	hash     uint64
 	body     []byte
-	models   map[string]Model
-	backends map[string]Backend
-	services map[string]Service
-	accounts map[string]Account
+	models   catalog[Model]
+	backends catalog[Backend]
+	services catalog[Service]
+	accounts catalog[Account]
 	regionOf map[string]string
 }
 
@@ -108,10 +108,6 @@
 		version:  Version{Number: doc.Number, Revision: revision},
 		hash:     xxhash.Sum64(body),
 		body:     slices.Clone(body),
-		models:   make(map[string]Model, len(doc.Models)),
-		backends: make(map[string]Backend, len(doc.BackendServers)),
-		services: make(map[string]Service, len(doc.Services)),
-		accounts: make(map[string]Account, len(doc.ClientAccounts)),
 		regionOf: make(map[string]string),
 	}
 	for _, region := range doc.Regions {
@@ -119,21 +115,17 @@
 			m.regionOf[dataCentre] = region.Name
 		}
 	}
-	for _, d := range doc.Models {
-		m.models[d.Name] = Model{doc: d}
-	}
-	for _, d := range doc.BackendServers {
-		m.backends[d.Name] = Backend{doc: d, region: m.regionOf[d.DataCentre]}
-	}
-	for _, d := range doc.Services {
-		m.services[d.Name] = Service{doc: d}
-	}
-	for _, d := range doc.ClientAccounts {
-		m.accounts[d.Name] = Account{doc: d}
-	}
+	m.models = newCatalog(doc.Models, func(d modelDoc) Model { return Model{doc: d} }, Model.Name)
+	m.backends = newCatalog(doc.BackendServers, m.newBackend, Backend.Name)
+	m.services = newCatalog(doc.Services, func(d serviceDoc) Service { return Service{doc: d} }, Service.Name)
+	m.accounts = newCatalog(doc.ClientAccounts, func(d accountDoc) Account { return Account{doc: d} }, Account.Name)
 	return m
 }
 
+func (m *Manifest) newBackend(d backendDoc) Backend {
+	return Backend{doc: d, region: m.regionOf[d.DataCentre]}
+}
+
 // Version returns the place of the manifest in the order of all manifests.
 func (m *Manifest) Version() Version { return m.version }
 
@@ -151,53 +143,37 @@
 
 // Model returns a model by name.
 func (m *Manifest) Model(name string) (Model, bool) {
-	model, ok := m.models[name]
-	return model, ok
+	return m.models.get(name)
 }
 
 // Models returns all models in the order of the document.
 func (m *Manifest) Models() []Model {
-	models := make([]Model, 0, len(m.doc.Models))
-	for _, d := range m.doc.Models {
-		models = append(models, m.models[d.Name])
-	}
-	return models
+	return m.models.all()
 }
 
 // Backend returns a backend server by name.
 func (m *Manifest) Backend(name string) (Backend, bool) {
-	backend, ok := m.backends[name]
-	return backend, ok
+	return m.backends.get(name)
 }
 
 // Backends returns all backend servers in the order of the document.
 func (m *Manifest) Backends() []Backend {
-	backends := make([]Backend, 0, len(m.doc.BackendServers))
-	for _, d := range m.doc.BackendServers {
-		backends = append(backends, m.backends[d.Name])
-	}
-	return backends
+	return m.backends.all()
 }
 
 // Service returns a plain service by name.
 func (m *Manifest) Service(name string) (Service, bool) {
-	service, ok := m.services[name]
-	return service, ok
+	return m.services.get(name)
 }
 
 // Account returns a client account by name.
 func (m *Manifest) Account(name string) (Account, bool) {
-	account, ok := m.accounts[name]
-	return account, ok
+	return m.accounts.get(name)
 }
 
 // Accounts returns all client accounts in the order of the document.
 func (m *Manifest) Accounts() []Account {
-	accounts := make([]Account, 0, len(m.doc.ClientAccounts))
-	for _, d := range m.doc.ClientAccounts {
-		accounts = append(accounts, m.accounts[d.Name])
-	}
-	return accounts
+	return m.accounts.all()
 }
 
 // Policy returns the policy weights of the deployment.
