platform, serve, relay: the product runs on the users' platform

Cause: nothing of the product ran on the users' platform. It had no way to pass requests on unchanged, and its configuration and its list of backend servers came from services that the platform does not have. Change: package platform translates the settings file, the store, callers' requests and the backend servers' protocol. The product grows: route (routes, accounts, limits), feed (published records, from the store or from other instances, with the time at which they were last current), fleet (what an instance believes about backend servers), relay (plain requests and streams, passed on unchanged), serve (assembly), logs (bounded JSON lines), clock (a clock that counts suspended time). Placement is that of package grant, over a manifest that fleet puts together.

--- /dev/null
+++ b/cmd/dragonflypond/instance.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/serve"
+	"github.com/dragonflypond/dragonflypond/platform"
+)
+
+// instanceCommand runs one entry instance on the users' platform.
+type instanceCommand struct{ options serve.Tuning }
+
+func (*instanceCommand) Name() string     { return "instance" }
+func (*instanceCommand) Synopsis() string { return "run one entry instance on a platform with a settings file" }
+func (*instanceCommand) Usage() string {
+	return "instance [flags]\n  Reads the settings file named by " + platform.SettingsVariable + ".\n"
+}
+func (c *instanceCommand) SetFlags(flags *flag.FlagSet) { c.options.Register(flags) }
+
+func (c *instanceCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.options.Parse(flags, flags.Args()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if err := c.run(ctx); err != nil {
+		printError("instance", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *instanceCommand) run(ctx context.Context) error {
+	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	log := logs.New(os.Stdout)
+	defer log.Close()
+	instance, err := serve.New(settings.Instance(), c.options, platform.NewPorts(settings), log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	go func() {
+		for s := range signals {
+			if s == syscall.SIGHUP {
+				reload(instance, log)
+				continue
+			}
+			instance.Shutdown()
+		}
+	}()
+	return instance.Run(ctx)
+}
+
+// reload reads the settings file again. A file that cannot be used leaves the settings as they are.
+func reload(instance *serve.Instance, log *logs.Log) {
+	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		log.WithError(err).WithField(logs.Event, "reloadFailed").Error("settings cannot be used; the former ones stay")
+		return
+	}
+	instance.Reload(settings.Instance())
+}
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -32,9 +32,16 @@
 }
 
 // NewTransport returns a transport that pools connections.
-func NewTransport() *Transport {
+func NewTransport() *Transport { return newTransport(false) }
+
+// NewFreshTransport returns a transport that uses a connection for one request only. A backend server may close or lose
+// an idle connection at any time or send a late answer on it; then nobody can tell whether the next request ran.
+func NewFreshTransport() *Transport { return newTransport(true) }
+
+func newTransport(fresh bool) *Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Transport{base: &http.Transport{
+		DisableKeepAlives: fresh,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -57,15 +64,24 @@
 // Do sends a request. The error is an *Error. Answers with a status of 400 or more are errors too, and their body is
 // closed.
 func (t *Transport) Do(req *http.Request) (*http.Response, error) {
+	resp, err := t.Send(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, answerError(resp)
+	}
+	return resp, nil
+}
+
+// Send sends a request and returns any answer as it is. The error is an *Error.
+func (t *Transport) Send(req *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, &Error{outcome: sendOutcome(connected.Load(), err), cause: err}
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
-		return nil, answerError(resp)
-	}
 	return resp, nil
 }
 
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,215 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// PullWait is the time for which a source keeps a request waiting for a change. Together with one retry it has to
+	// stay well under the 5 s for which keys may be accepted without confirmation.
+	PullWait = 1200 * time.Millisecond
+
+	// pullSlack is the time beyond PullWait after which a source counts as silent.
+	pullSlack = 600 * time.Millisecond
+
+	// staleLimit is the age of the confirmation at which a source is left for the next one.
+	staleLimit = 2500 * time.Millisecond
+
+	// sourcePause is the time for which a source that failed is passed over.
+	sourcePause = 1500 * time.Millisecond
+
+	// idlePause is the time between two rounds over all sources while each of them is paused.
+	idlePause = 100 * time.Millisecond
+
+	// maxServePerPeer bounds the wait of a follower's request; it is below PullWait so that an answer precedes its timeout.
+	followerWait = 800 * time.Millisecond
+)
+
+// Source gives changes after a revision. Pull waits for up to PullWait for the first change; after zero it returns a
+// snapshot at once.
+type Source interface {
+	Pull(ctx context.Context, after uint64) (Batch, error)
+}
+
+// SourceFunc adapts a function to Source.
+type SourceFunc func(ctx context.Context, after uint64) (Batch, error)
+
+// Pull calls f.
+func (f SourceFunc) Pull(ctx context.Context, after uint64) (Batch, error) { return f(ctx, after) }
+
+// Upstream is a source with a name for logs.
+type Upstream struct {
+	Name   string
+	Source Source
+	// Store is true for the platform's store, whose failures are remembered as a disturbance.
+	Store bool
+}
+
+// Options hold what a Feed needs.
+type Options struct {
+	// Upstreams returns the sources in the order of preference.
+	Upstreams func() []Upstream
+	// Clock is a clock that counts the time in which the process is suspended.
+	Clock func() time.Time
+	Log   logrus.FieldLogger
+	// Changed is called with each set of changes, in order.
+	Changed func(records []Record)
+}
+
+// Feed keeps the copy of one instance current. It is safe for concurrent use.
+type Feed struct {
+	options Options
+
+	mu      sync.Mutex
+	view    *view
+	waiters chan struct{} // closed at the next change
+	paused  map[string]time.Time
+	source  string
+}
+
+// New returns an empty feed.
+func New(options Options) *Feed {
+	return &Feed{
+		options: options,
+		view:    newView(),
+		waiters: make(chan struct{}),
+		paused:  make(map[string]time.Time),
+	}
+}
+
+// Run follows sources until ctx ends.
+func (f *Feed) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		upstream, ok := f.choose()
+		if !ok {
+			select {
+			case <-ctx.Done():
+			case <-time.After(idlePause):
+			}
+			continue
+		}
+		f.pull(ctx, upstream)
+	}
+	return context.Cause(ctx)
+}
+
+// choose returns the first source that is not paused.
+func (f *Feed) choose() (Upstream, bool) {
+	now := f.options.Clock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, upstream := range f.options.Upstreams() {
+		if now.Before(f.paused[upstream.Name]) {
+			continue
+		}
+		delete(f.paused, upstream.Name)
+		if f.source != upstream.Name {
+			f.options.Log.WithFields(logrus.Fields{
+				"event": "sourceChosen", "source": upstream.Name, "former": f.source, "revision": f.view.revision,
+			}).Info("source of the configuration changed")
+			f.source = upstream.Name
+		}
+		return upstream, true
+	}
+	return Upstream{}, false
+}
+
+func (f *Feed) pull(ctx context.Context, upstream Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, PullWait+pullSlack)
+	defer cancel()
+	after := f.Revision()
+	batch, err := upstream.Source.Pull(ctx, after)
+	now := f.options.Clock()
+	if err != nil {
+		f.failed(upstream, err, now)
+		return
+	}
+	changed := f.merge(batch)
+	if len(changed) > 0 {
+		f.options.Changed(changed)
+	}
+	if age := now.Sub(batch.ConfirmedAt); age > staleLimit {
+		f.pause(upstream, now)
+		f.options.Log.WithFields(logrus.Fields{
+			"event": "sourceStale", "source": upstream.Name, "ageMillis": age.Milliseconds(), "revision": batch.Revision,
+		}).Warn("source of the configuration is not current")
+	}
+}
+
+func (f *Feed) failed(upstream Upstream, err error, now time.Time) {
+	f.pause(upstream, now)
+	if upstream.Store {
+		f.mu.Lock()
+		f.view.disturbedAt = now
+		f.mu.Unlock()
+	}
+	f.options.Log.WithError(err).WithFields(logrus.Fields{
+		"event": "sourceFailed", "source": upstream.Name, "revision": f.Revision(),
+		"confirmedAgeMillis": now.Sub(f.ConfirmedAt()).Milliseconds(),
+	}).Warn("source of the configuration failed")
+}
+
+func (f *Feed) pause(upstream Upstream, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.paused[upstream.Name] = now.Add(sourcePause)
+}
+
+func (f *Feed) merge(batch Batch) []Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.view.confirmedAt
+	changed := f.view.apply(batch)
+	if len(changed) > 0 || f.view.confirmedAt.After(before) {
+		close(f.waiters)
+		f.waiters = make(chan struct{})
+	}
+	return changed
+}
+
+// Revision returns the revision of the copy; 0 before the first snapshot.
+func (f *Feed) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.revision
+}
+
+// ConfirmedAt returns the last time at which the copy was known to be current.
+func (f *Feed) ConfirmedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.confirmedAt
+}
+
+// DisturbedAt returns the last time at which the store was known not to answer as it should.
+func (f *Feed) DisturbedAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.disturbedAt
+}
+
+// Serve answers a follower: the changes after a revision, or nothing but the present confirmation if there is no change
+// for a while. A follower that holds a greater revision is answered at once.
+func (f *Feed) Serve(ctx context.Context, after uint64) Batch {
+	timer := time.NewTimer(followerWait)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		batch, changed := f.view.since(after), f.waiters
+		f.mu.Unlock()
+		if batch.Revision != after || after == 0 {
+			return batch
+		}
+		select {
+		case <-ctx.Done():
+			return batch
+		case <-timer.C:
+			return batch
+		case <-changed:
+		}
+	}
+}
--- a/internal/front/services.go
+++ b/internal/front/services.go
@@ -8,18 +8,13 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
 
 const servicesPrefix = "/services/"
 
-// hopHeaders are meaningful for one connection only (RFC 9110, section 7.6.1) and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade",
-}
-
 // executorRefusal is a refusal by the executor, the only one that may answer "not run" for a keyed call.
 type executorRefusal struct{ *pond.Refusal }
 
@@ -80,7 +75,7 @@
 		Service: mux.Vars(r.Request)["service"],
 		Method:  r.Method,
 		Path:    servicePath(r),
-		Header:  passedHeader(r.Header, "Authorization"),
+		Header:  engine.PassedHeader(r.Header, "Authorization"),
 		Body:    body,
 		Key:     r.Header.Get(keyHeader),
 	})
@@ -88,7 +83,7 @@
 		return fromExecutor(ctx, err)
 	}
 	header := w.Header()
-	for name, values := range passedHeader(answer.Header, "Content-Length") {
+	for name, values := range engine.PassedHeader(answer.Header, "Content-Length") {
 		header[name] = values
 	}
 	w.WriteHeader(answer.Status)
@@ -108,20 +103,3 @@
 		return err
 	}
 }
-
-// passedHeader returns the fields that are passed on.
-func passedHeader(header http.Header, without ...string) http.Header {
-	passed := header.Clone()
-	for _, field := range header.Values("Connection") {
-		for name := range strings.SplitSeq(field, ",") {
-			passed.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		passed.Del(name)
-	}
-	for _, name := range without {
-		passed.Del(name)
-	}
-	return passed
-}
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -62,7 +63,9 @@
 	stop    context.CancelFunc
 	group   sync.WaitGroup
 	wake    chan struct{}
-	drained chan struct{} // closed when this instance gives up its homes
+	// viewChanged is set when the view of the engines has changed since the last maintenance.
+	viewChanged atomic.Bool
+	drained     chan struct{} // closed when this instance gives up its homes
 
 	mu       sync.Mutex
 	draining bool
--- a/internal/grant/run.go
+++ b/internal/grant/run.go
@@ -28,7 +28,7 @@
 		case <-p.wake:
 		}
 		now := p.options.Now()
-		idle := !now.Before(maintainAt)
+		idle := p.viewChanged.Swap(false) || !now.Before(maintainAt)
 		if idle {
 			maintainAt = now.Add(idleInterval)
 			p.maintain(now)
@@ -118,3 +118,9 @@
 	}
 	return nil
 }
+
+// Refresh makes Run apply the present view of the engines at once.
+func (p *Placer) Refresh() {
+	p.viewChanged.Store(true)
+	p.wakeUp()
+}
--- /dev/null
+++ b/internal/route/doc.go
@@ -0,0 +1,12 @@
+// Package route holds the published configuration of the plain routing path: which service answers a request, which
+// client account a key belongs to, and the limits for callers.
+//
+// A Catalogue is one published configuration. It is immutable, so a request keeps the catalogue under which it was
+// accepted. Catalogues are ordered by the publisher's version number; numbers rise in uneven steps.
+//
+// # Usage
+//
+//	catalogue := route.New(route.Content{Version: 7, Routes: routes, Services: services})
+//	matched, ok := catalogue.Match(host, path)
+//	account, ok := catalogue.Account(key)
+package route
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -45,14 +45,20 @@
 	PrefixLoadBound float64
 	// DefaultDeadline is the time allowed for a request without a deadline.
 	DefaultDeadline time.Duration
+	// CopyTime is the time that it takes to copy the memory of one token to another engine of the same place; zero if
+	// engines cannot move requests.
+	CopyTime time.Duration
 }
 
 // Verdict is the kind of a decision.
 type Verdict int
 
-// Verdicts. Every offered request gets exactly one of VerdictServe and VerdictRefuse in the end.
+// Verdicts. Every offered request gets exactly one of VerdictServe and VerdictRefuse in the end; after VerdictServe there
+// may be any number of VerdictMove.
 const (
 	VerdictWait Verdict = iota
 	VerdictServe
 	VerdictRefuse
+	// VerdictMove tells that a running request is to go on on another engine.
+	VerdictMove
 )
--- a/internal/sched/verdict_enumer.go
+++ b/internal/sched/verdict_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _VerdictName = "waitserverefuse"
+const _VerdictName = "waitserverefusemove"
 
-var _VerdictIndex = [...]uint8{0, 4, 9, 15}
+var _VerdictIndex = [...]uint8{0, 4, 9, 15, 19}
 
-const _VerdictLowerName = "waitserverefuse"
+const _VerdictLowerName = "waitserverefusemove"
 
 func (i Verdict) String() string {
 	if i < 0 || i >= Verdict(len(_VerdictIndex)-1) {
@@ -27,26 +27,30 @@
 	_ = x[VerdictWait-(0)]
 	_ = x[VerdictServe-(1)]
 	_ = x[VerdictRefuse-(2)]
+	_ = x[VerdictMove-(3)]
 }
 
-var _VerdictValues = []Verdict{VerdictWait, VerdictServe, VerdictRefuse}
+var _VerdictValues = []Verdict{VerdictWait, VerdictServe, VerdictRefuse, VerdictMove}
 
 var _VerdictNameToValueMap = map[string]Verdict{
-	_VerdictName[0:4]:  VerdictWait,
-	_VerdictName[4:9]:  VerdictServe,
-	_VerdictName[9:15]: VerdictRefuse,
+	_VerdictName[0:4]:   VerdictWait,
+	_VerdictName[4:9]:   VerdictServe,
+	_VerdictName[9:15]:  VerdictRefuse,
+	_VerdictName[15:19]: VerdictMove,
 }
 
 var _VerdictLowerNameToValueMap = map[string]Verdict{
-	_VerdictLowerName[0:4]:  VerdictWait,
-	_VerdictLowerName[4:9]:  VerdictServe,
-	_VerdictLowerName[9:15]: VerdictRefuse,
+	_VerdictLowerName[0:4]:   VerdictWait,
+	_VerdictLowerName[4:9]:   VerdictServe,
+	_VerdictLowerName[9:15]:  VerdictRefuse,
+	_VerdictLowerName[15:19]: VerdictMove,
 }
 
 var _VerdictNames = []string{
 	_VerdictName[0:4],
 	_VerdictName[4:9],
 	_VerdictName[9:15],
+	_VerdictName[15:19],
 }
 
 // VerdictString retrieves an enum value from the enum constants string name.
--- /dev/null
+++ b/internal/serve/settings.go
@@ -0,0 +1,82 @@
+package serve
+
+import (
+	"flag"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/internal/config"
+	"github.com/dragonflypond/dragonflypond/internal/peer"
+)
+
+// Settings are what the platform tells an instance. Addresses have the form IP:PORT.
+type Settings struct {
+	Instance   string
+	DataCentre string
+	Region     string
+	IP         string
+	// FrontAddress is for callers' requests, ReadyAddress for the platform's checks, LookupAddress for callers' questions
+	// for addresses, and PeerAddress for other instances, TCP and UDP.
+	FrontAddress  string
+	ReadyAddress  string
+	LookupAddress string
+	PeerAddress   string
+	// Seeds are peer addresses to contact first. They may be stale.
+	Seeds []string
+	// Regions maps each region to its data centres.
+	Regions     map[string][]string
+	MemoryBytes int64
+	LinkBits    int64
+	CPUShare    float64
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration
+	// KeyLease is the time for which keys may be accepted without a confirmation; zero for no limit.
+	KeyLease time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound the repeats of the whole fleet to each service.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// LookupValidity is the longest time for which callers keep an answer to a lookup.
+	LookupValidity time.Duration
+}
+
+// Tuning are the settings of the operators of this product, as flags and environment variables.
+type Tuning struct {
+	metricsPort int
+	secret      string
+}
+
+// Register declares the settings as flags.
+func (t *Tuning) Register(flags *flag.FlagSet) {
+	flags.IntVar(&t.metricsPort, "metrics-port", 9464, "`PORT` of the metrics on this instance's IP; 0 serves none")
+	flags.StringVar(&t.secret, "secret", "", "cluster secret for the traffic between instances")
+}
+
+// Parse reads args and the environment into the registered flags and checks every setting.
+func (t *Tuning) Parse(flags *flag.FlagSet, args []string) error {
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix(config.EnvPrefix)); err != nil {
+		return err
+	}
+	if flags.NArg() > 0 {
+		return errors.Errorf("unexpected argument %q; allowed: flags only", flags.Arg(0))
+	}
+	if len(t.secret) < peer.MinSecretBytes {
+		return errors.Errorf("flag -secret has a value of %d bytes; allowed: at least %d", len(t.secret), peer.MinSecretBytes)
+	}
+	const maxPort = 65535
+	if t.metricsPort < 0 || t.metricsPort > maxPort {
+		return errors.Errorf("flag -metrics-port has the value %d; allowed: 0 to %d", t.metricsPort, maxPort)
+	}
+	return nil
+}
+
+func (t *Tuning) metricsAddress(ip string) string {
+	if t.metricsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(t.metricsPort))
+}
--- a/pkg/pond/place.go
+++ b/pkg/pond/place.go
@@ -60,3 +60,18 @@
 func (f PlacerFunc) Place(ctx context.Context, req PlaceRequest) (Placement, error) {
 	return f(ctx, req)
 }
+
+// Move asks for a running generation to go on on another backend server.
+type Move struct {
+	// Backend is the name of the backend server on which the generation goes on.
+	Backend string
+}
+
+// MovablePlacement is a placement whose generation may be moved while it runs.
+type MovablePlacement interface {
+	Placement
+	// Moves returns the moves that the placer asks for, one at a time.
+	Moves() <-chan Move
+	// Moved tells how a move ended. With ok, the generation runs on the backend server of the move.
+	Moved(move Move, ok bool, now time.Time)
+}
