sched, grant, relay: runs move away from engines that leave

Change: the home of a pool plans the moves of a leaving engine one at a time (sched.evacuate) and sends them down the scheduling stream. The instance that passes the run on has it copied while it runs, then stopped with the rest copied, and continues at the last event that its caller got.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,8 @@
 	// keepGone is the time for which a backend server that left stays known. Copies of its runs live 5 s.
 	keepGone = 15 * time.Second
 
+	bitsPerByte = 8
+
 	// outputLimit bounds one output for placement; requests state their own limit.
 	outputLimit = 32_768
 )
@@ -263,7 +265,6 @@
 	if f.catalogue == nil {
 		return nil
 	}
-	const bitsPerByte = 8
 	parts := spec.Parts{
 		Version:            spec.Version{Number: f.catalogue.Version(), Revision: f.revision},
 		LinkBytesPerSecond: f.options.LinkBits / bitsPerByte,
@@ -276,6 +277,9 @@
 	for _, service := range f.catalogue.Services() {
 		if service.Engine != nil {
 			limits[service.Name] = service.Engine
+			if service.Engine.Moves && service.Engine.LinkBits > 0 {
+				parts.TokenCopyTime = copyTime(service.Engine)
+			}
 			parts.Models = append(parts.Models, spec.ModelParts{Name: service.Name, MaxTokens: outputLimit})
 		}
 	}
@@ -300,3 +304,9 @@
 	}
 	return spec.Assemble(parts)
 }
+
+// copyTime returns the time that it takes to copy the memory of one token over an engine's link.
+func copyTime(engine *route.EngineLimits) time.Duration {
+	bits := float64(engine.TokenBytes) * bitsPerByte
+	return time.Duration(bits / float64(engine.LinkBits) * float64(time.Second))
+}
--- a/internal/grant/convert.go
+++ b/internal/grant/convert.go
@@ -26,6 +26,7 @@
 		StragglerRatio:  policy.StragglerRatio(),
 		PrefixLoadBound: policy.PrefixLoadBound(),
 		DefaultDeadline: policy.DefaultDeadline(),
+		CopyTime:        policy.TokenCopyTime(),
 	}
 }
 
@@ -111,6 +112,8 @@
 		message.Backend = decision.Engine
 	case sched.VerdictWait:
 		message.Queued = true
+	case sched.VerdictMove:
+		message.MoveTo = decision.Engine
 	default:
 		message.Refusal = &peerpb.RefusalInfo{
 			Reason: decision.Reason.String(),
@@ -129,6 +132,8 @@
 	switch {
 	case message.GetBackend() != "":
 		decision.Verdict = sched.VerdictServe
+	case message.GetMoveTo() != "":
+		decision.Verdict, decision.Engine = sched.VerdictMove, message.GetMoveTo()
 	case refusal != nil:
 		decision.Verdict = sched.VerdictRefuse
 		decision.Reason, _ = pond.ReasonString(refusal.GetReason())
--- a/internal/grant/link.go
+++ b/internal/grant/link.go
@@ -103,7 +103,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	up := l.up
-	if len(up.Offers)+len(up.Progress)+len(up.Finished) == 0 {
+	if len(up.Offers)+len(up.Progress)+len(up.Finished)+len(up.Moves) == 0 {
 		return nil
 	}
 	l.up = new(peerpb.ScheduleUp)
@@ -164,3 +164,9 @@
 	}
 	l.add(func(up *peerpb.ScheduleUp) { up.Finished = append(up.Finished, item) })
 }
+
+func (l *link) moved(id, target string, ok bool, now time.Time) {
+	l.usedAt = now
+	item := &peerpb.MoveResult{Generation: id, Backend: target, Moved: ok}
+	l.add(func(up *peerpb.ScheduleUp) { up.Moves = append(up.Moves, item) })
+}
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -86,7 +86,7 @@
 
 var (
 	_ pond.Placer                 = (*Placer)(nil)
-	_ pond.Placement              = (*ticket)(nil)
+	_ pond.MovablePlacement       = (*ticket)(nil)
 	_ peerpb.DRPCSchedulingServer = (*Placer)(nil)
 	_ holder                      = (*link)(nil)
 	_ holder                      = localHolder{}
@@ -162,6 +162,7 @@
 		req:     req,
 		key:     poolKey{model: req.Model, region: region},
 		answers: make(chan answer, 1),
+		moves:   make(chan pond.Move, 1),
 	}
 	t.req.Avoid = slices.Clone(req.Avoid)
 	if !p.admit(t) {
@@ -217,6 +218,12 @@
 // decision to serve comes too late is told that the request ended. The lock must be held.
 func (p *Placer) decide(h holder, decision sched.Decision, now time.Time) {
 	t, ok := p.tickets[decision.ID]
+	if decision.Verdict == sched.VerdictMove {
+		if ok && t.state == ticketRunning && t.holder == h {
+			t.askMove(decision.Engine)
+		}
+		return
+	}
 	if !ok || t.state != ticketWaiting || t.holder != h {
 		if decision.Verdict == sched.VerdictServe && (!ok || t.holder != h) {
 			h.finish(decision.ID, sched.End{}, now)
@@ -275,6 +282,24 @@
 	}
 }
 
+// moved passes on how a move of a running ticket ended.
+func (p *Placer) moved(t *ticket, target string, ok bool, now time.Time) {
+	p.mu.Lock()
+	if t.state != ticketRunning || t.holder == nil {
+		p.mu.Unlock()
+		return
+	}
+	if ok {
+		t.backend = target
+	}
+	t.holder.moved(t.req.Generation, target, ok, now)
+	local, isLocal := t.holder.(localHolder)
+	p.mu.Unlock()
+	if isLocal {
+		p.run(local.pool)
+	}
+}
+
 // run runs a pool's systems and passes on the decisions.
 func (p *Placer) run(pool *pool) {
 	now := p.options.Now()
--- a/internal/grant/placer_test.go
+++ b/internal/grant/placer_test.go
@@ -282,7 +282,9 @@
 func (*recorder) offer(*ticket, time.Time) (sched.Decision, bool) { return sched.Decision{}, false }
 func (*recorder) register(*ticket, time.Time)                     {}
 func (*recorder) progress(string, sched.Progress, time.Time)      {}
-func (r *recorder) finish(id string, _ sched.End, _ time.Time)    { r.finished = append(r.finished, id) }
+func (r *recorder) moved(string, string, bool, time.Time)         {}
+
+func (r *recorder) finish(id string, _ sched.End, _ time.Time) { r.finished = append(r.finished, id) }
 
 // TestLateDecision guards against a second decision for one caller, and against a reservation that stays with a holder
 // whose decision came too late.
--- a/internal/grant/pool.go
+++ b/internal/grant/pool.go
@@ -63,6 +63,7 @@
 			Adapters:     backend.Adapters(),
 			MemoryTokens: backend.MemoryTokens(),
 			MaxRunning:   backend.MaxRunning(),
+			Place:        backend.DataCentre(),
 			Accepting:    p.accepting(backend),
 		})
 	}
@@ -136,6 +137,13 @@
 	p.scheduler.Finish(id, end, now)
 }
 
+// moved passes on how a move ended.
+func (p *pool) moved(id, target string, ok bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.Moved(id, target, ok, now)
+}
+
 // disconnect handles the requests of an instance whose stream ended. Waiting ones are offered elsewhere by their
 // instance. Running ones may continue; they hold their memory until the limit, unless a stream registers them again.
 func (p *pool) disconnect(ids []string, origin uint64, now time.Time) {
--- a/internal/grant/serve.go
+++ b/internal/grant/serve.go
@@ -133,6 +133,12 @@
 			pool.progress(id, progressOf(item), now)
 		}
 	}
+	for _, item := range up.GetMoves() {
+		if pool := o.poolOf(item.GetGeneration()); pool != nil {
+			pool.moved(item.GetGeneration(), item.GetBackend(), item.GetMoved(), now)
+			freed[pool] = struct{}{}
+		}
+	}
 	for pool := range freed {
 		p.run(pool)
 	}
@@ -204,6 +210,13 @@
 	return id, o.open[id].pool
 }
 
+// poolOf returns the pool of an open request, or nil.
+func (o *outlet) poolOf(id string) *pool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.open[id].pool
+}
+
 func (o *outlet) drop(id string) *pool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -217,7 +230,7 @@
 func (o *outlet) push(decision sched.Decision, now time.Time) {
 	o.mu.Lock()
 	o.decisions = append(o.decisions, messageOf(decision, now))
-	if decision.Verdict != sched.VerdictWait {
+	if decision.Verdict == sched.VerdictServe || decision.Verdict == sched.VerdictRefuse {
 		o.settle(decision.ID, decision.Verdict == sched.VerdictServe)
 	}
 	o.mu.Unlock()
--- a/internal/grant/ticket.go
+++ b/internal/grant/ticket.go
@@ -16,6 +16,8 @@
 	register(t *ticket, now time.Time)
 	progress(id string, progress sched.Progress, now time.Time)
 	finish(id string, end sched.End, now time.Time)
+	// moved tells how a move of a running request ended.
+	moved(id, target string, ok bool, now time.Time)
 }
 
 type ticketState int
@@ -40,6 +42,7 @@
 	offeredAt time.Time
 	offers    int
 	answers   chan answer
+	moves     chan pond.Move
 
 	backend string
 	address string
@@ -72,6 +75,23 @@
 	t.placer.end(t, sched.End{Tokens: tokens, Complete: end.Complete, BackendFailed: end.BackendFailed}, now)
 }
 
+// askMove passes a move on to the caller. A newer move replaces one that the caller has not taken yet.
+func (t *ticket) askMove(target string) {
+	select {
+	case <-t.moves:
+	default:
+	}
+	t.moves <- pond.Move{Backend: target}
+}
+
+// Moves implements pond.MovablePlacement.
+func (t *ticket) Moves() <-chan pond.Move { return t.moves }
+
+// Moved implements pond.MovablePlacement.
+func (t *ticket) Moved(move pond.Move, ok bool, now time.Time) {
+	t.placer.moved(t, move.Backend, ok, now)
+}
+
 // report returns what the ticket has shown since the last report, and false if that is nothing.
 func (t *ticket) report() (sched.Progress, bool) {
 	shown, shownAt := t.shown.Load(), t.shownAt.Load()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -44,8 +44,6 @@
 type stream struct {
 	x         *exchange
 	placement pond.Placement
-	backend   route.Backend
-	body      io.ReadCloser
 	reader    *bufio.Reader
 	head      http.Header
 	flusher   *http.ResponseController
@@ -55,30 +53,46 @@
 	events   int
 	started  bool
 	mover    *mover
+
+	// mu protects what the mover reads too.
+	mu      sync.Mutex
+	backend route.Backend
+	body    io.ReadCloser
 }
 
 func newStream(x *exchange, placement pond.Placement, backend route.Backend, a attempt) *stream {
 	s := &stream{
 		x:         x,
 		placement: placement,
-		backend:   backend,
 		head:      a.resp.Header,
 		flusher:   http.NewResponseController(x.w),
 		number:    -1,
 	}
-	s.read(a.rest)
+	s.reader = bufio.NewReaderSize(nil, readerBuffer)
+	s.setCurrent(backend, a.rest)
 	return s
 }
 
-func (s *stream) read(body io.ReadCloser) {
-	s.body = body
-	if s.reader == nil {
-		s.reader = bufio.NewReaderSize(body, readerBuffer)
-		return
-	}
+// setCurrent makes an engine the one whose events are passed on.
+func (s *stream) setCurrent(backend route.Backend, body io.ReadCloser) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backend, s.body = backend, body
 	s.reader.Reset(body)
 }
 
+func (s *stream) current() route.Backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backend
+}
+
+func (s *stream) currentBody() io.ReadCloser {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.body
+}
+
 // run passes events on until the end of the answer.
 func (s *stream) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -87,7 +101,7 @@
 	defer s.mover.stop()
 	end := pond.PlacementEnd{}
 	defer func() { s.placement.Done(end, time.Now()) }()
-	defer func() { _ = s.body.Close() }()
+	defer func() { _ = s.currentBody().Close() }()
 	for {
 		err := s.pass()
 		end.Tokens = s.tokens()
@@ -214,8 +228,7 @@
 		a := s.x.send(ctx, s.x.dispatch(place, resume))
 		if a.err == nil && a.resp.StatusCode == http.StatusOK {
 			s.logMove(place, result, time.Since(brokeAt))
-			s.backend = place
-			s.read(a.rest)
+			s.setCurrent(place, a.rest)
 			s.mover.done(result, true)
 			return true
 		}
@@ -291,6 +304,11 @@
 		case <-ctx.Done():
 			return
 		case move := <-m.placement.Moves():
+			if current := m.s.current(); m.s.x.relay.options.Fleet.Accepting(current.ID) {
+				// The placer does not know yet that the run has left the engine that leaves.
+				m.placement.Moved(pond.Move{Backend: current.ID}, true, time.Now())
+				continue
+			}
 			m.begin()
 			result := m.move(ctx, move)
 			if !m.end(result) {
@@ -355,7 +373,7 @@
 func (m *mover) move(ctx context.Context, move pond.Move) *moveResult {
 	x := m.s.x
 	fleet := x.relay.options.Fleet
-	source := m.s.backend
+	source := m.s.current()
 	log := x.log.WithFields(logrus.Fields{logs.Source: source.ID, logs.Target: move.Backend})
 	target, ok := fleet.Backend(move.Backend)
 	if !ok || target.ID == source.ID {
@@ -378,7 +396,7 @@
 	switch {
 	case err == nil:
 		result.handle = second.Handle
-		body := m.s.body
+		body := m.s.currentBody()
 		time.AfterFunc(closeDelay, func() { _ = body.Close() })
 	case errors.As(err, &refused) && refused.NoRun:
 		m.mu.Lock()
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -15,6 +15,8 @@
 	Adapters     []string
 	MemoryTokens int
 	MaxRunning   int
+	// Place is the data centre; copies within one place are faster.
+	Place string
 	// Accepting is false for an engine that must get no new work.
 	Accepting bool
 }
@@ -84,11 +86,21 @@
 	speed          speed
 	releasedTokens [releaseSlots]int
 	releasedPeriod int64
+
+	place string
+	// leavingAt is the time from which the engine accepts no work; zero while it does.
+	leavingAt time.Time
+	// outgoing and incoming count the moves in progress from and to the engine.
+	outgoing int
+	incoming int
 }
 
 func (e *engine) configure(spec Engine, policy Policy) {
 	e.version, e.adapters = spec.Version, spec.Adapters
-	e.accepting, e.retired = spec.Accepting, false
+	if spec.Accepting {
+		e.leavingAt = time.Time{}
+	}
+	e.accepting, e.retired, e.place = spec.Accepting, false, spec.Place
 	e.memory, e.maxRunning = spec.MemoryTokens, spec.MaxRunning
 	e.usable = int(float64(e.memory) * (1 - policy.Headroom))
 	e.longLimit = int(float64(e.usable) * (1 - policy.ShortShare))
--- /dev/null
+++ b/internal/sched/evacuate_test.go
@@ -0,0 +1,152 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// movingPolicy lets engines copy a run of 4,000 tokens in 0.22 s, as the present deployments do.
+func movingPolicy() Policy {
+	policy := testPolicy()
+	policy.CopyTime = 55 * time.Microsecond
+	return policy
+}
+
+// startRuns starts n long outputs on each engine and lets each show some tokens.
+func startRuns(t *testing.T, s *Scheduler, engines []Engine, n int) {
+	t.Helper()
+	id := 0
+	for _, e := range engines {
+		for range n {
+			req := testRequest(id, pond.ClassLong, 3000, 2000)
+			s.Register(req, e.Name, 100, epoch)
+			id++
+		}
+	}
+}
+
+// moves returns the moves among the decisions of a tick.
+func moves(s *Scheduler, now time.Time) []Decision {
+	var found []Decision
+	for _, decision := range s.Tick(now) {
+		if decision.Verdict == VerdictMove {
+			found = append(found, decision)
+		}
+	}
+	return found
+}
+
+// TestEvacuateReclaimedEngines replays the load pattern of a calm day: two of twelve engines are taken away at the same
+// moment, each with four long outputs. It guards against runs that stay behind, runs that move to an engine that leaves
+// too, and copies of one engine that delay each other. Without copies between engines nothing moves and all eight are
+// lost, as they were before.
+func TestEvacuateReclaimedEngines(t *testing.T) {
+	tests := []struct {
+		name     string
+		policy   Policy
+		wantLeft int
+	}{
+		{name: "engines that copy", policy: movingPolicy(), wantLeft: 0},
+		{name: "engines that do not", policy: testPolicy(), wantLeft: 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			engines := testEngines(12, 34_000, 24)
+			s := newTestScheduler(test.policy, engines...)
+			startRuns(t, s, engines, 4)
+			leaving := map[string]bool{engines[0].Name: true, engines[1].Name: true}
+			for name := range leaving {
+				s.SetAccepting(name, false)
+			}
+			const copyTime = 250 * time.Millisecond
+			now := epoch
+			for step := range 6 {
+				found := moves(s, now)
+				if len(found) > len(leaving) {
+					t.Fatalf("step %d: %d moves at once from %d engines", step, len(found), len(leaving))
+				}
+				now = now.Add(copyTime)
+				for _, move := range found {
+					if leaving[move.Engine] {
+						t.Errorf("step %d: %s moves to %s, which leaves too", step, move.ID, move.Engine)
+					}
+					s.Moved(move.ID, move.Engine, true, now)
+				}
+			}
+			left := 0
+			for _, stats := range s.EngineStats() {
+				if leaving[stats.Name] {
+					left += stats.Running
+				}
+			}
+			if left != test.wantLeft {
+				t.Errorf("%d runs are left on leaving engines, want %d", left, test.wantLeft)
+			}
+		})
+	}
+}
+
+// TestEvacuateOrder guards against spending the notice on runs that end in time or that have not started, while others
+// are lost.
+func TestEvacuateOrder(t *testing.T) {
+	engines := testEngines(2, 34_000, 24)
+	s := newTestScheduler(movingPolicy(), engines...)
+	source := engines[0].Name
+	add := func(id, prompt, maxOut, shown int) string {
+		req := testRequest(id, pond.ClassLong, prompt, maxOut)
+		s.Register(req, source, shown, epoch)
+		return req.ID
+	}
+	ending := add(1, 3000, 1000, 990)
+	queued := add(2, 3000, 2000, 0)
+	costly := add(3, 6000, 1500, 100)
+	cheap := add(4, 2000, 1500, 100)
+	s.SetAccepting(source, false)
+	now := epoch
+	var order []string
+	for range 4 {
+		found := moves(s, now)
+		if len(found) != 1 {
+			t.Fatalf("%d moves after %v, want 1", len(found), order)
+		}
+		order = append(order, found[0].ID)
+		s.Moved(found[0].ID, found[0].Engine, true, now)
+		now = now.Add(time.Millisecond)
+	}
+	want := []string{cheap, costly, ending, queued}
+	for i := range want {
+		if order[i] != want[i] {
+			t.Fatalf("order of moves %v, want %v", order, want)
+		}
+	}
+}
+
+// TestEvacuateFailedMove guards against a run that is counted on an engine on which it does not run, and against
+// repeating a move to a target that failed.
+func TestEvacuateFailedMove(t *testing.T) {
+	engines := testEngines(3, 34_000, 24)
+	s := newTestScheduler(movingPolicy(), engines...)
+	startRuns(t, s, engines[:1], 1)
+	s.SetAccepting(engines[0].Name, false)
+	first := moves(s, epoch)
+	if len(first) != 1 {
+		t.Fatalf("%d moves, want 1", len(first))
+	}
+	s.Moved(first[0].ID, first[0].Engine, false, epoch)
+	if got := s.EngineStats()[0].Running; got != 1 {
+		t.Errorf("%d runs counted on the source after a failed move, want 1", got)
+	}
+	if again := moves(s, epoch.Add(moveRetry/2)); len(again) != 0 {
+		t.Errorf("the move is repeated at once: %v", again)
+	}
+	second := moves(s, epoch.Add(2*moveRetry))
+	if len(second) != 1 || second[0].Engine == first[0].Engine {
+		t.Errorf("moves %v after a failed one to %s, want one to the other engine", second, first[0].Engine)
+	}
+	// The instance that carries the move out is gone: the place on the target is free again.
+	if late := moves(s, epoch.Add(2*moveRetry+2*moveLimit)); len(late) > 1 {
+		t.Errorf("moves %v after one that was never answered", late)
+	}
+}
--- a/internal/sched/request.go
+++ b/internal/sched/request.go
@@ -113,7 +113,15 @@
 	regrowAt int
 	growing  bool
 	admitted queueKind // queue and cost when it started
-	booked   float64
+
+	// moving is true while the request's memory is copied from the engine source to its present engine.
+	moving       bool
+	source       string
+	moveDeadline time.Time
+	// moveAfter is the time from which a move may be tried again, and moveFailed the engine of the last failed one.
+	moveAfter  time.Time
+	moveFailed string
+	booked     float64
 }
 
 func (r *request) waiting() bool { return r.engine == table.None }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -32,6 +32,7 @@
 	drain    drain
 	medians  medians
 	retries  float64
+	moves    int // moves in progress
 
 	serial      uint64
 	pass        uint64
@@ -247,6 +248,7 @@
 	s.expire(now)
 	s.observe(now)
 	s.grow(now)
+	s.evacuate(now)
 	s.dispatch(now)
 	s.refuseHopeless(now)
 	return s.decisions
@@ -307,6 +309,7 @@
 
 func (s *Scheduler) forget(slot table.Slot, now time.Time) {
 	r := s.requests.At(slot)
+	s.endMove(r)
 	a := s.accounts.At(r.account)
 	a.open--
 	a.idleAt = now
--- a/pkg/spec/assemble.go
+++ b/pkg/spec/assemble.go
@@ -49,6 +49,8 @@
 	TokenGap time.Duration
 	// ShortMaxTokens is the output length up to which a request of unknown class counts as short; zero leaves the default.
 	ShortMaxTokens int
+	// TokenCopyTime is the time that it takes to copy the memory of one token to another engine; zero if engines cannot.
+	TokenCopyTime time.Duration
 	// RetryBudget is the number of retries for each first attempt; zero leaves the default.
 	RetryBudget float64
 }
@@ -64,6 +66,7 @@
 		Policy: policyDoc{
 			ShortMaxTokens: parts.ShortMaxTokens,
 			RetryBudget:    parts.RetryBudget,
+			TokenCopyTime:  parts.TokenCopyTime,
 		},
 	}
 	if parts.TokenGap > 0 {
--- a/pkg/spec/document.go
+++ b/pkg/spec/document.go
@@ -1,5 +1,7 @@
 package spec
 
+import "time"
+
 // The document types mirror the JSON of a manifest. Exported types wrap them with accessors.
 
 type manifestDoc struct {
@@ -94,4 +96,6 @@
 	DefaultDeadline   string  `json:"defaultDeadline"`
 	MaxBodyBytes      int64   `json:"maxBodyBytes"`
 	MaxServiceRecords int     `json:"maxServiceRecords"`
+	// TokenCopyTime is set by Assemble only: engines of the published protocol cannot move requests.
+	TokenCopyTime time.Duration `json:"-"`
 }
--- a/pkg/spec/entity.go
+++ b/pkg/spec/entity.go
@@ -182,6 +182,10 @@
 // MaxBodyBytes returns the limit of a request body.
 func (p Policy) MaxBodyBytes() int64 { return orDefault(p.doc.MaxBodyBytes, 1<<20) }
 
+// TokenCopyTime returns the time that it takes to copy the memory of one token to another engine, or 0 if engines cannot
+// move requests.
+func (p Policy) TokenCopyTime() time.Duration { return p.doc.TokenCopyTime }
+
 // MaxServiceRecords returns the number of at-most-once records that one instance keeps. The default carries 22 calls a
 // second for the 15 minutes that a record lives, in about 10 MB.
 func (p Policy) MaxServiceRecords() int { return orDefault(p.doc.MaxServiceRecords, 20_000) }
