--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -57,6 +57,12 @@
 	RemainingMillis = "remainingMillis"
 	// ElapsedMillis is the time since the request arrived, in milliseconds.
 	ElapsedMillis = "elapsedMillis"
+	// FirstEventMillis is the time from the request to the first event of its stream, and MaxGapMillis the longest time
+	// between two events, in milliseconds.
+	FirstEventMillis = "firstEventMillis"
+	MaxGapMillis     = "maxGapMillis"
+	// Moves counts how often a run went on on another engine.
+	Moves = "moves"
 	// Peer is the name of another instance.
 	Peer = "peer"
 	// Dropped is the number of lines that were not written.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,8 +92,8 @@
 	deadline  time.Time
 	body      Body
 	log       logrus.FieldLogger
-	// sent is true once a backend server may have got the request.
-	sent bool
+	// stream describes the stream for the log; nil without one.
+	stream *stream
 }
 
 // Serve answers one request.
@@ -255,6 +255,9 @@
 		fields[logs.Route], fields[logs.Account] = x.route.Name, x.account
 		kind = x.route.Kind.String()
 	}
+	if x.stream != nil {
+		x.stream.describe(fields)
+	}
 	x.relay.options.Metrics.Ended(kind, outcome, reason, x.account, time.Since(x.arrived))
 	x.log.WithFields(fields).Info("request ended")
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -52,6 +52,10 @@
 	number   int64
 	events   int
 	started  bool
+	firstAt  time.Time
+	lastAt   time.Time
+	maxGap   time.Duration
+	moves    int
 	mover    *mover
 
 	// mu protects what the mover reads too.
@@ -68,6 +72,7 @@
 		flusher:   http.NewResponseController(x.w),
 		number:    -1,
 	}
+	x.stream = s
 	s.reader = bufio.NewReaderSize(nil, readerBuffer)
 	s.setCurrent(backend, a.rest)
 	return s
@@ -168,7 +173,7 @@
 	if _, err := s.x.w.Write(event); err != nil {
 		return errors.Join(errCallerLeft, err)
 	}
-	s.events++
+	s.note(time.Now())
 	s.placement.Progress(s.tokens(), time.Now())
 	if err := s.flusher.Flush(); err != nil {
 		return errors.Join(errCallerLeft, err)
@@ -176,6 +181,28 @@
 	return nil
 }
 
+// note counts an event that was passed on.
+func (s *stream) note(now time.Time) {
+	s.events++
+	if s.firstAt.IsZero() {
+		s.firstAt = now
+	} else {
+		s.maxGap = max(s.maxGap, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+}
+
+// describe adds what the log tells about a stream.
+func (s *stream) describe(fields logrus.Fields) {
+	fields[logs.Backend] = s.current().ID
+	fields[logs.Position] = s.position
+	fields[logs.Moves] = s.moves
+	fields[logs.MaxGapMillis] = s.maxGap.Milliseconds()
+	if !s.firstAt.IsZero() {
+		fields[logs.FirstEventMillis] = s.firstAt.Sub(s.x.arrived).Milliseconds()
+	}
+}
+
 func (s *stream) start() {
 	if s.started {
 		return
@@ -229,6 +256,7 @@
 		if a.err == nil && a.resp.StatusCode == http.StatusOK {
 			s.logMove(place, result, time.Since(brokeAt))
 			s.setCurrent(place, a.rest)
+			s.moves++
 			s.mover.done(result, true)
 			return true
 		}
