grant: streams to the homes are open before the first request

Cause: until its stream to the home is open, an instance decides alone. Change: maintenance opens the streams to the homes of this region's pools.

--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -7,6 +7,7 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
+	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
 
 // homesInterval is the time between two rankings of the instances. At 350 instances and 34 models a ranking of all
@@ -245,11 +246,25 @@
 			delete(p.paused, address)
 		}
 	}
+	p.openHomes(manifest, now)
 	p.closeSilent(now)
 	p.rehome(now)
 	p.flush(now)
 }
 
+// openHomes opens the streams to the homes of this region's pools before the first request. Instances that each decide
+// alone until their streams are open all choose the same engine: 34 of the first 50 requests of a day went to two of 45.
+func (p *Placer) openHomes(manifest *spec.Manifest, now time.Time) {
+	if manifest == nil || p.draining {
+		return
+	}
+	for _, model := range manifest.Models() {
+		if l, _ := p.candidate(poolKey{model: model.Name(), region: p.region()}, now); l != nil {
+			l.usedAt = now
+		}
+	}
+}
+
 // closeSilent ends the streams of homes that owe an answer for too long, and unused streams.
 func (p *Placer) closeSilent(now time.Time) {
 	owed := make(map[*link]time.Time)
