--- a/internal/sched/pace.go
+++ b/internal/sched/pace.go
@@ -5,7 +5,7 @@
 const (
 	// slowPace is the ratio to the pool's median pace from which an engine counts as slow. Deployments mix engines of
 	// which some take 1.3 times as long for a token.
-	slowPace = 1.15
+	slowPace = 1.22
 
 	// paceWindow is the width of the two windows over which the least gap is taken. It is longer than the disturbances by
 	// co-located work, which take up to a second.
