--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,103 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+// TestSourceFails guards against an instance that stays with a source that fails, is silent, or is not current itself.
+func TestSourceFails(t *testing.T) {
+	silent := func(ctx context.Context, _ uint64) (Batch, error) {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	}
+	tests := []struct {
+		name  string
+		first SourceFunc
+	}{
+		{"fails", func(context.Context, uint64) (Batch, error) { return Batch{}, errors.New("refused") }},
+		{"silent", silent},
+		{"stale", func(context.Context, uint64) (Batch, error) {
+			return Batch{Snapshot: true, Revision: 1, ConfirmedAt: time.Now().Add(-time.Minute)}, nil
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				good := SourceFunc(func(context.Context, uint64) (Batch, error) {
+					time.Sleep(PullWait)
+					return Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}, ConfirmedAt: time.Now().Add(-PullWait)}, nil
+				})
+				f := New(Options{
+					Upstreams: func() []Upstream {
+						return []Upstream{{Name: "first", Source: test.first}, {Name: "second", Source: good}}
+					},
+					Clock: time.Now, Log: quietLog(), Changed: func([]Record) {},
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				stopped := make(chan struct{})
+				defer func() {
+					cancel()
+					<-stopped
+				}()
+				go func() {
+					defer close(stopped)
+					_ = f.Run(ctx)
+				}()
+				time.Sleep(bodyLimit + 3*PullLimit)
+				synctest.Wait()
+				if f.Revision() != 5 {
+					t.Fatalf("revision %d, want 5 from the second source", f.Revision())
+				}
+				// The first source is tried again and again; the copy has to stay confirmed all the same.
+				for range 20 {
+					time.Sleep(700 * time.Millisecond)
+					synctest.Wait()
+					if age := time.Since(f.ConfirmedAt()); age > 4500*time.Millisecond {
+						t.Errorf("the copy was last confirmed %v ago, keys are refused after 4.5 s", age)
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestServe guards against followers that learn of a change late, and against answers that come after their timeout.
+func TestServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(Options{Clock: time.Now, Log: quietLog(), Changed: func([]Record) {}})
+		f.merge(Batch{Snapshot: true, Revision: 3, Records: []Record{record("a", 3)}})
+		began := time.Now()
+		if batch := f.Serve(t.Context(), 3); len(batch.Records) != 0 || time.Since(began) >= PullLimit {
+			t.Errorf("%d records after %v, want none within %v", len(batch.Records), time.Since(began), PullLimit)
+		}
+		answer := make(chan Batch, 1)
+		go func() { answer <- f.Serve(t.Context(), 3) }()
+		synctest.Wait()
+		f.merge(Batch{Revision: 4, Records: []Record{record("b", 4)}})
+		synctest.Wait()
+		select {
+		case batch := <-answer:
+			if len(batch.Records) != 1 || batch.Records[0].Key != "b" {
+				t.Errorf("records %v, want b", batch.Records)
+			}
+		default:
+			t.Error("a waiting follower does not learn of a change at once")
+		}
+		if batch := f.Serve(t.Context(), 0); !batch.Snapshot || len(batch.Records) != 2 {
+			t.Errorf("the first answer holds %d records, snapshot %v; want both and true", len(batch.Records), batch.Snapshot)
+		}
+	})
+}
