--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypond/dragonflypond/internal/feed"
+	"github.com/dragonflypond/dragonflypond/internal/route"
+)
+
+// testDecoder reads the value of a record: "ready", "leaving" or "reborn" for a backend server, and the version of a
+// catalogue under the key "catalogue".
+type testDecoder struct{}
+
+func (testDecoder) Catalogue(record feed.Record) (*route.Catalogue, error) {
+	if record.Key != "catalogue" {
+		return nil, nil
+	}
+	return route.New(route.Content{
+		Version:  uint64(record.Value[0]),
+		Services: []route.Service{{Name: "llm", Engine: &route.EngineLimits{Slots: 4, MemoryTokens: 1000, Moves: true, TokenBytes: 1000, LinkBits: 8e9}}},
+	}), nil
+}
+
+func (testDecoder) Backend(record feed.Record) (route.Backend, bool, error) {
+	if record.Key == "catalogue" {
+		return route.Backend{}, false, nil
+	}
+	backend := route.Backend{ID: record.Key, Service: "llm", Address: "10.0.0.1:1", DataCentre: "north-a"}
+	switch string(record.Value) {
+	case "ready", "":
+	case "leaving":
+		backend.Leaving = true
+	case "reborn":
+		backend.Born = 2
+	default:
+		return backend, true, errors.New("damaged")
+	}
+	return backend, true, nil
+}
+
+func put(value string, revision uint64) feed.Record {
+	return feed.Record{Key: "e1", Value: []byte(value), Revision: revision}
+}
+
+func newTestFleet(now *time.Time) *Fleet {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := New(Options{
+		Decoder: testDecoder{}, Regions: map[string][]string{"north": {"north-a"}},
+		Clock: func() time.Time { return *now }, Log: log,
+	})
+	f.Apply([]feed.Record{{Key: "catalogue", Value: []byte{1}, Revision: 1}}, time.Time{})
+	return f
+}
+
+// TestAccepting guards against work for a backend server that leaves, is gone or says so itself, and against dropping one
+// whose entry only expired while the store was down.
+func TestAccepting(t *testing.T) {
+	gone := feed.Record{Key: "e1", Revision: 9, Deleted: true}
+	tests := []struct {
+		name      string
+		steps     func(f *Fleet, now time.Time)
+		want      bool
+		wantLater bool // three seconds later
+	}{
+		{"ready", func(f *Fleet, _ time.Time) { f.Apply([]feed.Record{put("ready", 2)}, time.Time{}) }, true, true},
+		{"leaving", func(f *Fleet, _ time.Time) { f.Apply([]feed.Record{put("ready", 2), put("leaving", 3)}, time.Time{}) }, false, false},
+		{"gone without notice", func(f *Fleet, _ time.Time) { f.Apply([]feed.Record{put("ready", 2), gone}, time.Time{}) }, false, false},
+		{"expired in an outage", func(f *Fleet, now time.Time) { f.Apply([]feed.Record{put("ready", 2), gone}, now) }, true, false},
+		{"expired and back", func(f *Fleet, now time.Time) {
+			f.Apply([]feed.Record{put("ready", 2), gone, put("ready", 10)}, now)
+		}, true, true},
+		{"leaving, then expired in an outage", func(f *Fleet, now time.Time) {
+			f.Apply([]feed.Record{put("leaving", 2), gone}, now)
+		}, false, false},
+		{"refuses by itself", func(f *Fleet, _ time.Time) {
+			f.Apply([]feed.Record{put("ready", 2)}, time.Time{})
+			f.Refused("e1")
+		}, false, false},
+		{"started again after it refused", func(f *Fleet, _ time.Time) {
+			f.Apply([]feed.Record{put("ready", 2)}, time.Time{})
+			f.Refused("e1")
+			f.Apply([]feed.Record{put("reborn", 3)}, time.Time{})
+		}, true, true},
+		{"damaged entry", func(f *Fleet, _ time.Time) { f.Apply([]feed.Record{put("ready", 2), put("?", 3)}, time.Time{}) }, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			f := newTestFleet(&now)
+			test.steps(f, now)
+			if got := f.Accepting("e1"); got != test.want {
+				t.Errorf("accepting %v, want %v", got, test.want)
+			}
+			now = now.Add(3 * time.Second)
+			if got := f.Accepting("e1"); got != test.wantLater {
+				t.Errorf("accepting %v three seconds later, want %v", got, test.wantLater)
+			}
+			if _, known := f.Backend("e1"); !known {
+				t.Error("the backend server is forgotten, so that its runs cannot move away")
+			}
+		})
+	}
+}
+
+// TestConfigurationOrder guards against a configuration that reverts.
+func TestConfigurationOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newTestFleet(&now)
+	for _, version := range []byte{5, 3, 5} {
+		f.Apply([]feed.Record{{Key: "catalogue", Value: []byte{version}, Revision: uint64(10 + version)}}, time.Time{})
+	}
+	if got := f.Catalogue().Version(); got != 5 {
+		t.Errorf("version %d in effect, want 5", got)
+	}
+}
+
+// TestManifest guards against placement on engines other than the listed ones.
+func TestManifest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newTestFleet(&now)
+	f.Apply([]feed.Record{put("ready", 2)}, time.Time{})
+	backends := f.Current().Backends()
+	if len(backends) != 1 || backends[0].Region() != "north" || backends[0].MaxRunning() != 4 || backends[0].Leaving() {
+		t.Errorf("engines %+v, want e1 in north with 4 places", backends)
+	}
+	if got := f.Current().Policy().TokenCopyTime(); got != time.Microsecond {
+		t.Errorf("a token takes %v to copy, want 1 µs: 1,000 bytes over 8 Gbit/s", got)
+	}
+}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,87 @@
+package logs
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+)
+
+// blockedWriter is an output that nobody reads.
+type blockedWriter struct{ release chan struct{} }
+
+func (w *blockedWriter) Write(line []byte) (int, error) {
+	<-w.release
+	return len(line), nil
+}
+
+// TestNobodyReads guards against requests that stop because nobody reads the log.
+func TestNobodyReads(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	log := New(out)
+	const lines = 10 * bufferLines
+	for i := range lines {
+		log.WithFields(logrus.Fields{Event: i}).Info("a line") // Events that are no text have one rate together.
+	}
+	if log.DroppedLines() < lines-bufferLines-linesPerSecond {
+		t.Errorf("%d of %d lines dropped, want nearly all", log.DroppedLines(), lines)
+	}
+	log.Close()
+	close(out.release)
+}
+
+// safeBuffer is a buffer that two goroutines use.
+type safeBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *safeBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(line)
+}
+
+func (b *safeBuffer) lines() [][]byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Split(bytes.TrimSpace(b.buffer.Bytes()), []byte("\n"))
+}
+
+// TestVolume guards against one kind of line that floods the log, and against losing the other kinds with it.
+func TestVolume(t *testing.T) {
+	out := new(safeBuffer)
+	log := New(out)
+	for range 5 * linesPerSecond {
+		log.WithField(Event, "flood").Info("many")
+	}
+	log.WithField(Event, "rare").Info("one")
+	log.Close()
+	counts := map[string]int{}
+	for _, line := range out.lines() {
+		var fields map[string]any
+		if err := json.Unmarshal(line, &fields); err != nil {
+			t.Fatalf("line %q: %v", line, err)
+		}
+		event, _ := fields[Event].(string)
+		counts[event]++
+	}
+	// The flood may begin in one second and end in the next.
+	if counts["flood"] < linesPerSecond || counts["flood"] > 2*linesPerSecond || counts["rare"] != 1 {
+		t.Errorf("lines %v, want about %d of the flood and the rare one", counts, linesPerSecond)
+	}
+}
+
+// BenchmarkLine measures one line with the fields of the end of a request.
+func BenchmarkLine(b *testing.B) {
+	log := New(io.Discard)
+	defer log.Close()
+	entry := log.WithField(Request, "9c41d07be2a35f68")
+	b.ReportAllocs()
+	for b.Loop() {
+		entry.WithFields(logrus.Fields{Event: "requestEnded", Status: 200, ElapsedMillis: 120, Outcome: "answered"}).Info("request ended")
+	}
+}
--- /dev/null
+++ b/internal/relay/budget_test.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestRetryBudget guards against more repeats in any window than the fleet's bound allows, whatever the arrivals.
+func TestRetryBudget(t *testing.T) {
+	const ratio, slack, window = 0.2, 60.0, 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 9).Draw(t, "instances")
+		budgets := make([]*RetryBudget, instances)
+		for i := range budgets {
+			budgets[i] = NewRetryBudget(ratio, slack, window)
+		}
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		var events []event
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			b.Request("s", now)
+			events = append(events, event{at: now})
+			for range rapid.IntRange(0, 3).Draw(t, "repeats") {
+				if b.Take("s", instances, now) {
+					events = append(events, event{at: now, repeat: true})
+				}
+			}
+		}
+		for i, first := range events {
+			requests, repeats := 0, 0
+			for _, e := range events[i:] {
+				if e.at.Sub(first.at) >= window {
+					break
+				}
+				if e.repeat {
+					repeats++
+				} else {
+					requests++
+				}
+			}
+			before := 0
+			for _, e := range events {
+				if !e.repeat && e.at.Before(first.at) && first.at.Sub(e.at) <= window {
+					before++
+				}
+			}
+			if allowed := ratio*float64(max(requests, before)) + slack; float64(repeats) > allowed {
+				t.Fatalf("%d repeats in a window with %d requests, allowed %.1f", repeats, requests, allowed)
+			}
+		}
+	})
+}
