--- /dev/null
+++ b/cmd/dragonflypond/explain.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/internal/logs"
+)
+
+// explainCommand prints what happened to one request.
+type explainCommand struct{}
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "print the story of one request from log files" }
+func (*explainCommand) Usage() string {
+	return "explain REQUEST FILE...\n  Reads the log files of any instances and prints the request's lines in order.\n"
+}
+func (*explainCommand) SetFlags(*flag.FlagSet) {}
+
+func (*explainCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if flags.NArg() < 2 {
+		fmt.Fprintln(os.Stderr, "explain needs the ID of a request and at least one log file")
+		return exitUsage
+	}
+	if err := explain(flags.Arg(0), flags.Args()[1:]); err != nil {
+		printError("explain", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func explain(request string, files []string) error {
+	story := logs.NewStory(request)
+	for _, name := range files {
+		if err := readLog(story, name); err != nil {
+			return err
+		}
+	}
+	if n := story.Damaged(); n > 0 {
+		fmt.Fprintf(os.Stderr, "%d lines that name the request cannot be decoded\n", n)
+	}
+	return errors.Wrapf(story.Write(os.Stdout), "request %s", request)
+}
+
+func readLog(story *logs.Story, name string) error {
+	file, err := os.Open(name)
+	if err != nil {
+		return errors.Wrap(err, "open a log file")
+	}
+	defer file.Close()
+	return story.Read(file, name)
+}
--- a/cmd/dragonflypond/main.go
+++ b/cmd/dragonflypond/main.go
@@ -19,6 +19,7 @@
 	subcommands.Register(new(checkCommand), "operators")
 	subcommands.Register(new(serveCommand), "operators")
 	subcommands.Register(new(instanceCommand), "operators")
+	subcommands.Register(new(explainCommand), "operators")
 	subcommands.Register(new(statusCommand), "operators")
 	subcommands.Register(new(versionCommand), "operators")
 	subcommands.Register(new(lookupCommand), "callers")
