--- a/cmd/dragonflypond/instance.go
+++ b/cmd/dragonflypond/instance.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -18,8 +19,10 @@
 // instanceCommand runs one entry instance on the users' platform.
 type instanceCommand struct{ options serve.Tuning }
 
-func (*instanceCommand) Name() string     { return "instance" }
-func (*instanceCommand) Synopsis() string { return "run one entry instance on a platform with a settings file" }
+func (*instanceCommand) Name() string { return "instance" }
+func (*instanceCommand) Synopsis() string {
+	return "run one entry instance on a platform with a settings file"
+}
 func (*instanceCommand) Usage() string {
 	return "instance [flags]\n  Reads the settings file named by " + platform.SettingsVariable + ".\n"
 }
@@ -60,9 +63,43 @@
 			instance.Shutdown()
 		}
 	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go watchSettings(ctx, instance, log)
 	return instance.Run(ctx)
 }
 
+// settingsInterval is the time between two looks at the settings file, which may change without a signal.
+const settingsInterval = 2 * time.Second
+
+// watchSettings reloads the settings when their file has changed.
+func watchSettings(ctx context.Context, instance *serve.Instance, log *logs.Log) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last := settingsChange()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if change := settingsChange(); !change.Equal(last) {
+			last = change
+			reload(instance, log)
+		}
+	}
+}
+
+// settingsChange returns the time of the last change of the settings file. A file that cannot be read now counts as
+// unchanged once it is back with its former time.
+func settingsChange() time.Time {
+	info, err := os.Stat(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // reload reads the settings file again. A file that cannot be used leaves the settings as they are.
 func reload(instance *serve.Instance, log *logs.Log) {
 	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,8 +41,8 @@
 	Instances func() int
 	// DataCentre is the data centre of this instance.
 	DataCentre string
-	// KeyLease is the time for which keys are accepted after they were last known to be current; zero for no limit.
-	KeyLease time.Duration
+	// KeyLease returns the time for which keys are accepted after they were last known to be current; zero for no limit.
+	KeyLease func() time.Duration
 	// ConfirmedAt returns the time at which the configuration was last known to be current.
 	ConfirmedAt func() time.Time
 	// Clock counts suspended time; it serves the lease only.
@@ -185,7 +185,8 @@
 
 func (x *exchange) keysCurrent() bool {
 	o := &x.relay.options
-	return o.KeyLease == 0 || o.Clock().Sub(o.ConfirmedAt()) < o.KeyLease-leaseMargin
+	lease := o.KeyLease()
+	return lease == 0 || o.Clock().Sub(o.ConfirmedAt()) < lease-leaseMargin
 }
 
 // leaseMargin is the part of the lease that is kept for the way of a request to its backend server.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -77,7 +77,9 @@
 	body, _ := io.ReadAll(r.Body)
 	fmt.Fprintf(w, "ok %s", body)
 }
-func answerError(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+func answerError(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+}
 func answerNotRun(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("NotRun", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -161,7 +163,7 @@
 	bed.relay = New(Options{
 		Fleet: bed.fleet, Placer: bed.placer, Protocol: fakeProtocol{}, Copier: bed.copier,
 		Budget:    NewRetryBudget(0.2, 50, 10*time.Second),
-		Instances: func() int { return 1 }, DataCentre: "north-a", KeyLease: 5 * time.Second,
+		Instances: func() int { return 1 }, DataCentre: "north-a", KeyLease: func() time.Duration { return 5 * time.Second },
 		ConfirmedAt: func() time.Time { return bed.confirmed }, Clock: time.Now,
 		Metrics: metric.NewRequests(metric.New()), Log: quietLog(),
 	})
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -52,9 +52,11 @@
 // Instance is one entry instance.
 type Instance struct {
 	settings Settings
-	tuning   Tuning
-	ports    Ports
-	log      *logs.Log
+	// limits hold the settings that may change while the instance runs.
+	limits atomic.Pointer[runLimits]
+	tuning Tuning
+	ports  Ports
+	log    *logs.Log
 
 	network *peer.Network
 	members *member.Member
@@ -72,6 +74,9 @@
 	once     sync.Once
 }
 
+// runLimits are the settings that may change while the instance runs.
+type runLimits struct{ grace, keyLease time.Duration }
+
 // sockets are the listeners of an instance.
 type sockets struct {
 	front, ready, lookup, peer, metrics net.Listener
@@ -93,6 +98,7 @@
 		metrics:  metric.New(),
 		shutdown: make(chan struct{}),
 	}
+	i.limits.Store(&runLimits{grace: settings.Grace, keyLease: settings.KeyLease})
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
@@ -187,7 +193,7 @@
 		Budget:      relay.NewRetryBudget(i.settings.RetryRatio, i.settings.RetrySlack, i.settings.RetryWindow),
 		Instances:   func() int { return len(i.members.Instances()) },
 		DataCentre:  i.settings.DataCentre,
-		KeyLease:    i.settings.KeyLease,
+		KeyLease:    i.keyLease,
 		ConfirmedAt: i.feed.ConfirmedAt,
 		Clock:       clock.Now,
 		Metrics:     metric.NewRequests(i.metrics),
@@ -214,10 +220,17 @@
 // Shutdown begins a graceful shutdown.
 func (i *Instance) Shutdown() { i.once.Do(func() { close(i.shutdown) }) }
 
-// Reload uses settings that may change while the instance runs: the seeds. Changes of others need a restart.
+func (i *Instance) keyLease() time.Duration { return i.limits.Load().keyLease }
+
+// Reload uses the settings that may change while the instance runs: the seeds, the grace period of a shutdown, and how
+// long keys are accepted. Changes of others take effect at the next start.
 func (i *Instance) Reload(settings Settings) {
 	i.members.AddSeeds(settings.Seeds...)
-	i.log.WithFields(logrus.Fields{logs.Event: "settingsReloaded", "seeds": settings.Seeds}).Info("settings reloaded")
+	i.limits.Store(&runLimits{grace: settings.Grace, keyLease: settings.KeyLease})
+	i.log.WithFields(logrus.Fields{
+		logs.Event: "settingsReloaded", "seeds": settings.Seeds,
+		"graceMillis": settings.Grace.Milliseconds(), "keyLeaseMillis": settings.KeyLease.Milliseconds(),
+	}).Info("settings reloaded")
 }
 
 // Run serves until a shutdown has completed or ctx ends.
@@ -259,7 +272,7 @@
 	if i.leaving.Load() || i.fleet.Catalogue() == nil {
 		return false
 	}
-	return i.settings.KeyLease == 0 || clock.Now().Sub(i.feed.ConfirmedAt()) < readyAge
+	return i.keyLease() == 0 || clock.Now().Sub(i.feed.ConfirmedAt()) < readyAge
 }
 
 // leave ends the instance: callers learn that it goes, then requests in progress are finished.
@@ -269,7 +282,7 @@
 	i.relay.Leave()
 	i.members.Leave()
 	i.log.WithFields(logrus.Fields{logs.Event: "instanceLeaving", "open": i.relay.Open()}).Info("instance leaves")
-	exitAt := began.Add(max(i.settings.Grace-exitReserve, 0))
+	exitAt := began.Add(max(i.limits.Load().grace-exitReserve, 0))
 	quietAt := began.Add(lookupKept * i.validity())
 	if quietAt.After(exitAt) {
 		quietAt = exitAt
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,124 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/route"
+)
+
+// TestFollowed guards against a tree in which instances follow each other in a circle, follow themselves, or in which one
+// serves too many.
+func TestFollowed(t *testing.T) {
+	for _, instances := range []int{1, 2, 9, 85, 350} {
+		followers := make(map[int]int)
+		for rank := range instances {
+			ranks := followed(rank, instances)
+			if rank == 0 && len(ranks) != 0 {
+				t.Errorf("%d instances: the first one follows %v, want the store", instances, ranks)
+			}
+			if rank == 0 {
+				continue
+			}
+			followers[ranks[0]]++
+			for _, at := range ranks {
+				if at >= rank {
+					t.Errorf("%d instances: rank %d follows rank %d", instances, rank, at)
+				}
+			}
+		}
+		for rank, n := range followers {
+			if n > treeWidth {
+				t.Errorf("%d instances: %d follow rank %d, want at most %d", instances, n, rank, treeWidth)
+			}
+		}
+	}
+	// An instance that is not ranked, such as one that leaves, follows the first ones.
+	if ranks := followed(-1, 9); !slices.Equal(ranks, []int{0, 1}) {
+		t.Errorf("an unranked instance follows %v, want 0 and 1", ranks)
+	}
+}
+
+// TestFrontLimits guards against limits that hold for the configuration at the start only, and against connections that
+// are cut when limits change.
+func TestFrontLimits(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := newFrontServer(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	accepted := make(chan error, 1)
+	go func() { accepted <- front.accept() }()
+	client := &http.Client{Transport: &http.Transport{}}
+	ask := func(headerBytes int) int {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+listener.Addr().String(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Long", string(slices.Repeat([]byte{'a'}, headerBytes)))
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	const long = 20 << 10
+	if got := ask(long); got != http.StatusOK {
+		t.Errorf("status %d before the first limits, want 200", got)
+	}
+	front.apply(route.Limits{HeaderBytes: 1 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second})
+	if got := ask(long); got != http.StatusOK {
+		t.Errorf("status %d on a connection from before the change, want 200", got)
+	}
+	client.CloseIdleConnections()
+	if got := ask(long); got != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d for a long header after the change, want 431", got)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	client.CloseIdleConnections()
+	if err := front.shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+	if err := <-accepted; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestCapacity guards against instances with narrow links that carry as much as the others.
+func TestCapacity(t *testing.T) {
+	tests := []struct {
+		share float64
+		link  int64
+		want  uint32
+	}{{0.4, 1e9, 400}, {0.8, 200e6, 800}, {0.192, 10e6, 38}, {0.4, 0, 400}}
+	for _, test := range tests {
+		settings := Settings{CPUShare: test.share, LinkBits: test.link}
+		if got := settings.capacity(); got != test.want {
+			t.Errorf("capacity of %v cores and %d bit/s is %d, want %d", test.share, test.link, got, test.want)
+		}
+	}
+}
+
+// TestTuning guards against an instance that starts with flags it cannot use.
+func TestTuning(t *testing.T) {
+	tests := []struct {
+		tuning Tuning
+		want   string
+	}{
+		{Tuning{metricsPort: 9464}, "10.0.0.1:9464"},
+		{Tuning{metricsPort: 0}, ""},
+	}
+	for _, test := range tests {
+		if got := test.tuning.metricsAddress("10.0.0.1"); got != test.want {
+			t.Errorf("metrics on %q, want %q", got, test.want)
+		}
+	}
+}
