serve: the home asks its engines whether they leave while the store is out of reach

Change: if the last confirmation is older than 2 s, the home of a pool reads the reports of its engines twice a second; one that says it leaves gets no new work and its runs move away.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -219,6 +219,18 @@
 	return m.backend, true
 }
 
+// At returns the listed backend server with an address.
+func (f *Fleet) At(address string) (route.Backend, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	for _, m := range f.members {
+		if m.backend.Address == address && m.goneAt.IsZero() {
+			return m.backend, true
+		}
+	}
+	return route.Backend{}, false
+}
+
 // Of returns the backend servers of a service that take new work, ordered by ID.
 func (f *Fleet) Of(service string) []route.Backend {
 	now := f.options.Clock()
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -102,6 +102,12 @@
 	Drop(ctx context.Context, source route.Backend, handle string) error
 }
 
+// Inspector asks an engine about itself.
+type Inspector interface {
+	// Leaving reports whether the engine says that it is about to leave.
+	Leaving(ctx context.Context, backend route.Backend) (bool, error)
+}
+
 // CopyError is the error of a copy that an engine refused.
 type CopyError struct {
 	// NoRun is true if the engine does not run the request.
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -182,7 +182,7 @@
 		Backends:  i.fleet,
 		Connect:   i.network.Conn,
 		Log:       i.log,
-		Engines:   grant.NoReports{},
+		Engines:   &outageReports{instance: i},
 	})
 	i.fleet.OnChange(i.placer.Refresh)
 	i.relay = relay.New(relay.Options{
--- a/internal/serve/ports.go
+++ b/internal/serve/ports.go
@@ -17,6 +17,7 @@
 	Ingress  Ingress
 	Protocol relay.Protocol
 	Copier   relay.Copier
+	Engines  relay.Inspector
 }
 
 // Entries is an answer to a caller's question for addresses.
