grant, sched: another view of an engine is no retry; soak: one supervisor for each instance

Their logs also showed one of the system: the home decided for engines that the instance knew to have left; each further offer counted as a retry, and the budget for retries refused requests that no engine had got. Change: the harness starts processes in one place, as the platform does. An offer says whether an engine has failed the request; engines that an instance does not accept are avoided without counting as a retry. Measured: TestOtherViewIsNoRetry fails if such offers count.

--- a/internal/grant/convert.go
+++ b/internal/grant/convert.go
@@ -31,7 +31,7 @@
 }
 
 // requestOf returns the scheduler's form of a request of this instance.
-func requestOf(req pond.PlaceRequest) sched.Request {
+func requestOf(req pond.PlaceRequest, retry bool) sched.Request {
 	return sched.Request{
 		ID:           req.Generation,
 		Account:      req.Account,
@@ -44,11 +44,12 @@
 		PrefixHash:   req.PrefixHash,
 		Deadline:     req.Deadline,
 		Avoid:        req.Avoid,
+		Retry:        retry,
 		Origin:       localOrigin,
 	}
 }
 
-func offerOf(req pond.PlaceRequest, now time.Time) *peerpb.Offer {
+func offerOf(req pond.PlaceRequest, retry bool, now time.Time) *peerpb.Offer {
 	return &peerpb.Offer{
 		Generation:     req.Generation,
 		Account:        req.Account,
@@ -62,6 +63,7 @@
 		PrefixHash:     req.PrefixHash,
 		RemainingMilli: max(req.Deadline.Sub(now).Milliseconds(), 0),
 		Avoid:          req.Avoid,
+		Retry:          retry,
 	}
 }
 
@@ -78,6 +80,7 @@
 		PrefixHash:   offer.GetPrefixHash(),
 		Deadline:     now.Add(time.Duration(offer.GetRemainingMilli()) * time.Millisecond),
 		Avoid:        offer.GetAvoid(),
+		Retry:        offer.GetRetry(),
 		Origin:       origin,
 	}
 }
--- a/internal/grant/link.go
+++ b/internal/grant/link.go
@@ -126,7 +126,7 @@
 	l.usedAt = now
 	l.lastHandle++
 	l.handles[t.req.Generation] = l.lastHandle
-	offer := offerOf(t.req, now)
+	offer := offerOf(t.req, t.retry, now)
 	offer.Handle = l.lastHandle
 	return offer
 }
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -164,7 +164,7 @@
 		answers: make(chan answer, 1),
 		moves:   make(chan pond.Move, 1),
 	}
-	t.req.Avoid = slices.Clone(req.Avoid)
+	t.req.Avoid, t.retry = slices.Clone(req.Avoid), len(req.Avoid) > 0
 	if !p.admit(t) {
 		return nil, refuse(pond.ReasonBadRequest, time.Time{}, "the generation is placed already")
 	}
--- a/internal/grant/placer_test.go
+++ b/internal/grant/placer_test.go
@@ -404,3 +404,23 @@
 		})
 	}
 }
+
+// TestOtherViewIsNoRetry guards against refusals by an instance that knows before its home that an engine has left: the
+// engine never got the request, so offering it again takes nothing from the retry budget.
+func TestOtherViewIsNoRetry(t *testing.T) {
+	runCluster(t, testSpec{north: 2, maxRunning: 16}, threeNorth, func(t *testing.T, c *cluster) {
+		other := c.others("north")[0]
+		c.mu.Lock()
+		other.refused["engine-0"] = true
+		c.mu.Unlock()
+		const requests = 60
+		for i := range requests {
+			c.generate(other, fmt.Sprint("g", i), pond.ClassShort, time.Millisecond, time.Minute)
+			time.Sleep(5 * time.Millisecond)
+		}
+		c.group.Wait()
+		if got := c.served(); got != requests {
+			t.Errorf("%d of %d requests served by the other engine", got, requests)
+		}
+	})
+}
--- a/internal/grant/ticket.go
+++ b/internal/grant/ticket.go
@@ -41,8 +41,11 @@
 	// offeredAt is the time of the last offer, from which the silence of a home counts.
 	offeredAt time.Time
 	offers    int
-	answers   chan answer
-	moves     chan pond.Move
+	// retry is true if the caller named engines that failed the request. Engines that this instance does not accept are
+	// avoided too, but they never got it.
+	retry   bool
+	answers chan answer
+	moves   chan pond.Move
 
 	backend string
 	address string
@@ -116,10 +119,10 @@
 type localHolder struct{ *pool }
 
 func (h localHolder) offer(t *ticket, now time.Time) (sched.Decision, bool) {
-	decision := h.pool.offer(requestOf(t.req), now)
+	decision := h.pool.offer(requestOf(t.req, t.retry), now)
 	return decision, decision.Verdict != sched.VerdictWait
 }
 
 func (h localHolder) register(t *ticket, now time.Time) {
-	h.pool.register(requestOf(t.req), t.backend, int(t.shown.Load()), now)
+	h.pool.register(requestOf(t.req, t.retry), t.backend, int(t.shown.Load()), now)
 }
--- a/internal/sched/request.go
+++ b/internal/sched/request.go
@@ -31,8 +31,10 @@
 	PrefixHash uint64
 	// Deadline is the time by which the whole answer is due; zero means the policy's default.
 	Deadline time.Time
-	// Avoid names engines that already failed the request. A request with such names is a retry.
+	// Avoid names engines that must not get the request.
 	Avoid []string
+	// Retry is true if an engine has failed the request before.
+	Retry bool
 	// Origin is returned with the decision; the scheduler does not interpret it.
 	Origin uint64
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -87,7 +87,7 @@
 		return refusal(spec.ID, spec.Origin, pond.ReasonTooLarge, time.Time{}, detailTooLarge)
 	}
 	account := s.account(spec.Account, spec.Weight, now)
-	if !s.mayRetry(s.accounts.At(account), len(spec.Avoid) > 0) {
+	if !s.mayRetry(s.accounts.At(account), spec.Retry) {
 		return refusal(spec.ID, spec.Origin, pond.ReasonOverloaded, s.jitter(now, minRetry), detailRetries)
 	}
 	return s.admit(s.insert(spec, account, now), now)
--- a/internal/sched/scheduler_test.go
+++ b/internal/sched/scheduler_test.go
@@ -344,7 +344,7 @@
 	for i := range 300 {
 		req := testRequest(i, pond.ClassShort, 10, 100)
 		if i%2 == 1 {
-			req.Avoid = []string{"engine-0000"}
+			req.Avoid, req.Retry = []string{"engine-0000"}, true
 		}
 		if d := s.Offer(req, epoch); d.Verdict == VerdictServe && i%2 == 1 {
 			served++
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +22,8 @@
 	graceLimit  = 8 * time.Second
 	callerLimit = 6 * time.Second
 
+	restartDelay = 300 * time.Millisecond
+
 	frontPort  = ":18740"
 	readyPort  = ":18749"
 	lookupPort = ":18746"
@@ -37,6 +40,7 @@
 	ledger    *ledger
 	keys      []string
 	instances []*instance
+	closing   atomic.Bool
 
 	mu       sync.Mutex
 	version  int
@@ -55,9 +59,7 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
-	done    chan struct{}
-	// disturbedAt is the last time of a fault that may break the requests of this instance.
-	disturbedAt time.Time
+	stopped chan struct{} // closed when the supervisor has ended
 }
 
 func newCluster(t *testing.T, program string, seed uint64, instances int) *cluster {
@@ -79,7 +81,8 @@
 		c.addInstance(i)
 	}
 	for _, i := range c.instances {
-		c.start(i)
+		i.stopped = make(chan struct{})
+		go c.supervise(i)
 	}
 	return c
 }
@@ -231,23 +234,29 @@
 	c.instances = append(c.instances, i)
 }
 
-// start runs an instance's process.
-func (c *cluster) start(i *instance) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	command := exec.Command(c.program, "instance", "-metrics-port", "0")
-	command.Env = append(os.Environ(), "DRAGONFLYPOND_CONFIG="+i.settings, "DRAGONFLYPOND_SECRET=secret of the soak's cluster")
-	command.Stdout, command.Stderr = i.log, i.log
-	if err := command.Start(); err != nil {
-		c.t.Error(err)
-		return
-	}
-	i.process, i.done = command, make(chan struct{})
-	done := i.done
-	go func() {
+// supervise runs an instance's process and starts it again after a short delay whenever it has ended, as the platform does.
+// Only this function starts processes, so that none is left behind when faults overlap.
+func (c *cluster) supervise(i *instance) {
+	defer close(i.stopped)
+	for {
+		command := exec.Command(c.program, "instance", "-metrics-port", "0")
+		command.Env = append(os.Environ(), "DRAGONFLYPOND_CONFIG="+i.settings, "DRAGONFLYPOND_SECRET=secret of the soak's cluster")
+		command.Stdout, command.Stderr = i.log, i.log
+		i.mu.Lock()
+		if c.closing.Load() {
+			i.mu.Unlock()
+			return
+		}
+		err := command.Start()
+		i.process = command
+		i.mu.Unlock()
+		if err != nil {
+			c.ledger.fault("start %s: %v", i.name, err)
+			return
+		}
 		_ = command.Wait() // How a killed process ends says nothing.
-		close(done)
-	}()
+		time.Sleep(restartDelay)
+	}
 }
 
 // signal sends a signal to the process that this run started.
@@ -259,30 +268,11 @@
 	}
 }
 
-func (i *instance) disturbed() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.disturbedAt = time.Now()
-}
-
-// end waits until the process has ended, and kills it at the end of its grace period.
-func (i *instance) end(limit time.Duration) {
-	i.mu.Lock()
-	done := i.done
-	i.mu.Unlock()
-	select {
-	case <-done:
-	case <-time.After(limit):
-		i.signal(syscall.SIGKILL)
-		<-done
-	}
-}
-
 func (c *cluster) close() {
+	c.closing.Store(true)
 	for _, i := range c.instances {
-		i.signal(syscall.SIGCONT)
 		i.signal(syscall.SIGKILL)
-		i.end(time.Second)
+		<-i.stopped
 		_ = i.log.Close()
 	}
 	c.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -114,42 +114,39 @@
 }
 
 var faults = []fault{
-	{"kill", func(c *cluster, random *rand.Rand) {
-		i := c.instances[random.IntN(len(c.instances))]
-		i.disturbed()
-		i.signal(syscall.SIGKILL)
-		i.end(time.Second)
-		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
-		c.start(i)
-		i.disturbed()
-	}},
+	{"kill", func(c *cluster, random *rand.Rand) { c.anyInstance(random).signal(syscall.SIGKILL) }},
 	{"stop", func(c *cluster, random *rand.Rand) {
-		i := c.instances[random.IntN(len(c.instances))]
+		i := c.anyInstance(random)
 		i.signal(syscall.SIGTERM)
-		i.end(graceLimit)
-		c.start(i)
+		i.mu.Lock()
+		process := i.process
+		i.mu.Unlock()
+		time.Sleep(graceLimit)
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		if i.process == process { // It did not end within its grace period.
+			_ = process.Process.Kill()
+		}
 	}},
 	{"pause", func(c *cluster, random *rand.Rand) {
-		i := c.instances[random.IntN(len(c.instances))]
-		i.disturbed()
+		i := c.anyInstance(random)
 		i.signal(syscall.SIGSTOP)
 		time.Sleep(time.Duration(200+random.IntN(7000)) * time.Millisecond)
 		i.signal(syscall.SIGCONT)
-		i.disturbed()
 	}},
-	{"reload", func(c *cluster, random *rand.Rand) { c.instances[random.IntN(len(c.instances))].signal(syscall.SIGHUP) }},
+	{"reload", func(c *cluster, random *rand.Rand) { c.anyInstance(random).signal(syscall.SIGHUP) }},
 	{"store down", func(c *cluster, random *rand.Rand) {
 		c.store.fail(http.StatusServiceUnavailable)
 		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
 		c.store.fail(0)
 	}},
 	{"store silent", func(c *cluster, random *rand.Rand) {
-		i := c.instances[random.IntN(len(c.instances))]
+		i := c.anyInstance(random)
 		i.store.disturb(true, 0)
 		time.Sleep(time.Duration(random.IntN(5000)) * time.Millisecond)
 		i.store.disturb(false, 0)
 	}},
-	{"store resets", func(c *cluster, random *rand.Rand) { c.instances[random.IntN(len(c.instances))].store.resetAll() }},
+	{"store resets", func(c *cluster, random *rand.Rand) { c.anyInstance(random).store.resetAll() }},
 	{"backend resets", func(c *cluster, random *rand.Rand) { c.anyBackend(random).front.resetAll() }},
 	{"backend slow", func(c *cluster, random *rand.Rand) {
 		b := c.anyBackend(random)
@@ -164,6 +161,10 @@
 	{"configuration", func(c *cluster, _ *rand.Rand) { c.publish() }},
 }
 
+func (c *cluster) anyInstance(random *rand.Rand) *instance {
+	return c.instances[random.IntN(len(c.instances))]
+}
+
 func (c *cluster) anyBackend(random *rand.Rand) *backend {
 	c.mu.Lock()
 	defer c.mu.Unlock()
