feed: a source that is behind is left

Not seen in a run by itself. Change: a source with a lower revision counts as not current. Measured: TestSourceFails/behind fails without the change.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -144,10 +144,12 @@
 	if len(changed) > 0 {
 		f.options.Changed(changed)
 	}
-	if age := now.Sub(batch.ConfirmedAt); age > staleLimit {
+	// A source that is behind this copy confirms nothing of it, however recent its own confirmation is.
+	if age := now.Sub(batch.ConfirmedAt); age > staleLimit || batch.Revision < after {
 		f.pause(upstream, now)
 		f.options.Log.WithFields(logrus.Fields{
-			"event": "sourceStale", "source": upstream.Name, "ageMillis": age.Milliseconds(), "revision": batch.Revision,
+			"event": "sourceStale", "source": upstream.Name, "ageMillis": age.Milliseconds(),
+			"revision": batch.Revision, "ownRevision": after,
 		}).Warn("source of the configuration is not current")
 	}
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -17,7 +17,8 @@
 	return log
 }
 
-// TestSourceFails guards against an instance that stays with a source that fails, is silent, or is not current itself.
+// TestSourceFails guards against an instance that stays with a source that fails, is silent, is not current itself, or
+// is behind the instance.
 func TestSourceFails(t *testing.T) {
 	silent := func(ctx context.Context, _ uint64) (Batch, error) {
 		<-ctx.Done()
@@ -29,6 +30,10 @@
 	}{
 		{"fails", func(context.Context, uint64) (Batch, error) { return Batch{}, errors.New("refused") }},
 		{"silent", silent},
+		{"behind", func(context.Context, uint64) (Batch, error) {
+			time.Sleep(PullWait)
+			return Batch{Revision: 1, ConfirmedAt: time.Now()}, nil
+		}},
 		{"stale", func(context.Context, uint64) (Batch, error) {
 			return Batch{Snapshot: true, Revision: 1, ConfirmedAt: time.Now().Add(-time.Minute)}, nil
 		}},
@@ -46,6 +51,7 @@
 					},
 					Clock: time.Now, Log: quietLog(), Changed: func([]Record) {},
 				})
+				f.merge(Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}})
 				ctx, cancel := context.WithCancel(t.Context())
 				stopped := make(chan struct{})
 				defer func() {
