fleet, spec: long work may use nearly all of an engine's memory

Engines admit the more urgent short work first, so the share that is kept free for it protects little here. Change: 5 in 100 are kept for short work and 1 for growth.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,6 +23,10 @@
 
 	bitsPerByte = 8
 
+	// shortShare and headroom are the shares of engine memory that long work may not use and that is kept for growth.
+	shortShare = 0.05
+	headroom   = 0.01
+
 	// outputLimit bounds one output for placement; requests state their own limit.
 	outputLimit = 32_768
 )
@@ -281,6 +285,7 @@
 		Version:            spec.Version{Number: f.catalogue.Version(), Revision: f.revision},
 		LinkBytesPerSecond: f.options.LinkBits / bitsPerByte,
 	}
+	parts.ShortShare, parts.Headroom = shortShare, headroom
 	for region, dataCentres := range f.options.Regions {
 		parts.Regions = append(parts.Regions, spec.Region{Name: region, DataCentres: dataCentres})
 	}
--- a/pkg/spec/assemble.go
+++ b/pkg/spec/assemble.go
@@ -51,6 +51,10 @@
 	ShortMaxTokens int
 	// TokenCopyTime is the time that it takes to copy the memory of one token to another engine; zero if engines cannot.
 	TokenCopyTime time.Duration
+	// ShortShare is the share of engine memory that long work may not use, and Headroom the share kept free for growth; zero
+	// leaves the defaults.
+	ShortShare float64
+	Headroom   float64
 	// RetryBudget is the number of retries for each first attempt; zero leaves the default.
 	RetryBudget float64
 }
@@ -66,6 +70,8 @@
 		Policy: policyDoc{
 			ShortMaxTokens: parts.ShortMaxTokens,
 			RetryBudget:    parts.RetryBudget,
+			ShortShare:     parts.ShortShare,
+			Headroom:       parts.Headroom,
 			TokenCopyTime:  parts.TokenCopyTime,
 		},
 	}
