--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypond/dragonflypond/internal/logs"
 )
 
 const (
@@ -117,7 +119,7 @@
 		delete(f.paused, upstream.Name)
 		if f.source != upstream.Name {
 			f.options.Log.WithFields(logrus.Fields{
-				"event": "sourceChosen", "source": upstream.Name, "former": f.source, "revision": f.view.revision,
+				logs.Event: "sourceChosen", logs.Source: upstream.Name, logs.Former: f.source, logs.Revision: f.view.revision,
 			}).Info("source of the configuration changed")
 			f.source = upstream.Name
 		}
@@ -148,8 +150,8 @@
 	if age := now.Sub(batch.ConfirmedAt); age > staleLimit || batch.Revision < after {
 		f.pause(upstream, now)
 		f.options.Log.WithFields(logrus.Fields{
-			"event": "sourceStale", "source": upstream.Name, "ageMillis": age.Milliseconds(),
-			"revision": batch.Revision, "ownRevision": after,
+			logs.Event: "sourceStale", logs.Source: upstream.Name, logs.AgeMillis: age.Milliseconds(),
+			logs.Revision: batch.Revision, "ownRevision": after,
 		}).Warn("source of the configuration is not current")
 	}
 }
@@ -162,7 +164,7 @@
 		f.mu.Unlock()
 	}
 	f.options.Log.WithError(err).WithFields(logrus.Fields{
-		"event": "sourceFailed", "source": upstream.Name, "revision": f.Revision(),
+		logs.Event: "sourceFailed", logs.Source: upstream.Name, logs.Revision: f.Revision(),
 		"confirmedAgeMillis": now.Sub(f.ConfirmedAt()).Milliseconds(),
 	}).Warn("source of the configuration failed")
 }
--- a/internal/grant/home.go
+++ b/internal/grant/home.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
@@ -121,12 +123,29 @@
 // rerank refreshes the order of the instances. If this instance becomes the home, its scheduler pauses.
 func (p *Placer) rerank(key poolKey, now time.Time) {
 	former := len(p.homes[key]) > 0 && p.homes[key][0].ID() != p.options.Directory.Self().ID()
-	p.homes[key] = p.rank(key)
+	present := p.rank(key)
+	p.logHome(key, p.homes[key], present)
+	p.homes[key] = present
 	if pool, ok := p.pools[key]; ok && former && p.isHome(key) {
 		pool.pause(now.Add(takeoverPause))
 	}
 }
 
+// logHome logs a change of the first ranked instance of a pool.
+func (p *Placer) logHome(key poolKey, former, present []pond.Instance) {
+	name := func(ranked []pond.Instance) pond.InstanceID {
+		if len(ranked) == 0 {
+			return ""
+		}
+		return ranked[0].ID()
+	}
+	if name(former) != name(present) {
+		p.options.Log.WithFields(logrus.Fields{
+			logs.Event: "homeChanged", "pool": key.rankKey(), logs.Home: name(present), logs.Former: name(former),
+		}).Info("home of a pool changed")
+	}
+}
+
 func (p *Placer) rank(key poolKey) []pond.Instance {
 	var region []pond.Instance
 	for _, instance := range p.options.Directory.Instances() {
@@ -180,7 +199,7 @@
 		return
 	}
 	p.paused[l.address] = now.Add(homePause)
-	p.options.Log.WithField("home", l.address).WithError(err).Warn("stream to the home of a pool ended")
+	p.options.Log.WithError(err).WithFields(logrus.Fields{logs.Event: "homeLost", logs.Home: l.address}).Warn("stream to the home of a pool ended")
 	p.rehome(now)
 }
 
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -29,7 +29,8 @@
 	Request = "request"
 	// Backend is the ID of a backend server.
 	Backend = "backend"
-	// Source and Target are the backend servers between which a generation moves.
+	// Source and Target are the backend servers between which a generation moves. Source is also where an instance gets its
+	// configuration from: the store or another instance.
 	Source = "source"
 	Target = "target"
 	// Route and Service are names from the configuration.
@@ -63,8 +64,13 @@
 	MaxGapMillis     = "maxGapMillis"
 	// Moves counts how often a run went on on another engine.
 	Moves = "moves"
-	// Peer is the name of another instance.
-	Peer = "peer"
+	// Peer is the name of another instance, and State what is believed about it.
+	Peer  = "peer"
+	State = "state"
+	// Former is the value before a change.
+	Former = "former"
+	// Home is the instance that decides for a pool.
+	Home = "home"
 	// Dropped is the number of lines that were not written.
 	Dropped = "dropped"
 )
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -242,6 +242,7 @@
 	}).Info("instance started")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return i.members.Run(ctx) })
+	group.Go(func() error { return i.logPeers(ctx) })
 	group.Go(func() error { return i.feed.Run(ctx) })
 	group.Go(func() error { return i.placer.Run(ctx) })
 	group.Go(func() error { return i.peers.Serve(ctx, i.sockets.peer) })
