--- a/internal/sched/evacuate_test.go
+++ b/internal/sched/evacuate_test.go
@@ -150,3 +150,24 @@
 		t.Errorf("moves %v after one that was never answered", late)
 	}
 }
+
+// BenchmarkEvacuate measures one tick of a pool of the target size while engines leave: the largest pool has about 100
+// engines and 500 requests a second.
+func BenchmarkEvacuate(b *testing.B) {
+	engines := testEngines(100, 200_000, 64)
+	s := newTestScheduler(movingPolicy(), engines...)
+	for i := range 2000 {
+		s.Register(testRequest(i, pond.ClassLong, 3000, 2000), engines[i%len(engines)].Name, 100, epoch)
+	}
+	for i := range 17 {
+		s.SetAccepting(engines[i].Name, false)
+	}
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(5 * time.Millisecond)
+		for _, move := range s.Tick(now) {
+			s.Moved(move.ID, move.Engine, false, now)
+		}
+	}
+}
