soak, relay: addresses of a run's own; a name of its own for each placement

Read on the way: a placement was named by the caller's ID alone, so a caller without an ID or with one that comes twice was refused as placed already. Change: the addresses depend on the process; placements have names of their own.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -103,9 +104,14 @@
 	x.refuse(refusal.Reason(), after, refusal.Detail())
 }
 
+// generation returns a name for one placement. The caller's ID alone may be empty or come twice.
+func (r *Relay) generation(call string) string {
+	return call + "@" + r.options.Instance + "." + strconv.FormatUint(r.serial.Add(1), 10)
+}
+
 func (x *exchange) placeRequest(avoid []string) pond.PlaceRequest {
 	req := pond.PlaceRequest{
-		Generation: x.call.ID,
+		Generation: x.relay.generation(x.call.ID),
 		Account:    x.account,
 		Model:      x.service.Name,
 		Priority:   maxPriorityRank - x.priority,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,7 +39,8 @@
 	Budget   *RetryBudget
 	// Instances returns the number of instances in the fleet.
 	Instances func() int
-	// DataCentre is the data centre of this instance.
+	// Instance is the name of this instance, and DataCentre its data centre.
+	Instance   string
 	DataCentre string
 	// KeyLease returns the time for which keys are accepted after they were last known to be current; zero for no limit.
 	KeyLease func() time.Duration
@@ -58,6 +59,7 @@
 	replicas  *replicaTable
 	seed      maphash.Seed
 	open      atomic.Int64
+	serial    atomic.Uint64
 	leaving   atomic.Bool
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -401,3 +401,15 @@
 	cancel()
 	<-left
 }
+
+// TestGenerationNames guards against placements that are mixed up because callers send the same ID twice or none.
+func TestGenerationNames(t *testing.T) {
+	r := newBed(t, route.KindStream, nil).relay
+	names := map[string]bool{}
+	for _, id := range []string{"a", "a", "", ""} {
+		names[r.generation(id)] = true
+	}
+	if len(names) != 4 {
+		t.Errorf("%d names for four placements: %v", len(names), names)
+	}
+}
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -192,6 +192,7 @@
 		Copier:      i.ports.Copier,
 		Budget:      relay.NewRetryBudget(i.settings.RetryRatio, i.settings.RetrySlack, i.settings.RetryWindow),
 		Instances:   func() int { return len(i.members.Instances()) },
+		Instance:    i.settings.Instance,
 		DataCentre:  i.settings.DataCentre,
 		KeyLease:    i.keyLease,
 		ConfirmedAt: i.feed.ConfirmedAt,
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -28,6 +28,7 @@
 	readyPort  = ":18749"
 	lookupPort = ":18746"
 	firstPeer  = 17200
+	firstHost  = 10
 )
 
 // cluster is one run's processes and stand-ins.
@@ -62,6 +63,14 @@
 	stopped chan struct{} // closed when the supervisor has ended
 }
 
+// subnet returns the first three numbers of the instances' loopback addresses. They depend on the process, because two runs
+// at once with the same addresses took part in each other's clusters.
+func subnet() string {
+	const firstNet, nets = 64, 64
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d", firstNet+pid%nets, pid/nets%256)
+}
+
 func newCluster(t *testing.T, program string, seed uint64, instances int) *cluster {
 	c := &cluster{
 		t: t, seed: seed, program: program, store: newStore(), ledger: newLedger(),
@@ -191,7 +200,7 @@
 }
 
 func (c *cluster) addInstance(number int) {
-	i := &instance{name: fmt.Sprintf("instance-%d", number), ip: fmt.Sprintf("127.77.0.%d", 10+number)}
+	i := &instance{name: fmt.Sprintf("instance-%d", number), ip: fmt.Sprintf("%s.%d", subnet(), firstHost+number)}
 	var err error
 	if i.store, err = newProxy("127.0.0.1:0", strings.TrimPrefix(c.storeHTTP.URL, "http://")); err != nil {
 		c.t.Fatal(err)
@@ -203,7 +212,7 @@
 zone = "north-a"
 region = "north"
 internalPorts = [%d, %d]
-seeds = ["127.77.0.10:1", "127.77.0.11:1"]
+seeds = ["%s.%d:1", "%s.%d:1"]
 [zones]
 north-a = "north"
 [listen]
@@ -223,7 +232,7 @@
 ttl_max_s = 5
 [platform]
 address = %q
-`, i.name, i.ip, firstPeer, firstPeer+10, i.ip+frontPort, i.ip+readyPort, i.ip+lookupPort,
+`, i.name, i.ip, firstPeer, firstPeer+10, subnet(), firstHost, subnet(), firstHost+1, i.ip+frontPort, i.ip+readyPort, i.ip+lookupPort,
 		int(graceLimit.Seconds()), revokeLimit.Milliseconds(), i.store.address())
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
