relay: a request whose key ended is not counted at a replica

Cause: read in the diff: a replica was chosen, and the request counted there, before the key was checked again; a request whose key had ended meanwhile stayed counted for good and made the replica look loaded. Change: the key is checked first. Constants stand at the top of their files. Measured: TestKeyEndsMeanwhile fails before and passes after.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -49,8 +49,11 @@
 	var last *attempt
 	runs := 0
 	for offers := 1; offers <= maxOffers; offers++ {
+		if !x.stillAuthorized() {
+			break
+		}
 		backend, ok := x.nextReplica(tried)
-		if !ok || !x.stillAuthorized() {
+		if !ok {
 			break
 		}
 		if offers > 1 && !x.relay.options.Budget.Take(x.service.Name, x.relay.options.Instances(), time.Now()) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,14 @@
 
 	// staleRetry is the time after which a caller may return to an instance whose keys are not confirmed.
 	staleRetry = 500 * time.Millisecond
+
+	// leaseMargin is the part of the lease that is kept for the way of a request to its backend server.
+	leaseMargin = 500 * time.Millisecond
+
+	// usualFirstToken and usualTokenTime estimate how long a generation takes. Engines of the present deployments make a
+	// token in 8 to 12 ms.
+	usualFirstToken = 600 * time.Millisecond
+	usualTokenTime  = 10 * time.Millisecond
 )
 
 // Options hold what a Relay needs. All fields are required.
@@ -80,13 +88,6 @@
 // Leave makes the relay refuse generations that would not end by a time.
 func (r *Relay) Leave(until time.Time) { r.leavingUntil.Store(&until) }
 
-const (
-	// usualFirstToken and usualTokenTime estimate how long a generation takes. Engines of the present deployments make a
-	// token in 8 to 12 ms.
-	usualFirstToken = 600 * time.Millisecond
-	usualTokenTime  = 10 * time.Millisecond
-)
-
 // outlasts reports whether a generation would run when this instance ends.
 func (r *Relay) outlasts(prompt *Prompt, now time.Time) bool {
 	until := r.leavingUntil.Load()
@@ -211,9 +212,6 @@
 	return lease == 0 || o.Clock().Sub(o.ConfirmedAt()) < lease-leaseMargin
 }
 
-// leaseMargin is the part of the lease that is kept for the way of a request to its backend server.
-const leaseMargin = 500 * time.Millisecond
-
 // stillAuthorized checks the key again directly before a send, because the request may have waited.
 func (x *exchange) stillAuthorized() bool {
 	if x.account == "" {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -443,3 +443,23 @@
 		})
 	}
 }
+
+// TestKeyEndsMeanwhile guards against a request that is sent though its key ended while it waited, and against a replica
+// that counts such a request as open for good.
+func TestKeyEndsMeanwhile(t *testing.T) {
+	backend := newBackend(t, answerOK)
+	bed := newBed(t, route.KindAtMostOnce, nil, backend)
+	checks := 0
+	bed.relay.options.KeyLease = func() time.Duration {
+		if checks++; checks > 1 {
+			return time.Nanosecond
+		}
+		return 5 * time.Second
+	}
+	if status, _ := bed.ask(t, "key"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", status)
+	}
+	if backend.count() != 0 || len(bed.relay.replicas.rows) != 0 {
+		t.Errorf("%d requests at the replica and %d counted, want none", backend.count(), len(bed.relay.replicas.rows))
+	}
+}
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -34,6 +34,9 @@
 	// zipFrom is the size from which values are compressed. Entries of backend servers are smaller.
 	zipFrom = 4 << 10
 
+	// maxRecordBytes bounds a decompressed value; the store's values have up to 1 MB.
+	maxRecordBytes = 4 << 20
+
 	// fallbackPeers is the number of other instances, from any region, that are asked if the store does not answer.
 	fallbackPeers = 3
 )
@@ -166,9 +169,6 @@
 	return value, errors.Wrap(err, "decompress a record")
 }
 
-// maxRecordBytes bounds a decompressed value; the store's values have up to 1 MB.
-const maxRecordBytes = 4 << 20
-
 // Pull implements peerpb.DRPCRecordsServer.
 func (s *recordServer) Pull(ctx context.Context, req *peerpb.PullRequest) (*peerpb.PullResponse, error) {
 	arrived := clock.Now()
--- a/internal/serve/settings.go
+++ b/internal/serve/settings.go
@@ -13,6 +13,10 @@
 	"github.com/dragonflypond/dragonflypond/internal/peer"
 )
 
+// fullLinkBits is the link in bits per second from which the processor limits an instance. One with 0.4 cores passes on
+// about 300 streams of 0.1 Mbit/s each.
+const fullLinkBits = 50e6
+
 // Settings are what the platform tells an instance. Addresses have the form IP:PORT.
 type Settings struct {
 	Instance   string
@@ -54,10 +58,6 @@
 	return uint32(share * milli)
 }
 
-// fullLinkBits is the link in bits per second from which the processor limits an instance. One with 0.4 cores passes on
-// about 300 streams of 0.1 Mbit/s each.
-const fullLinkBits = 50e6
-
 // Tuning are the settings of the operators of this product, as flags and environment variables.
 type Tuning struct {
 	metricsPort int
