--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// copyTimeout bounds one copy of a run's memory. A long letter of 0.9 GB takes 0.6 s to another data centre.
+	// copyTimeout bounds one copy of a run's memory. A run of 5,500 tokens has 0.9 GB and takes 0.6 s to another data centre.
 	copyTimeout = 1500 * time.Millisecond
 
 	// closeDelay is the time after the last copy within which the source closes the run's stream.
