docs, serve: figures of followers as measured

No code changes. Measured: 1,300 made-up routes, 315,924 bytes, give 25,767 compressed in 4.9 ms (one run, scratch test).

--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -24,8 +24,8 @@
 	// readerKey ranks the instances of a region as readers of the store.
 	readerKey = "records"
 
-	// treeWidth is the number of instances that follow one. A configuration of 1,300 routes has 40 KB when compressed, so
-	// that four copies take 0.13 s over a link of 10 Mbit/s, and 350 instances are reached in five steps.
+	// treeWidth is the number of instances that follow one. A configuration of 1,300 routes has 26 KB when compressed, so
+	// that four copies take 0.08 s over a link of 10 Mbit/s, and 350 instances are reached in five steps.
 	treeWidth = 4
 
 	// firstReaders is the number of highest ranked instances that are asked after the one that is followed.
