--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -35,6 +35,13 @@
 	// three heartbeats of 1.2 s.
 	expiryTime = 3 * time.Second
 
+	// StartLimit is the time after which a source that is asked during the start counts as silent. A source that starts at
+	// the same moment needs about 50 ms to read the store; instances start within 0.3 s of each other.
+	StartLimit = 600 * time.Millisecond
+
+	// startPause is the time for which a source that failed during the start is passed over.
+	startPause = 100 * time.Millisecond
+
 	// idlePause is the time between two rounds over all sources while each of them is paused.
 	idlePause = 100 * time.Millisecond
 
@@ -61,11 +68,14 @@
 	Source Source
 	// Store is true for the platform's store, whose failures are remembered as a disturbance.
 	Store bool
+	// Starting is true for a source that is asked while this instance starts. It counts as silent after StartLimit and is
+	// asked again after startPause, because it may have begun to start a moment later.
+	Starting bool
 }
 
 // Options hold what a Feed needs.
 type Options struct {
-	// Upstreams returns the sources in the order of preference.
+	// Upstreams returns the sources in the order of preference. It may ask the Feed for its state.
 	Upstreams func() []Upstream
 	// Clock is a clock that counts the time in which the process is suspended.
 	Clock func() time.Time
@@ -114,9 +124,10 @@
 // choose returns the first source that is not paused.
 func (f *Feed) choose() (Upstream, bool) {
 	now := f.options.Clock()
+	upstreams := f.options.Upstreams()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, upstream := range f.options.Upstreams() {
+	for _, upstream := range upstreams {
 		if now.Before(f.paused[upstream.Name]) {
 			continue
 		}
@@ -135,7 +146,10 @@
 func (f *Feed) pull(ctx context.Context, upstream Upstream) {
 	after := f.Revision()
 	limit := PullLimit
-	if upstream.Store || after == 0 {
+	switch {
+	case upstream.Starting && after == 0:
+		limit = StartLimit
+	case upstream.Store || after == 0:
 		limit = bodyLimit // The store bounds the time to the head of its answer itself.
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -184,7 +198,11 @@
 func (f *Feed) pause(upstream Upstream, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.paused[upstream.Name] = now.Add(sourcePause)
+	pause := sourcePause
+	if upstream.Starting {
+		pause = startPause
+	}
+	f.paused[upstream.Name] = now.Add(pause)
 }
 
 func (f *Feed) merge(batch Batch) []Record {
@@ -221,12 +239,13 @@
 }
 
 // Serve answers a follower with the changes after a revision. It waits for a while until there is a change or a newer
-// confirmation. A follower that holds a greater revision is answered at once.
+// confirmation. A follower that holds a greater revision is answered at once, one that holds nothing as soon as there is a
+// snapshot.
 func (f *Feed) Serve(ctx context.Context, after uint64) Batch {
 	timer := time.NewTimer(followerWait)
 	defer timer.Stop()
 	batch, changed := f.since(after)
-	if batch.Revision != after || after == 0 {
+	if batch.Revision != after {
 		return batch
 	}
 	select {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -108,6 +108,52 @@
 	})
 }
 
+// TestUpstreamsAsk guards against a deadlock of an instance whose sources depend on what it holds already.
+func TestUpstreamsAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var f *Feed
+		source := SourceFunc(func(context.Context, uint64) (Batch, error) {
+			time.Sleep(PullWait)
+			return Batch{Snapshot: true, Revision: 2, ConfirmedAt: time.Now()}, nil
+		})
+		f = New(Options{
+			Upstreams: func() []Upstream {
+				if f.Revision() > 0 {
+					return []Upstream{{Name: "later", Source: source}}
+				}
+				return []Upstream{{Name: "first", Source: source}}
+			},
+			Clock: time.Now, Log: quietLog(), Changed: func([]Record) {},
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*PullWait)
+		defer cancel()
+		_ = f.Run(ctx)
+		if f.source != "later" {
+			t.Errorf("the source is %q, want later", f.source)
+		}
+	})
+}
+
+// TestServeStart guards against followers that leave a source which has started with them and reads the store for them.
+func TestServeStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(Options{Clock: time.Now, Log: quietLog(), Changed: func([]Record) {}})
+		answer := make(chan Batch, 1)
+		go func() { answer <- f.Serve(t.Context(), 0) }()
+		time.Sleep(50 * time.Millisecond)
+		f.merge(Batch{Snapshot: true, Revision: 3, Records: []Record{record("a", 3)}})
+		synctest.Wait()
+		select {
+		case batch := <-answer:
+			if !batch.Snapshot || batch.Revision != 3 || len(batch.Records) != 1 {
+				t.Errorf("the answer is %+v, want the snapshot", batch)
+			}
+		default:
+			t.Error("the follower does not get the first snapshot at once")
+		}
+	})
+}
+
 // TestDisturbance guards against work for a backend server that has left, because an instance that could not reach the
 // store for a moment doubts the removal of its entry. Soak seed 118 met this: five requests reached an engine up to 3.4 s
 // after it had left.
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -68,6 +69,10 @@
 	peers   *peer.Server
 	front   *frontServer
 
+	// startedAt is the time of the start, and firstSeed the index of the seed that is followed first.
+	startedAt time.Time
+	firstSeed int
+
 	sockets  sockets
 	leaving  atomic.Bool
 	shutdown chan struct{}
@@ -90,13 +95,15 @@
 		return nil, err
 	}
 	i := &Instance{
-		settings: settings,
-		tuning:   tuning,
-		ports:    ports,
-		log:      log,
-		network:  network,
-		metrics:  metric.New(),
-		shutdown: make(chan struct{}),
+		settings:  settings,
+		tuning:    tuning,
+		ports:     ports,
+		log:       log,
+		network:   network,
+		metrics:   metric.New(),
+		shutdown:  make(chan struct{}),
+		startedAt: clock.Now(),
+		firstSeed: mathrand.IntN(max(len(settings.Seeds), 1)),
 	}
 	i.limits.Store(&runLimits{grace: settings.Grace, keyLease: settings.KeyLease})
 	if err := i.listen(); err != nil {
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -37,12 +37,59 @@
 	// maxRecordBytes bounds a decompressed value; the store's values have up to 1 MB.
 	maxRecordBytes = 4 << 20
 
+	// startTime is the time from the start in which an instance follows the seeds. Then it knows most other instances: a
+	// member synchronises its table 0.35 s after it was first answered.
+	startTime = 1500 * time.Millisecond
+
 	// fallbackPeers is the number of other instances, from any region, that are asked if the store does not answer.
 	fallbackPeers = 3
 )
 
 // upstreams returns the sources of published records: the readers of the region, the store, then any other instances.
 func (i *Instance) upstreams() []feed.Upstream {
+	var sources []feed.Upstream
+	seeds, others := startSources(i.settings.Seed, len(i.settings.Seeds), i.feed.Revision() > 0, clock.Now().Sub(i.startedAt))
+	if seeds {
+		sources = i.seedSources()
+	}
+	if others {
+		sources = append(sources, i.settledSources()...)
+	}
+	return sources
+}
+
+// startSources reports whether an instance asks the seeds for records, and whether it asks others after them.
+//
+// The load pattern: all instances start at once, and each knows nobody. Each would take itself for the reader of its
+// region and read the store. So they follow the seeds, which read the store, until they know each other; without an answer
+// in time they do without the seeds.
+func startSources(seed bool, seeds int, hasSnapshot bool, sinceStart time.Duration) (fromSeeds, fromOthers bool) {
+	switch {
+	case seed || seeds == 0 || sinceStart > startTime:
+		return false, true
+	case hasSnapshot:
+		return true, true
+	case sinceStart <= feed.StartLimit:
+		return true, false
+	default:
+		return false, true
+	}
+}
+
+// seedSources returns the seeds in an order of this instance's own, so that they share the followers.
+func (i *Instance) seedSources() []feed.Upstream {
+	sources := make([]feed.Upstream, 0, len(i.settings.Seeds))
+	for at := range i.settings.Seeds {
+		address := i.settings.Seeds[(at+i.firstSeed)%len(i.settings.Seeds)]
+		source := i.addressSource("seed/"+address, address)
+		source.Starting = true
+		sources = append(sources, source)
+	}
+	return sources
+}
+
+// settledSources returns the sources of an instance that knows the others.
+func (i *Instance) settledSources() []feed.Upstream {
 	self := i.members.Self().ID()
 	ranked := member.Rank(i.members, readerKey, member.InRegion(i.settings.Region))
 	rank := slices.IndexFunc(ranked, func(instance pond.Instance) bool { return instance.ID() == self })
@@ -83,9 +130,12 @@
 }
 
 func (i *Instance) peerSource(instance pond.Instance) feed.Upstream {
-	address := instance.PeerAddress()
+	return i.addressSource("peer/"+string(instance.ID()), instance.PeerAddress())
+}
+
+func (i *Instance) addressSource(name, address string) feed.Upstream {
 	return feed.Upstream{
-		Name: "peer/" + string(instance.ID()),
+		Name: name,
 		Source: feed.SourceFunc(func(ctx context.Context, after uint64) (feed.Batch, error) {
 			return pull(ctx, i.network, address, after)
 		}),
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -44,6 +44,33 @@
 	}
 }
 
+// TestStartSources guards against a fleet of which every instance reads the store when all start at once, and against an
+// instance that waits for seeds that are gone.
+func TestStartSources(t *testing.T) {
+	tests := []struct {
+		name       string
+		seed       bool
+		seeds      int
+		snapshot   bool
+		sinceStart time.Duration
+		asksSeeds  bool
+		asksOthers bool
+	}{
+		{"starts", false, 3, false, 100 * time.Millisecond, true, false},
+		{"has started with the seeds", false, 3, true, time.Second, true, true},
+		{"knows the others", false, 3, true, 2 * time.Second, false, true},
+		{"no seed answers", false, 3, false, 700 * time.Millisecond, false, true},
+		{"is a seed", true, 2, false, 0, false, true},
+		{"knows no seed", false, 0, false, 0, false, true},
+	}
+	for _, test := range tests {
+		seeds, others := startSources(test.seed, test.seeds, test.snapshot, test.sinceStart)
+		if seeds != test.asksSeeds || others != test.asksOthers {
+			t.Errorf("%s: asks seeds %v and others %v, want %v and %v", test.name, seeds, others, test.asksSeeds, test.asksOthers)
+		}
+	}
+}
+
 // TestFrontLimits guards against limits that hold for the configuration at the start only, and against connections that
 // are cut when limits change.
 func TestFrontLimits(t *testing.T) {
--- a/internal/serve/settings.go
+++ b/internal/serve/settings.go
@@ -31,6 +31,8 @@
 	PeerAddress   string
 	// Seeds are peer addresses to contact first. They may be stale.
 	Seeds []string
+	// Seed is true if the instance is itself one of those that others contact first.
+	Seed bool
 	// Regions maps each region to its data centres.
 	Regions     map[string][]string
 	MemoryBytes int64
