sched, grant, relay: the pace of engines is told rightly, and long runs leave slow ones

A trial that logged what the home knew of each engine showed that slow engines passed as usual ones: (1) the first report of a run divided the time since the first event by all tokens, those of the first event included, so that runs of two events made 7.2 ms for a token look like 4.1 ms and the least gap was always one of these; (2) a run counts on its target from the start of a move, and tokens of the source were counted as the target's; (3) single gaps come out short when the network holds an event back; (4) an engine that long work avoids shows nothing, and after 5 s its pace was forgotten. A further trial showed that half of the late runs had begun before the pace of a new engine was known, or were expected to be short. Change: the gap of a report begins after the first event (TestOutputGap); reports during a move and the first one after it count for no engine (TestPaceOfMove); the third least gap of a window counts and is kept until there is another (TestPace); the load of a slow engine grows with the expected length (TestSlowEngineLoad); runs with much left move off slow engines that stay to engines with room (TestUnburdenSlowEngines, TestMoveFromStayingEngine). One pass over the requests now finds the candidates of all engines that lose runs.

--- a/internal/grant/convert.go
+++ b/internal/grant/convert.go
@@ -116,7 +116,7 @@
 	case sched.VerdictWait:
 		message.Queued = true
 	case sched.VerdictMove:
-		message.MoveTo = decision.Engine
+		message.MoveTo, message.MoveFrom = decision.Engine, decision.Source
 	default:
 		message.Refusal = &peerpb.RefusalInfo{
 			Reason: decision.Reason.String(),
@@ -137,6 +137,7 @@
 		decision.Verdict = sched.VerdictServe
 	case message.GetMoveTo() != "":
 		decision.Verdict, decision.Engine = sched.VerdictMove, message.GetMoveTo()
+		decision.Source = message.GetMoveFrom()
 	case refusal != nil:
 		decision.Verdict = sched.VerdictRefuse
 		decision.Reason, _ = pond.ReasonString(refusal.GetReason())
--- a/internal/grant/link.go
+++ b/internal/grant/link.go
@@ -139,7 +139,7 @@
 
 func (l *link) register(t *ticket, now time.Time) {
 	offer := l.newOffer(t, now)
-	offer.RunningOn, offer.ShownTokens = t.backend, int32(t.shown.Load())
+	offer.RunningOn, offer.ShownTokens = t.backend, int32(t.output.tokens())
 	l.add(func(up *peerpb.ScheduleUp) { up.Offers = append(up.Offers, offer) })
 }
 
--- a/internal/grant/placer.go
+++ b/internal/grant/placer.go
@@ -220,7 +220,7 @@
 	t, ok := p.tickets[decision.ID]
 	if decision.Verdict == sched.VerdictMove {
 		if ok && t.state == ticketRunning && t.holder == h {
-			t.askMove(decision.Engine)
+			t.askMove(pond.Move{From: decision.Source, Backend: decision.Engine})
 		}
 		return
 	}
--- a/internal/grant/ticket.go
+++ b/internal/grant/ticket.go
@@ -1,7 +1,7 @@
 package grant
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/dragonflypond/dragonflypond/internal/sched"
@@ -31,7 +31,7 @@
 // answer is the one decision that a caller of Place gets.
 type answer struct{ refusal *pond.Refusal }
 
-// ticket is one request of this instance from Place to Done. The placer's lock protects it, but for the counters.
+// ticket is one request of this instance from Place to Done. The placer's lock protects it, but for the output.
 type ticket struct {
 	placer *Placer
 	req    pond.PlaceRequest
@@ -51,40 +51,81 @@
 	address string
 
 	placedAt time.Time
-	shown    atomic.Int64 // tokens
-	shownAt  atomic.Int64 // Unix nanoseconds
-	firstAt  atomic.Int64 // Unix nanoseconds of the first token
-	reportAt time.Time    // when the next report may be sent
-	sent     int64        // tokens in the last report
-	sentAt   int64
+	output   output
+	reportAt time.Time // when the next report may be sent
 }
 
-// Backend implements pond.Placement.
-func (t *ticket) Backend() (name, address string) { return t.backend, t.address }
+// mark is a number of tokens and the time at which the last of them came.
+type mark struct {
+	tokens int
+	at     time.Time
+}
 
-// Progress implements pond.Placement. It is called for each token, so it only stores; the next flush reports it.
-func (t *ticket) Progress(tokens int, now time.Time) {
-	nanos := now.UnixNano()
-	if t.firstAt.Load() == 0 {
-		t.firstAt.Store(nanos)
+// output is what the engine has shown of one request.
+type output struct {
+	mu    sync.Mutex
+	first mark
+	last  mark
+	sent  mark // as of the last report
+}
+
+// show notes the whole number of tokens.
+func (o *output) show(tokens int, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.last = mark{tokens: tokens, at: now}
+	if o.first.at.IsZero() {
+		o.first = o.last
 	}
-	t.shownAt.Store(nanos)
-	t.shown.Store(int64(tokens))
 }
 
+func (o *output) tokens() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.last.tokens
+}
+
+// report returns what was shown since the last report, and false if that is nothing. An event may hold several tokens, so
+// those of the first one took no time that could be measured: a gap that counted them would make an engine look up to
+// twice as fast as it is.
+func (o *output) report(placedAt time.Time) (sched.Progress, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.last.tokens <= o.sent.tokens {
+		return sched.Progress{}, false
+	}
+	progress := sched.Progress{Tokens: o.last.tokens}
+	since := o.sent
+	if o.sent.tokens == 0 {
+		progress.FirstToken = max(o.first.at.Sub(placedAt), 1)
+		since = o.first
+	}
+	if made := o.last.tokens - since.tokens; made > 0 {
+		progress.Gap = o.last.at.Sub(since.at) / time.Duration(made)
+	}
+	o.sent = o.last
+	return progress, true
+}
+
+// Backend implements pond.Placement.
+func (t *ticket) Backend() (name, address string) { return t.backend, t.address }
+
+// Progress implements pond.Placement. It is called for each event, so it only stores; the next flush reports it.
+func (t *ticket) Progress(tokens int, now time.Time) { t.output.show(tokens, now) }
+
 // Done implements pond.Placement.
 func (t *ticket) Done(end pond.PlacementEnd, now time.Time) {
-	tokens := max(end.Tokens, int(t.shown.Load()))
+	tokens := max(end.Tokens, t.output.tokens())
 	t.placer.end(t, sched.End{Tokens: tokens, Complete: end.Complete, BackendFailed: end.BackendFailed}, now)
 }
 
 // askMove passes a move on to the caller. A newer move replaces one that the caller has not taken yet.
-func (t *ticket) askMove(target string) {
+func (t *ticket) askMove(move pond.Move) {
 	select {
 	case <-t.moves:
 	default:
 	}
-	t.moves <- pond.Move{Backend: target}
+	t.moves <- move
 }
 
 // Moves implements pond.MovablePlacement.
@@ -96,24 +137,7 @@
 }
 
 // report returns what the ticket has shown since the last report, and false if that is nothing.
-func (t *ticket) report() (sched.Progress, bool) {
-	shown, shownAt := t.shown.Load(), t.shownAt.Load()
-	if shown <= t.sent {
-		return sched.Progress{}, false
-	}
-	progress := sched.Progress{Tokens: int(shown)}
-	if t.sent == 0 {
-		firstAt := t.firstAt.Load()
-		progress.FirstToken = max(time.Duration(firstAt-t.placedAt.UnixNano()), 1)
-		if shown > 1 {
-			progress.Gap = time.Duration((shownAt - firstAt) / (shown - 1))
-		}
-	} else {
-		progress.Gap = time.Duration((shownAt - t.sentAt) / (shown - t.sent))
-	}
-	t.sent, t.sentAt = shown, shownAt
-	return progress, true
-}
+func (t *ticket) report() (sched.Progress, bool) { return t.output.report(t.placedAt) }
 
 // localHolder makes a pool of this instance a holder.
 type localHolder struct{ *pool }
@@ -124,5 +148,5 @@
 }
 
 func (h localHolder) register(t *ticket, now time.Time) {
-	h.pool.register(requestOf(t.req, t.retry), t.backend, int(t.shown.Load()), now)
+	h.pool.register(requestOf(t.req, t.retry), t.backend, t.output.tokens(), now)
 }
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -66,8 +66,8 @@
 		case <-ctx.Done():
 			return
 		case move := <-m.placement.Moves():
-			if current := m.s.current(); m.s.x.relay.options.Fleet.Accepting(current.ID) {
-				// The placer does not know yet that the run has left the engine that leaves.
+			if current := m.s.current(); current.ID != move.From && m.s.x.relay.options.Fleet.Accepting(current.ID) {
+				// The placer does not know yet that the run has left that engine.
 				m.placement.Moved(pond.Move{Backend: current.ID}, true, time.Now())
 				continue
 			}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -287,6 +288,13 @@
 	p.moved = append(p.moved, fmt.Sprint(move.Backend, ok))
 }
 
+// reported returns the moves that were reported so far.
+func (p *fakePlacer) reported() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.moved)
+}
+
 // fakeCopier stops the source's stream with the last copy.
 type fakeCopier struct {
 	onLast func()
@@ -368,12 +376,51 @@
 			if body != want {
 				t.Errorf("answer %q, want %q", body, want)
 			}
-			bed.placer.mu.Lock()
-			defer bed.placer.mu.Unlock()
-			if len(bed.placer.moved) != 1 || bed.placer.moved[0] != "b1true" {
-				t.Errorf("moves reported: %v, want one to b1", bed.placer.moved)
+			if moved := bed.placer.reported(); len(moved) != 1 || moved[0] != "b1true" {
+				t.Errorf("moves reported: %v, want one to b1", moved)
+			}
+		})
+	}
+}
+
+// TestMoveFromStayingEngine guards against moves that are ignored because the engine that is to lose the run stays, and
+// against carrying out one that names an engine which the run has left.
+func TestMoveFromStayingEngine(t *testing.T) {
+	for _, from := range []string{"b0", "b7"} {
+		stop, halfway := make(chan struct{}), make(chan struct{})
+		source := newBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			writeEvent(w, 1)
+			close(halfway)
+			<-stop
+			if from == "b0" {
+				answerReset(w, nil)
+				return
 			}
+			writeEvent(w, 2)
 		})
+		target := newBackend(t, func(w http.ResponseWriter, r *http.Request) { writeEvent(w, 2) })
+		bed := newBed(t, route.KindStream, &route.EngineLimits{EventTokens: 4}, source, target)
+		bed.copier.onLast = func() { close(stop) }
+		go func() {
+			<-halfway
+			bed.placer.moves <- pond.Move{From: from, Backend: "b1"}
+			if from == "b0" {
+				return
+			}
+			for len(bed.placer.reported()) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			close(stop)
+		}()
+		status, _ := bed.ask(t, "key")
+		want := "b1true"
+		if from != "b0" {
+			want = "b0true"
+		}
+		if moved := bed.placer.reported(); status != http.StatusOK || len(moved) != 1 || moved[0] != want {
+			t.Errorf("a move from %s: status %d, moves reported %v; want 200 and %s", from, status, moved, want)
+		}
 	}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -268,6 +268,7 @@
 	s.x.log.WithFields(logrus.Fields{
 		logs.Event: "runMoved", logs.Source: s.backend.ID, logs.Target: target.ID, logs.Position: s.position,
 		"copyMillis": result.copied.Milliseconds(), "pauseMillis": pause.Milliseconds(),
+		"sourceLeaves": !s.x.relay.options.Fleet.Accepting(s.backend.ID),
 	}).Info("a run goes on on another engine")
 }
 
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -100,6 +100,10 @@
 	// outgoing and incoming count the moves in progress from and to the engine.
 	outgoing int
 	incoming int
+	// shed, next and nextRank belong to one planning of moves: what the engine is to lose, and the run that goes next.
+	shed     shed
+	next     table.Slot
+	nextRank evacuee
 }
 
 func (e *engine) configure(spec Engine, policy Policy) {
--- a/internal/sched/request.go
+++ b/internal/sched/request.go
@@ -63,8 +63,9 @@
 	ID      string
 	Origin  uint64
 	Verdict Verdict
-	// Engine is set with VerdictServe.
+	// Engine is set with VerdictServe and VerdictMove, and Source with VerdictMove.
 	Engine string
+	Source string
 	// Reason, RetryAt and Detail are set with VerdictRefuse.
 	Reason  pond.Reason
 	RetryAt time.Time
@@ -118,7 +119,9 @@
 	admitted queueKind // queue and cost when it started
 
 	// moving is true while the request's memory is copied from the engine source to its present engine.
-	moving       bool
+	moving bool
+	// afterMove is true until the first report after a move.
+	afterMove    bool
 	source       string
 	moveDeadline time.Time
 	// moveAfter is the time from which a move may be tried again, and moveFailed the engine of the last failed one.
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -44,6 +44,7 @@
 	observeAt   time.Time
 	refuseAt    time.Time
 	agingAt     time.Time
+	unburdenAt  time.Time
 	forgetAt    time.Time
 
 	decisions []Decision
@@ -174,9 +175,14 @@
 	if progress.Tokens > r.shown {
 		e.speed.lastToken = now
 	}
-	if e.speed.probe == slot {
+	// A run is counted on its target from the start of a move, so the report that ends it may hold tokens of its source.
+	ofSource := r.moving || r.afterMove
+	r.afterMove = r.moving
+	switch {
+	case ofSource:
+	case e.speed.probe == slot:
 		e.speed.observeProbe(progress, r.prompt, now)
-	} else {
+	default:
 		e.speed.observe(progress, r.prompt, now)
 	}
 	if progress.Tokens <= r.shown {
@@ -254,7 +260,7 @@
 	s.expire(now)
 	s.observe(now)
 	s.grow(now)
-	s.evacuate(now)
+	s.planMoves(now)
 	s.dispatch(now)
 	s.refuseHopeless(now)
 	return s.decisions
--- a/internal/sched/speed.go
+++ b/internal/sched/speed.go
@@ -141,7 +141,7 @@
 		if now.Sub(v.gapAt) < maxSpeedAge {
 			s.gaps = append(s.gaps, v.gap)
 		}
-		if best, ok := v.pace.best(now); ok {
+		if best, ok := v.pace.best(); ok {
 			s.paces = append(s.paces, best)
 		}
 		if now.Sub(v.firstAt) < maxSpeedAge {
@@ -174,7 +174,7 @@
 	if s.medians.gap > 0 && now.Sub(v.gapAt) < maxSpeedAge {
 		e.factor = max(float64(v.gap)/float64(s.medians.gap), 1)
 	}
-	best, known := v.pace.best(now)
+	best, known := v.pace.best()
 	e.slowPace = known && s.medians.paces >= minObservedEngines && float64(best) > slowPace*float64(s.medians.pace)
 	if s.policy.StragglerRatio <= 0 {
 		return
--- a/pkg/pond/place.go
+++ b/pkg/pond/place.go
@@ -63,6 +63,8 @@
 
 // Move asks for a running generation to go on on another backend server.
 type Move struct {
+	// From is the name of the backend server that it is to leave, as far as the placer knows.
+	From string
 	// Backend is the name of the backend server on which the generation goes on.
 	Backend string
 }
