--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -120,7 +120,6 @@
 	}
 	if p := x.call.Prompt; p != nil {
 		req.PromptTokens, req.MaxTokens, req.PrefixHash = p.Tokens, p.MaxOutput, p.Shared
-		req.LengthHint = p.LengthHint
 		if p.MaxOutput > 0 && p.MaxOutput <= shortOutput {
 			req.Class = pond.ClassShort
 		}
--- a/internal/sched/account.go
+++ b/internal/sched/account.go
@@ -86,10 +86,6 @@
 		a.lengths[r.class] = new(lengths)
 	}
 	a.lengths[r.class].add(tokens)
-	s.hints.add(r.hint, tokens)
-	if r.class != pond.ClassUnknown {
-		return // Outputs of a declared class say nothing about those of an unknown one.
-	}
 	size := promptSize(r.prompt)
 	s.prompts[size].add(tokens)
 	if a.prompts[size] == nil {
@@ -115,19 +111,8 @@
 	}
 }
 
-// sketch returns the best known lengths for a request, weighted by the caller's estimate, or nil. The result is valid until
-// the next call.
+// sketch returns the best known lengths for a request, or nil.
 func (s *Scheduler) sketch(r *request) *lengths {
-	known := s.learned(r)
-	if known == nil || r.hint == 0 {
-		return known
-	}
-	s.hinted = s.hints.weigh(known, r.hint)
-	return &s.hinted
-}
-
-// learned returns the best known lengths for requests of this kind, or nil.
-func (s *Scheduler) learned(r *request) *lengths {
 	if r.class == pond.ClassUnknown {
 		return s.unknownLengths(r)
 	}
@@ -157,7 +142,7 @@
 		}
 		return queueShort
 	default:
-		if known := s.sketch(r); known != nil && known.quantile(s.policy.LengthQuantile, 0) <= s.policy.ShortMaxTokens {
+		if known := s.unknownLengths(r); known != nil && known.quantile(s.policy.LengthQuantile, 0) <= s.policy.ShortMaxTokens {
 			return queueShort
 		}
 		return queueLong
--- a/internal/sched/request.go
+++ b/internal/sched/request.go
@@ -27,8 +27,6 @@
 	// PromptTokens and MaxTokens are in tokens; MaxTokens must be positive.
 	PromptTokens int
 	MaxTokens    int
-	// LengthHint is the caller's estimate of the output in tokens; zero for none.
-	LengthHint int
 	// PrefixHash identifies the cached prompt prefix; zero means none.
 	PrefixHash uint64
 	// Deadline is the time by which the whole answer is due; zero means the policy's default.
@@ -98,7 +96,6 @@
 	priority int
 	prompt   int
 	maxOut   int
-	hint     int
 	prefix   uint64
 	deadline time.Time
 	avoid    []string
@@ -140,7 +137,6 @@
 	r.version, r.adapter, r.class = spec.Version, spec.Adapter, spec.Class
 	r.priority, r.prefix, r.avoid = spec.Priority, spec.PrefixHash, spec.Avoid
 	r.prompt, r.maxOut = max(spec.PromptTokens, 0), max(spec.MaxTokens, 1)
-	r.hint = max(spec.LengthHint, 0)
 	r.deadline = spec.Deadline
 	r.engine = table.None
 	r.position = notQueued
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -27,8 +27,6 @@
 	accounts *table.Table[string, account]
 	lengths  [classCount]lengths
 	prompts  [promptSizes]lengths
-	hints    hints
-	hinted   lengths // the last result of sketch
 	prefixes prefixTable
 	queues   [queueCount]queue
 	drain    drain
--- a/pkg/pond/place.go
+++ b/pkg/pond/place.go
@@ -19,8 +19,6 @@
 	PromptTokens int
 	// MaxTokens bounds the output; zero means the model's limit.
 	MaxTokens int
-	// LengthHint is the caller's estimate of the output in tokens; zero for none.
-	LengthHint int
 	// PrefixHash identifies the cached prompt prefix; zero means none.
 	PrefixHash uint64
 	// Deadline is the time by which the whole answer is due; zero means none.
