serve, relay, metric: metrics of beliefs, queues, moves, calls to the store and traffic

Change: figures of an instance (confirmation age, revision, version, queues, engines, dropped lines), record_pulls_total, moves_total by cause and outcome, move_notice_seconds, peer_bytes_total and answer_bytes_total by distance.

BenchmarkGeneration measures all log lines of one generation.

--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/watch"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -42,7 +43,7 @@
 		{name: "membership_received_bytes_total", want: 11},
 	}
 	registry := prometheus.NewPedanticRegistry()
-	registry.MustRegister(newStatusCollector("test", func() Status { return status }))
+	registry.MustRegister(metric.NewFigures("test", func() Status { return status }, statusMetrics))
 	if got, err := testutil.GatherAndCount(registry); err != nil || got != len(tests) {
 		t.Fatalf("%d metrics, error %v; want %d", got, err, len(tests))
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -73,6 +73,19 @@
 	Starting bool
 }
 
+//go:generate go tool enumer -type=PullResult -trimprefix=Pull -transform=title-lower -output=pullresult_enumer.go
+
+// PullResult tells what came of a question to a source.
+type PullResult int
+
+// Results of questions.
+const (
+	PullFailed PullResult = iota
+	PullStale
+	PullUnchanged
+	PullChanged
+)
+
 // Options hold what a Feed needs.
 type Options struct {
 	// Upstreams returns the sources in the order of preference. It may ask the Feed for its state.
@@ -82,6 +95,8 @@
 	Log   logrus.FieldLogger
 	// Changed is called with each set of changes, in order.
 	Changed func(records []Record)
+	// Pulled is called after each question to a source, with its result; nil if nobody counts.
+	Pulled func(upstream Upstream, result PullResult)
 }
 
 // Feed keeps the copy of one instance current. It is safe for concurrent use.
@@ -157,21 +172,31 @@
 	batch, err := upstream.Source.Pull(ctx, after)
 	now := f.options.Clock()
 	if err != nil {
+		f.pulled(upstream, PullFailed)
 		f.failed(upstream, err, now)
 		return
 	}
-	changed := f.merge(batch)
+	changed, result := f.merge(batch), PullUnchanged
 	if len(changed) > 0 {
+		result = PullChanged
 		f.options.Changed(changed)
 	}
 	// A source that is behind this copy confirms nothing of it, however recent its own confirmation is.
 	if age := now.Sub(batch.ConfirmedAt); age > staleLimit || batch.Revision < after {
+		result = PullStale
 		f.pause(upstream, now)
 		f.options.Log.WithFields(logrus.Fields{
 			logs.Event: "sourceStale", logs.Source: upstream.Name, logs.AgeMillis: age.Milliseconds(),
 			logs.Revision: batch.Revision, "ownRevision": after,
 		}).Warn("source of the configuration is not current")
 	}
+	f.pulled(upstream, result)
+}
+
+func (f *Feed) pulled(upstream Upstream, result PullResult) {
+	if f.options.Pulled != nil {
+		f.options.Pulled(upstream, result)
+	}
 }
 
 func (f *Feed) failed(upstream Upstream, err error, now time.Time) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
@@ -52,6 +53,8 @@
 
 type member struct {
 	backend route.Backend
+	// leavingAt is the time at which the backend server was first known to leave; zero while it is not.
+	leavingAt time.Time
 	// goneAt is the time at which the entry was removed; zero while it is listed.
 	goneAt time.Time
 	// doubtUntil is the time until which a removed entry may be registered again.
@@ -162,7 +165,14 @@
 				logs.Event: "backendListed", logs.Service: backend.Service, "leaving": backend.Leaving,
 			}).Info("backend server listed")
 		}
-		f.members[backend.ID] = &member{backend: backend}
+		fresh := &member{backend: backend}
+		if backend.Leaving {
+			fresh.leavingAt = now
+			if known != nil && known.backend.Born == backend.Born && !known.leavingAt.IsZero() {
+				fresh.leavingAt = known.leavingAt
+			}
+		}
+		f.members[backend.ID] = fresh
 	}
 }
 
@@ -171,6 +181,9 @@
 		return
 	}
 	known.goneAt, known.doubtUntil = now, doubtUntil
+	if known.leavingAt.IsZero() {
+		known.leavingAt = now
+	}
 }
 
 // sweep forgets backend servers that left long ago.
@@ -223,6 +236,32 @@
 	return m.backend, true
 }
 
+// LeavingSince returns the time at which a backend server was first known to leave or to be gone, and false if it is not.
+func (f *Fleet) LeavingSince(id string) (time.Time, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	m, ok := f.members[id]
+	if !ok || m.leavingAt.IsZero() {
+		return time.Time{}, false
+	}
+	return m.leavingAt, true
+}
+
+// Distance returns how far a data centre is from another one.
+func (f *Fleet) Distance(from, to string) metric.Distance {
+	region, known := f.regionOf[to]
+	switch {
+	case from == to:
+		return metric.DistanceSameDataCentre
+	case !known:
+		return metric.DistanceUnknown
+	case region == f.regionOf[from]:
+		return metric.DistanceSameRegion
+	default:
+		return metric.DistanceOtherRegion
+	}
+}
+
 // At returns the listed backend server with an address.
 func (f *Fleet) At(address string) (route.Backend, bool) {
 	f.mu.RLock()
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -85,3 +85,28 @@
 		entry.WithFields(logrus.Fields{Event: "requestEnded", Status: 200, ElapsedMillis: 120, Outcome: "answered"}).Info("request ended")
 	}
 }
+
+// BenchmarkGeneration measures all lines of one generation that moves once: placed, moved, ended. An instance of the target
+// size serves about ten of them a second.
+func BenchmarkGeneration(b *testing.B) {
+	log := New(io.Discard)
+	defer log.Close()
+	lines := []logrus.Fields{
+		{Event: "requestPlaced", Backend: "i-5840f93bc3", Attempt: 1, ElapsedMillis: 3, RemainingMillis: 38_900, Revision: 812},
+		{Event: "runMoved", Source: "i-5840f93bc3", Target: "i-18ca9fbafc", Position: "415", "copyMillis": 316, "pauseMillis": 24},
+		{
+			Event: "requestEnded", Outcome: "answered", Status: 200, ElapsedMillis: 9312, Version: 7, Route: "r-1", Account: "acme",
+			Backend: "i-18ca9fbafc", Position: "720", Moves: 1, MaxGapMillis: 66, FirstEventMillis: 480,
+		},
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		request := log.WithField(Request, "84f4cc720bb7c944")
+		for _, fields := range lines {
+			log.mu.Lock()
+			clear(log.counts) // The rate limit must not spare the encoding.
+			log.mu.Unlock()
+			request.WithFields(fields).Info("a line about a request")
+		}
+	}
+}
--- a/internal/metric/requests.go
+++ b/internal/metric/requests.go
@@ -20,11 +20,27 @@
 	total      *prometheus.HistogramVec
 	byAccount  *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
+	moves      *prometheus.CounterVec
+	notice     prometheus.Histogram
 	copyTime   prometheus.Histogram
 	pause      prometheus.Histogram
 	accounts   labelSet
 }
 
+// Outcomes of moves.
+const (
+	MoveResumed      = "resumed"
+	MoveNotCopied    = "notCopied"
+	MoveNotResumed   = "notResumed"
+	MoveNotNecessary = "notNecessary"
+)
+
+// Causes of moves.
+const (
+	MoveLeaving = "engineLeaves"
+	MoveSlow    = "engineSlow"
+)
+
 // NewRequests returns the metrics of requests, registered with m.
 func NewRequests(m *Metrics) *Requests {
 	r := &Requests{
@@ -41,6 +57,12 @@
 			Namespace: Namespace, Name: "first_event_seconds", Help: "Time from the request to its first event.",
 			Buckets: waitBuckets,
 		}, []string{"route"}),
+		moves: counter("moves_total", "Moves of runs to other engines, by cause and outcome.", "cause", "outcome"),
+		notice: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: Namespace, Name: "move_notice_seconds",
+			Help:    "Time from the notice that an engine leaves until the order to move a run arrives.",
+			Buckets: waitBuckets,
+		}),
 		copyTime: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: Namespace, Name: "move_copy_seconds", Help: "Time to copy a run to another engine.", Buckets: waitBuckets,
 		}),
@@ -50,7 +72,7 @@
 		}),
 		accounts: labelSet{limit: maxAccounts, other: otherAccounts},
 	}
-	m.registry.MustRegister(r.ended, r.total, r.byAccount, r.firstEvent, r.copyTime, r.pause)
+	m.registry.MustRegister(r.ended, r.total, r.byAccount, r.firstEvent, r.moves, r.notice, r.copyTime, r.pause)
 	return r
 }
 
@@ -70,6 +92,12 @@
 	r.firstEvent.WithLabelValues(route).Observe(elapsed.Seconds())
 }
 
+// MoveOrdered records the time from the notice that an engine leaves until the order to move a run of it.
+func (r *Requests) MoveOrdered(sinceNotice time.Duration) { r.notice.Observe(sinceNotice.Seconds()) }
+
+// MoveEnded counts a move.
+func (r *Requests) MoveEnded(cause, outcome string) { r.moves.WithLabelValues(cause, outcome).Inc() }
+
 // Moved records a run that went on on another engine.
 func (r *Requests) Moved(copied, pause time.Duration) {
 	r.copyTime.Observe(copied.Seconds())
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -40,6 +40,7 @@
 	sealer    cipher.AEAD
 	macKey    []byte
 	pool      *drpcpool.Pool[string, drpcpool.Conn]
+	wrap      func(address string, conn net.Conn) net.Conn
 }
 
 // NewNetwork derives all keys from the cluster secret.
@@ -70,6 +71,10 @@
 // MACKey returns the 32-byte key for message authentication codes in cursors and run keys.
 func (n *Network) MACKey() []byte { return n.macKey }
 
+// WrapConns lets a function wrap each connection that is opened from now on, below the encryption. It must be called before
+// the first call of Conn.
+func (n *Network) WrapConns(wrap func(address string, conn net.Conn) net.Conn) { n.wrap = wrap }
+
 // Conn returns a connection to the instance with the given peer address. It dials when the first call is made and
 // again after a failure. Concurrent calls use separate TCP connections, because drpc carries one call at a time.
 func (n *Network) Conn(address string) drpc.Conn {
@@ -82,12 +87,20 @@
 func (n *Network) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{NetDialer: &net.Dialer{}, Config: n.tlsConfig}
+	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &DialError{address: address, cause: err}
 	}
-	return drpcconn.New(conn), nil
+	if n.wrap != nil {
+		conn = n.wrap(address, conn)
+	}
+	secured := tls.Client(conn, n.tlsConfig)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close() // The failed handshake is the error that counts.
+		return nil, &DialError{address: address, cause: err}
+	}
+	return drpcconn.New(secured), nil
 }
 
 // DialError is returned by a call whose connection could not be established, so nothing of the call was sent.
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -27,6 +28,7 @@
 // moveResult tells where a run can go on.
 type moveResult struct {
 	move   pond.Move
+	cause  string // one of the causes of package metric
 	handle string
 	holder string // the address of the engine that made the copy
 	// places are the engines to try in turn.
@@ -39,6 +41,8 @@
 	s         *stream
 	placement pond.MovablePlacement
 	cancel    context.CancelFunc
+	// cause is that of the last move, one of the causes of package metric.
+	cause string
 
 	mu       sync.Mutex
 	busy     chan struct{} // closed at the end of the move in progress; nil without one
@@ -47,7 +51,7 @@
 }
 
 func newMover(s *stream, ctx context.Context) *mover {
-	m := &mover{s: s, cancel: func() {}}
+	m := &mover{s: s, cancel: func() {}, cause: metric.MoveLeaving}
 	placement, ok := s.placement.(pond.MovablePlacement)
 	if !ok {
 		return m
@@ -69,9 +73,11 @@
 			if current := m.s.current(); current.ID != move.From && m.s.x.relay.options.Fleet.Accepting(current.ID) {
 				// The placer does not know yet that the run has left that engine.
 				m.placement.Moved(pond.Move{Backend: current.ID}, true, time.Now())
+				m.count(metric.MoveNotNecessary)
 				continue
 			}
 			m.begin()
+			m.noteOrder()
 			result := m.move(ctx, move)
 			if !m.end(result) {
 				m.placement.Moved(move, false, time.Now())
@@ -86,6 +92,17 @@
 	m.busy, m.finished, m.away = make(chan struct{}), nil, false
 }
 
+// noteOrder records why the run is to move, and how long after the notice the order came.
+func (m *mover) noteOrder() {
+	m.cause = metric.MoveSlow
+	if since, leaving := m.s.x.relay.options.Fleet.LeavingSince(m.s.current().ID); leaving {
+		m.cause = metric.MoveLeaving
+		m.s.x.relay.options.Metrics.MoveOrdered(m.s.x.relay.options.Clock().Sub(since))
+	}
+}
+
+func (m *mover) count(outcome string) { m.s.x.relay.options.Metrics.MoveEnded(m.cause, outcome) }
+
 // end publishes the result of a move and reports whether there is one.
 func (m *mover) end(result *moveResult) bool {
 	m.mu.Lock()
@@ -128,6 +145,11 @@
 	m.mu.Lock()
 	m.finished, m.away = nil, false
 	m.mu.Unlock()
+	outcome := metric.MoveResumed
+	if !ok {
+		outcome = metric.MoveNotResumed
+	}
+	m.s.x.relay.options.Metrics.MoveEnded(result.cause, outcome)
 	m.placement.Moved(result.move, ok, time.Now())
 }
 
@@ -139,19 +161,21 @@
 	log := x.log.WithFields(logrus.Fields{logs.Source: source.ID, logs.Target: move.Backend})
 	target, ok := fleet.Backend(move.Backend)
 	if !ok || target.ID == source.ID {
+		m.count(metric.MoveNotCopied)
 		log.WithField(logs.Event, "moveFailed").Warn("the target of a move is not known")
 		return nil
 	}
 	began := time.Now()
 	first, err := m.copy(ctx, source, target, false)
 	if err != nil {
+		m.count(metric.MoveNotCopied)
 		log.WithError(err).WithField(logs.Event, "moveFailed").Info("a run could not be copied")
 		return nil
 	}
 	m.mu.Lock()
 	m.away = true
 	m.mu.Unlock()
-	result := &moveResult{move: move, handle: first.Handle, holder: source.Address, places: []route.Backend{target}}
+	result := &moveResult{move: move, cause: m.cause, handle: first.Handle, holder: source.Address, places: []route.Backend{target}}
 	second, err := m.copy(ctx, source, target, true)
 	result.copied = time.Since(began)
 	var refused *CopyError
@@ -164,6 +188,7 @@
 		m.mu.Lock()
 		m.away = false // The run has ended; its stream holds the rest.
 		m.mu.Unlock()
+		m.count(metric.MoveNotNecessary)
 		m.drop(source, first.Handle)
 		return nil
 	case errors.As(err, &refused) && refused.Handle != "":
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dragonflypond/dragonflypond/internal/engine"
@@ -187,6 +188,8 @@
 		notSent := errors.As(err, &failure) && failure.Outcome() == pond.OutcomeNotSent
 		return attempt{notRun: notSent, leaving: false, err: err}
 	}
+	distance := x.relay.options.Fleet.Distance(x.relay.options.DataCentre, d.Backend.DataCentre)
+	resp.Body = &countedBody{ReadCloser: resp.Body, bytes: x.relay.options.Traffic.Answer(distance)}
 	reply := x.relay.options.Protocol.Read(resp, x.call)
 	switch {
 	case reply.NotRun || reply.Other:
@@ -249,6 +252,19 @@
 	return b.ReadCloser.Close()
 }
 
+// countedBody counts the bytes of an answer.
+type countedBody struct {
+	io.ReadCloser
+	bytes prometheus.Counter
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes.Add(float64(n))
+	return n, err
+}
+
 // setHeader adds the fields of an answer that are passed on. The length is set by whoever writes the body.
 func setHeader(to, from http.Header) {
 	for name, values := range engine.PassedHeader(from, "Content-Length") {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,6 +57,7 @@
 	// Clock counts suspended time; it serves the lease only.
 	Clock   func() time.Time
 	Metrics *metric.Requests
+	Traffic *metric.Traffic
 	Log     logrus.FieldLogger
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -166,7 +166,7 @@
 		Budget:    NewRetryBudget(0.2, 50, 10*time.Second),
 		Instances: func() int { return 1 }, DataCentre: "north-a", KeyLease: func() time.Duration { return 5 * time.Second },
 		ConfirmedAt: func() time.Time { return bed.confirmed }, Clock: time.Now,
-		Metrics: metric.NewRequests(metric.New()), Log: quietLog(),
+		Metrics: metric.NewRequests(metric.New()), Traffic: metric.NewTraffic(metric.New()), Log: quietLog(),
 	})
 	bed.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 		bed.relay.Serve(w, in, &Call{
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -66,6 +66,7 @@
 	placer  *grant.Placer
 	relay   *relay.Relay
 	metrics *metric.Metrics
+	traffic *metric.Traffic
 	peers   *peer.Server
 	front   *frontServer
 
@@ -106,6 +107,7 @@
 		firstSeed: mathrand.IntN(max(len(settings.Seeds), 1)),
 	}
 	i.limits.Store(&runLimits{grace: settings.Grace, keyLease: settings.KeyLease})
+	i.traffic = metric.NewTraffic(i.metrics)
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
@@ -161,6 +163,10 @@
 	}
 	i.assembleFleet()
 	i.assembleRelay()
+	i.network.WrapConns(func(address string, conn net.Conn) net.Conn { return i.traffic.Conn(conn, i.distanceOf(address)) })
+	if err := i.metrics.Registry().Register(metric.NewFigures(metric.Namespace, i.figures, instanceFigures)); err != nil {
+		return errors.Wrap(err, "register metrics")
+	}
 	i.front = newFrontServer(i.sockets.front, i.ports.Ingress.Requests(i.relay))
 	i.fleet.OnChange(func() {
 		if catalogue := i.fleet.Catalogue(); catalogue != nil {
@@ -179,6 +185,7 @@
 		Clock:     clock.Now,
 		Log:       i.log,
 		Changed:   func(records []feed.Record) { i.fleet.Apply(records, i.feed.DisturbedAt()) },
+		Pulled:    pullCounter(i.metrics),
 	})
 }
 
@@ -205,6 +212,7 @@
 		ConfirmedAt: i.feed.ConfirmedAt,
 		Clock:       clock.Now,
 		Metrics:     metric.NewRequests(i.metrics),
+		Traffic:     i.traffic,
 		Log:         i.log,
 	})
 }
--- /dev/null
+++ b/internal/serve/metrics_test.go
@@ -0,0 +1,103 @@
+package serve
+
+import (
+	"os"
+	"regexp"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dragonflypond/dragonflypond/internal/feed"
+	"github.com/dragonflypond/dragonflypond/internal/metric"
+)
+
+// TestInstanceFigures guards against a metric that shows the figure of another, and against an age of 0 for what has never
+// been confirmed.
+func TestInstanceFigures(t *testing.T) {
+	f := figures{
+		confirmedAge: 1500 * time.Millisecond, disturbedAge: -1, revision: 2, version: 3, ready: true, open: 4, live: 5,
+		waitingShort: 6, waitingLong: 7, running: 8, engines: 9, avoided: 10, reserved: 11, usable: 12, dropped: 13,
+		sent: 14, received: 15,
+	}
+	tests := []struct {
+		name string
+		want float64
+	}{
+		{"records_confirmed_age_seconds", 1.5}, {"store_disturbed_age_seconds", -1}, {"records_revision", 2},
+		{"configuration_version", 3}, {"ready", 1}, {"open_requests", 4}, {"instances_live", 5},
+		{"placement_waiting_short", 6}, {"placement_waiting_long", 7}, {"placement_running", 8}, {"placement_engines", 9},
+		{"placement_engines_avoided", 10}, {"placement_reserved_tokens", 11}, {"placement_usable_tokens", 12},
+		{"log_lines_dropped_total", 13}, {"membership_sent_bytes_total", 14}, {"membership_received_bytes_total", 15},
+	}
+	registry := prometheus.NewPedanticRegistry()
+	registry.MustRegister(metric.NewFigures("test", func() figures { return f }, instanceFigures))
+	families, err := registry.Gather()
+	if err != nil || len(families) != len(tests) {
+		t.Fatalf("%d metrics, error %v; want %d", len(families), err, len(tests))
+	}
+	values := make(map[string]float64)
+	for _, family := range families {
+		m := family.GetMetric()[0]
+		values[family.GetName()] = m.GetGauge().GetValue() + m.GetCounter().GetValue()
+	}
+	for _, test := range tests {
+		if got := values["test_"+test.name]; got != test.want {
+			t.Errorf("%s: got %g, want %g", test.name, got, test.want)
+		}
+	}
+}
+
+// TestDocumentedMetrics guards against a page for operators that names metrics which do not exist.
+func TestDocumentedMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := metric.New()
+	metric.NewRequests(m)
+	metric.NewTraffic(m)
+	pullCounter(m)
+	descriptions := make(chan *prometheus.Desc, 1000)
+	m.Registry().Describe(descriptions)
+	metric.NewFigures(metric.Namespace, func() figures { return figures{} }, instanceFigures).Describe(descriptions)
+	close(descriptions)
+	known := make(map[string]bool)
+	for description := range descriptions {
+		known[regexp.MustCompile(`fqName: "([a-z_]+)"`).FindStringSubmatch(description.String())[1]] = true
+	}
+	names := regexp.MustCompile(`dragonflypond_[a-z_]+[a-z]`).FindAllString(string(page), -1)
+	if len(names) < 20 {
+		t.Errorf("the page names %d metrics, want at least 20", len(names))
+	}
+	for _, name := range names {
+		if !known[name] {
+			t.Errorf("the page names %s, which no instance has", name)
+		}
+	}
+}
+
+// TestPullCounter guards against questions to other instances that are counted as calls to the store, which are billed.
+func TestPullCounter(t *testing.T) {
+	m := metric.New()
+	count := pullCounter(m)
+	count(feed.Upstream{Name: "store", Store: true}, feed.PullChanged)
+	count(feed.Upstream{Name: "peer/a"}, feed.PullStale)
+	count(feed.Upstream{Name: "peer/a"}, feed.PullStale)
+	families, err := m.Registry().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(map[string]float64)
+	for _, family := range families {
+		if family.GetName() != "dragonflypond_record_pulls_total" {
+			continue
+		}
+		for _, series := range family.GetMetric() {
+			got[series.GetLabel()[1].GetValue()+" "+series.GetLabel()[0].GetValue()] = series.GetCounter().GetValue()
+		}
+	}
+	if len(got) != 2 || got["store changed"] != 1 || got["instance stale"] != 2 {
+		t.Errorf("counts %v, want 1 of the store and 2 of instances", got)
+	}
+}
