soak: a graceful stop cuts nothing; connections that are cut one way

Change: TestGracefulStop stops one instance, then the two others at once, while callers keep connections open and read streams, and wants every answer whole. Two new kinds of fault hold back what the store or a backend server sends. They stand at the end of the list, and regressions are drawn from the list with which they failed.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -2,7 +2,7 @@
 //
 // A run starts instances, a stand-in for the platform's store, engines and replicas, and callers. Faults come from
 // outside, by a seed: processes are killed, stopped, paused and told to reload; connections go through proxies that delay,
-// reset and silence them; the store fails; engines leave with and without notice or crash; keys are revoked. Meanwhile and
+// reset, silence and cut them one way; the store fails; engines leave with and without notice or crash; keys are revoked. Meanwhile and
 // afterwards the run checks what callers and backend servers see.
 //
 // # Usage
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -15,6 +15,7 @@
 	mu     sync.Mutex
 	open   map[net.Conn]struct{}
 	silent bool
+	muted  bool // the target's bytes alone are held back
 	delay  time.Duration
 }
 
@@ -50,8 +51,8 @@
 	p.open[near], p.open[far] = struct{}{}, struct{}{}
 	p.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go p.copy(far, near, done)
-	go p.copy(near, far, done)
+	go p.copy(far, near, false, done)
+	go p.copy(near, far, true, done)
 	<-done
 	<-done
 	p.mu.Lock()
@@ -64,12 +65,12 @@
 
 // copy passes bytes on, late or not at all while the proxy disturbs. A failed read or write ends both directions, as on a
 // real connection.
-func (p *proxy) copy(to, from net.Conn, done chan<- struct{}) {
+func (p *proxy) copy(to, from net.Conn, answers bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		for p.waits() {
+		for p.waits(answers) {
 			time.Sleep(5 * time.Millisecond)
 		}
 		if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
@@ -87,9 +88,9 @@
 	}
 }
 
-func (p *proxy) waits() bool {
+func (p *proxy) waits(answers bool) bool {
 	p.mu.Lock()
-	silent, delay := p.silent, p.delay
+	silent, delay := p.silent || p.muted && answers, p.delay
 	p.mu.Unlock()
 	time.Sleep(delay)
 	return silent
@@ -109,6 +110,13 @@
 	p.silent, p.delay = silent, delay
 }
 
+// mute cuts all connections one way: what the target sends is held back until it is called again.
+func (p *proxy) mute(muted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.muted = muted
+}
+
 // resetAll resets the open connections.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,9 +41,10 @@
 // regressions are seeds that failed once, with the cause.
 var regressions = []struct {
 	seed  uint64
+	kinds int // the number of faults that seeds were drawn from then
 	cause string
 }{
-	{118, "an instance cut off from the store for a moment doubted the removal of an engine's entry"},
+	{118, 14, "an instance cut off from the store for a moment doubted the removal of an engine's entry"},
 }
 
 func logDir(t *testing.T, seed uint64) string {
@@ -57,7 +58,13 @@
 	return dir
 }
 
-func seeds(t *testing.T) []uint64 {
+// draw is a seed and the number of faults that it is drawn from.
+type draw struct {
+	seed  uint64
+	kinds int
+}
+
+func draws(t *testing.T) []draw {
 	first, last, ok := strings.Cut(*seedsFlag, "-")
 	from, err := strconv.ParseUint(first, 10, 64)
 	if err != nil {
@@ -69,28 +76,35 @@
 			t.Fatalf("-soak.seeds %q: %v", *seedsFlag, err)
 		}
 	}
-	var all []uint64
+	var all []draw
 	for seed := from; seed <= to; seed++ {
-		all = append(all, seed)
+		all = append(all, draw{seed, len(faults)})
 	}
 	for _, r := range regressions {
-		all = append(all, r.seed)
+		all = append(all, draw{r.seed, r.kinds})
 	}
 	return all
 }
 
-// TestSoak guards the promises to callers and backend servers under faults that overlap.
-func TestSoak(t *testing.T) {
+func buildProgram(t *testing.T) string {
+	t.Helper()
 	program := filepath.Join(t.TempDir(), "dragonflypond")
 	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/dragonflypond").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	for _, seed := range seeds(t) {
-		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) { runSeed(t, program, seed) })
+	return program
+}
+
+// TestSoak guards the promises to callers and backend servers under faults that overlap.
+func TestSoak(t *testing.T) {
+	program := buildProgram(t)
+	for _, d := range draws(t) {
+		t.Run(fmt.Sprint("seed", d.seed), func(t *testing.T) { runSeed(t, program, d) })
 	}
 }
 
-func runSeed(t *testing.T, program string, seed uint64) {
+func runSeed(t *testing.T, program string, d draw) {
+	seed := d.seed
 	random := rand.New(rand.NewPCG(seed, 1))
 	c := newCluster(t, program, seed, *countFlag)
 	if !c.waitReady(10 * time.Second) {
@@ -100,7 +114,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { work.run(ctx, rand.New(rand.NewPCG(seed, 2)), callInterval) })
-	disturb(t, c, random, *lengthFlag)
+	disturb(t, c, random, faults[:d.kinds], *lengthFlag)
 	time.Sleep(settleTime)
 	calm := time.Now()
 	time.Sleep(calmTime)
@@ -109,26 +123,82 @@
 	check(t, c, work, calm)
 }
 
+// TestGracefulStop guards against requests that are cut by a graceful stop. First one instance is told to stop, then the
+// two others at once, while callers ask for addresses, keep connections open and read streams; nothing else goes wrong.
+func TestGracefulStop(t *testing.T) {
+	c := newCluster(t, buildProgram(t), 0, 3)
+	if !c.waitReady(10 * time.Second) {
+		t.Fatal("not every instance is ready within 10 s")
+	}
+	work := newCallers(c)
+	ctx, stop := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { work.run(ctx, rand.New(rand.NewPCG(1, 2)), callInterval) })
+	for _, together := range [][]*instance{c.instances[:1], c.instances[1:]} {
+		var stops sync.WaitGroup
+		for _, i := range together {
+			stops.Go(func() {
+				if !i.stop() {
+					t.Errorf("%s did not end within its grace period", i.name)
+				}
+			})
+		}
+		stops.Wait()
+		if !c.waitReady(10 * time.Second) {
+			t.Fatal("not every instance is ready within 10 s after a stop")
+		}
+	}
+	stop()
+	group.Wait()
+	c.ledger.mu.Lock()
+	defer c.ledger.mu.Unlock()
+	for _, text := range c.ledger.faults {
+		t.Error(text)
+	}
+	for _, o := range work.outcomes {
+		if o.status != http.StatusOK || !o.whole {
+			t.Errorf("request %s of kind %d at %s: status %d, whole %v after %v", o.id, o.kind, o.entry, o.status, o.whole,
+				o.endedAt.Sub(o.sentAt))
+		}
+	}
+	t.Logf("%d requests while %d instances stopped", len(work.outcomes), len(c.instances))
+}
+
+// stop tells the instance to stop and kills it after its grace period. It reports whether the instance ended by itself.
+func (i *instance) stop() bool {
+	i.mu.Lock()
+	process := i.process
+	i.mu.Unlock()
+	i.signal(syscall.SIGTERM)
+	deadline := time.Now().Add(graceLimit)
+	for time.Now().Before(deadline) {
+		time.Sleep(20 * time.Millisecond)
+		i.mu.Lock()
+		ended := i.process != process
+		i.mu.Unlock()
+		if ended {
+			return true
+		}
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.process == process {
+		_ = process.Process.Kill()
+	}
+	return false
+}
+
 // fault is one kind of disturbance. It returns when the disturbance is over.
 type fault struct {
 	name string
 	run  func(c *cluster, random *rand.Rand)
 }
 
+// faults are drawn by a seed. New ones go to the end, so that regressions play the faults with which they failed.
 var faults = []fault{
 	{"kill", func(c *cluster, random *rand.Rand) { c.anyInstance(random).signal(syscall.SIGKILL) }},
 	{"stop", func(c *cluster, random *rand.Rand) {
-		i := c.anyInstance(random)
-		i.signal(syscall.SIGTERM)
-		i.mu.Lock()
-		process := i.process
-		i.mu.Unlock()
-		time.Sleep(graceLimit)
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		if i.process == process { // It did not end within its grace period.
-			_ = process.Process.Kill()
-		}
+		c.anyInstance(random).stop()
 	}},
 	{"pause", func(c *cluster, random *rand.Rand) {
 		i := c.anyInstance(random)
@@ -161,6 +231,18 @@
 	{"backend crashes", func(c *cluster, random *rand.Rand) { c.replace(c.anyBackend(random), false, true) }},
 	{"key revoked", func(c *cluster, random *rand.Rand) { c.revoke(c.keys[random.IntN(len(c.keys))]) }},
 	{"configuration", func(c *cluster, _ *rand.Rand) { c.publish() }},
+	{"store cut one way", func(c *cluster, random *rand.Rand) {
+		i := c.anyInstance(random)
+		i.store.mute(true)
+		time.Sleep(time.Duration(random.IntN(5000)) * time.Millisecond)
+		i.store.mute(false)
+	}},
+	{"backend cut one way", func(c *cluster, random *rand.Rand) {
+		b := c.anyBackend(random)
+		b.front.mute(true)
+		time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+		b.front.mute(false)
+	}},
 }
 
 func (c *cluster) anyInstance(random *rand.Rand) *instance {
@@ -180,12 +262,12 @@
 }
 
 // disturb starts faults at random times; they overlap.
-func disturb(t *testing.T, c *cluster, random *rand.Rand, length time.Duration) {
+func disturb(t *testing.T, c *cluster, random *rand.Rand, kinds []fault, length time.Duration) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	end := time.Now().Add(length)
 	for time.Now().Before(end) {
-		f, own := faults[random.IntN(len(faults))], rand.New(rand.NewPCG(random.Uint64(), 0))
+		f, own := kinds[random.IntN(len(kinds))], rand.New(rand.NewPCG(random.Uint64(), 0))
 		t.Logf("%v before the end: %s", time.Until(end).Round(time.Millisecond), f.name)
 		group.Go(func() { f.run(c, own) })
 		time.Sleep(time.Duration(random.IntN(900)) * time.Millisecond)
