serve, platform: a region far from the store follows the region that is near

The second region also gets every change over the link between regions in the store's own form. Change: the first ranked instance of a region that is 20 ms and more from the store follows the first ranked one of a region that is at most half as far, and reads the store only if that fails. Two regions cannot follow each other (TestNearer).

--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -73,6 +73,7 @@
 	// startedAt is the time of the start, and firstSeed the index of the seed that is followed first.
 	startedAt time.Time
 	firstSeed int
+	distances distances
 
 	sockets  sockets
 	leaving  atomic.Bool
@@ -223,7 +224,9 @@
 	services := []func(drpc.Mux) error{
 		i.members.Register,
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterScheduling(mux, i.placer) },
-		func(mux drpc.Mux) error { return peerpb.DRPCRegisterRecords(mux, &recordServer{feed: i.feed}) },
+		func(mux drpc.Mux) error {
+			return peerpb.DRPCRegisterRecords(mux, &recordServer{feed: i.feed, store: i.ports.Store})
+		},
 	}
 	for _, register := range services {
 		if err := register(mux); err != nil {
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -43,6 +43,17 @@
 	// member synchronises its table 0.35 s after it was first answered.
 	startTime = 1500 * time.Millisecond
 
+	// farRoundTrip is the time of a round trip from which the store counts as far: data centres of one region are 1 to 3 ms
+	// apart, regions 60 ms.
+	farRoundTrip = 20 * time.Millisecond
+
+	// distanceAge is the time for which a told distance counts. The first ones are measured while processes start, and come
+	// out too long.
+	distanceAge = 5 * time.Second
+
+	// maxDistances bounds the remembered distances. There are three regions, and one instance of each is asked.
+	maxDistances = 64
+
 	// fallbackPeers is the number of other instances, from any region, that are asked if the store does not answer.
 	fallbackPeers = 3
 )
@@ -99,6 +110,9 @@
 	for _, at := range followed(rank, len(ranked)) {
 		sources = append(sources, i.peerSource(ranked[at]))
 	}
+	if rank == 0 {
+		sources = append(sources, i.nearerSources()...)
+	}
 	sources = append(sources, feed.Upstream{Name: "store", Source: i.ports.Store, Store: true})
 	others := i.members.Instances()
 	limit := len(sources) + fallbackPeers
@@ -131,6 +145,57 @@
 	return ranks
 }
 
+// nearerSources returns the first ranked instances of other regions if this one is far from the store and they are not, so
+// that the store is read by its own region alone. An instance whose distance is not known is asked.
+func (i *Instance) nearerSources() []feed.Upstream {
+	own, measured := i.ports.Store.RoundTrip()
+	if !measured || own < farRoundTrip {
+		return nil
+	}
+	var sources []feed.Upstream
+	for region := range i.settings.Regions {
+		if region == i.settings.Region {
+			continue
+		}
+		ranked := member.Rank(i.members, readerKey, member.InRegion(region))
+		if len(ranked) > 0 && i.distances.nearer(ranked[0].PeerAddress(), own, clock.Now()) {
+			sources = append(sources, i.peerSource(ranked[0]))
+		}
+	}
+	return sources
+}
+
+// distances remembers how far other instances are from the store, by peer address.
+type distances struct {
+	mu   sync.Mutex
+	told map[string]toldDistance
+}
+
+// toldDistance is the round trip to the store that an instance told, zero for none.
+type toldDistance struct {
+	roundTrip time.Duration
+	at        time.Time
+}
+
+// note remembers the distance that an instance told, zero for none.
+func (d *distances) note(address string, roundTrip time.Duration, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.told == nil || len(d.told) >= maxDistances {
+		d.told = make(map[string]toldDistance)
+	}
+	d.told[address] = toldDistance{roundTrip: roundTrip, at: now}
+}
+
+// nearer reports whether an instance is much nearer to the store than own, as far as is known. Following only those, no two
+// instances follow each other.
+func (d *distances) nearer(address string, own time.Duration, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	told, known := d.told[address]
+	return !known || now.Sub(told.at) > distanceAge || told.roundTrip > 0 && told.roundTrip < own/2
+}
+
 func (i *Instance) peerSource(instance pond.Instance) feed.Upstream {
 	return i.addressSource("peer/"+string(instance.ID()), instance.PeerAddress())
 }
@@ -139,20 +204,24 @@
 	return feed.Upstream{
 		Name: name,
 		Source: feed.SourceFunc(func(ctx context.Context, after uint64) (feed.Batch, error) {
-			return pull(ctx, i.network, address, after)
+			batch, roundTrip, err := pull(ctx, i.network, address, after)
+			if err == nil {
+				i.distances.note(address, roundTrip, clock.Now())
+			}
+			return batch, err
 		}),
 	}
 }
 
 // pull asks another instance for records. The ages in its answer are counted from the time of the question plus the time
 // for which it was held, so that an answer that was delayed on its way does not look recent.
-func pull(ctx context.Context, network *peer.Network, address string, after uint64) (feed.Batch, error) {
+func pull(ctx context.Context, network *peer.Network, address string, after uint64) (feed.Batch, time.Duration, error) {
 	asked := clock.Now()
 	conn := network.Conn(address)
 	defer conn.Close()
 	resp, err := peerpb.NewDRPCRecordsClient(conn).Pull(ctx, &peerpb.PullRequest{After: after})
 	if err != nil {
-		return feed.Batch{}, err
+		return feed.Batch{}, 0, err
 	}
 	answered := asked.Add(time.Duration(resp.GetHeldMicro()) * time.Microsecond)
 	batch := feed.Batch{Revision: resp.GetRevision(), Snapshot: resp.GetSnapshot()}
@@ -164,14 +233,14 @@
 	}
 	records, err := recordsOf(resp)
 	if err != nil {
-		return feed.Batch{}, err
+		return feed.Batch{}, 0, err
 	}
 	for _, record := range records {
 		batch.Records = append(batch.Records, feed.Record{
 			Key: record.GetKey(), Value: record.GetValue(), Revision: record.GetRevision(), Deleted: record.GetDeleted(),
 		})
 	}
-	return batch, nil
+	return batch, time.Duration(resp.GetStoreRoundTripMicro()) * time.Microsecond, nil
 }
 
 // recordsOf returns the records of an answer.
@@ -196,7 +265,8 @@
 
 // recordServer answers followers.
 type recordServer struct {
-	feed *feed.Feed
+	feed  *feed.Feed
+	store Store
 
 	mu sync.Mutex
 	// packed is the compressed form of the batch from packedAfter to packedRevision, which goes to each follower.
@@ -259,6 +329,9 @@
 		ConfirmedAgeMicro: ageMicro(batch.ConfirmedAt, now),
 		DisturbedAgeMicro: ageMicro(batch.DisturbedAt, now),
 	}
+	if roundTrip, measured := s.store.RoundTrip(); measured {
+		resp.StoreRoundTripMicro = max(roundTrip.Microseconds(), 1)
+	}
 	return resp, s.fill(resp, batch, req.GetAfter())
 }
 
--- a/internal/serve/records_test.go
+++ b/internal/serve/records_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
@@ -61,6 +62,36 @@
 	}
 }
 
+// TestNearer guards against two regions far from the store that follow each other, and against one that follows an instance
+// which is no nearer than itself.
+func TestNearer(t *testing.T) {
+	const own = 60 * time.Millisecond
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name      string
+		told      bool
+		roundTrip time.Duration
+		age       time.Duration
+		want      bool
+	}{
+		{"not asked yet", false, 0, 0, true},
+		{"in the store's region", true, 2 * time.Millisecond, time.Second, true},
+		{"as far", true, 61 * time.Millisecond, time.Second, false},
+		{"a little nearer", true, 50 * time.Millisecond, time.Second, false},
+		{"does not know", true, 0, time.Second, false},
+		{"told while it started", true, 164 * time.Millisecond, 2 * distanceAge, true},
+	}
+	for _, test := range tests {
+		var d distances
+		if test.told {
+			d.note("a", test.roundTrip, now.Add(-test.age))
+		}
+		if got := d.nearer("a", own, now); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
+
 // BenchmarkPack measures what a snapshot of a large deployment costs its sender.
 func BenchmarkPack(b *testing.B) {
 	server := new(recordServer)
