--- a/internal/sched/moves.go
+++ b/internal/sched/moves.go
@@ -43,15 +43,15 @@
 	if unburden {
 		s.unburdenAt = now.Add(unburdenInterval)
 	}
-	any := false
+	found := false
 	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
 		if s.engines.Used(slot) {
 			e := s.engines.At(slot)
 			e.shed, e.next, e.toCopy = e.sheds(unburden, now), table.None, 0
-			any = any || e.shed != shedNone
+			found = found || e.shed != shedNone
 		}
 	}
-	if any {
+	if found {
 		s.nominate(now)
 		s.startMoves(now)
 	}
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -1,18 +1,12 @@
 package serve
 
 import (
-	"bytes"
-	"compress/gzip"
 	"context"
-	"io"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/member"
@@ -36,24 +30,6 @@
 	// of 3,000 of them has 0.7 MB and shrinks to a tenth.
 	packFrom = 4 << 10
 
-	// maxBatchBytes bounds a decompressed batch: the store's values have up to 1 MB.
-	maxBatchBytes = 16 << 20
-
-	// startTime is the time from the start in which an instance follows the seeds. Then it knows most other instances: a
-	// member synchronises its table 0.35 s after it was first answered.
-	startTime = 1500 * time.Millisecond
-
-	// farRoundTrip is the time of a round trip from which the store counts as far: data centres of one region are 1 to 3 ms
-	// apart, regions 60 ms.
-	farRoundTrip = 20 * time.Millisecond
-
-	// distanceAge is the time for which a told distance counts. The first ones are measured while processes start, and come
-	// out too long.
-	distanceAge = 5 * time.Second
-
-	// maxDistances bounds the remembered distances. There are three regions, and one instance of each is asked.
-	maxDistances = 64
-
 	// fallbackPeers is the number of other instances, from any region, that are asked if the store does not answer.
 	fallbackPeers = 3
 )
@@ -71,36 +47,6 @@
 	return sources
 }
 
-// startSources reports whether an instance asks the seeds for records, and whether it asks others after them.
-//
-// The load pattern: all instances start at once, and each knows nobody. Each would take itself for the reader of its
-// region and read the store. So they follow the seeds, which read the store, until they know each other; without an answer
-// in time they do without the seeds.
-func startSources(seed bool, seeds int, hasSnapshot bool, sinceStart time.Duration) (fromSeeds, fromOthers bool) {
-	switch {
-	case seed || seeds == 0 || sinceStart > startTime:
-		return false, true
-	case hasSnapshot:
-		return true, true
-	case sinceStart <= feed.StartLimit:
-		return true, false
-	default:
-		return false, true
-	}
-}
-
-// seedSources returns the seeds in an order of this instance's own, so that they share the followers.
-func (i *Instance) seedSources() []feed.Upstream {
-	sources := make([]feed.Upstream, 0, len(i.settings.Seeds))
-	for at := range i.settings.Seeds {
-		address := i.settings.Seeds[(at+i.firstSeed)%len(i.settings.Seeds)]
-		source := i.addressSource("seed/"+address, address)
-		source.Starting = true
-		sources = append(sources, source)
-	}
-	return sources
-}
-
 // settledSources returns the sources of an instance that knows the others.
 func (i *Instance) settledSources() []feed.Upstream {
 	self := i.members.Self().ID()
@@ -145,57 +91,6 @@
 	return ranks
 }
 
-// nearerSources returns the first ranked instances of other regions if this one is far from the store and they are not, so
-// that the store is read by its own region alone. An instance whose distance is not known is asked.
-func (i *Instance) nearerSources() []feed.Upstream {
-	own, measured := i.ports.Store.RoundTrip()
-	if !measured || own < farRoundTrip {
-		return nil
-	}
-	var sources []feed.Upstream
-	for region := range i.settings.Regions {
-		if region == i.settings.Region {
-			continue
-		}
-		ranked := member.Rank(i.members, readerKey, member.InRegion(region))
-		if len(ranked) > 0 && i.distances.nearer(ranked[0].PeerAddress(), own, clock.Now()) {
-			sources = append(sources, i.peerSource(ranked[0]))
-		}
-	}
-	return sources
-}
-
-// distances remembers how far other instances are from the store, by peer address.
-type distances struct {
-	mu   sync.Mutex
-	told map[string]toldDistance
-}
-
-// toldDistance is the round trip to the store that an instance told, zero for none.
-type toldDistance struct {
-	roundTrip time.Duration
-	at        time.Time
-}
-
-// note remembers the distance that an instance told, zero for none.
-func (d *distances) note(address string, roundTrip time.Duration, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.told == nil || len(d.told) >= maxDistances {
-		d.told = make(map[string]toldDistance)
-	}
-	d.told[address] = toldDistance{roundTrip: roundTrip, at: now}
-}
-
-// nearer reports whether an instance is much nearer to the store than own, as far as is known. Following only those, no two
-// instances follow each other.
-func (d *distances) nearer(address string, own time.Duration, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	told, known := d.told[address]
-	return !known || now.Sub(told.at) > distanceAge || told.roundTrip > 0 && told.roundTrip < own/2
-}
-
 func (i *Instance) peerSource(instance pond.Instance) feed.Upstream {
 	return i.addressSource("peer/"+string(instance.ID()), instance.PeerAddress())
 }
@@ -243,26 +138,6 @@
 	return batch, time.Duration(resp.GetStoreRoundTripMicro()) * time.Microsecond, nil
 }
 
-// recordsOf returns the records of an answer.
-func recordsOf(resp *peerpb.PullResponse) ([]*peerpb.PublishedRecord, error) {
-	if len(resp.GetPacked()) == 0 {
-		return resp.GetRecords(), nil
-	}
-	reader, err := gzip.NewReader(bytes.NewReader(resp.GetPacked()))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress records")
-	}
-	encoded, err := io.ReadAll(io.LimitReader(reader, maxBatchBytes))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress records")
-	}
-	var records peerpb.PublishedRecords
-	if err := proto.Unmarshal(encoded, &records); err != nil {
-		return nil, errors.Wrap(err, "decode records")
-	}
-	return records.GetRecords(), nil
-}
-
 // recordServer answers followers.
 type recordServer struct {
 	feed  *feed.Feed
@@ -301,22 +176,6 @@
 	return nil
 }
 
-func pack(records []*peerpb.PublishedRecord) ([]byte, error) {
-	encoded, err := proto.Marshal(&peerpb.PublishedRecords{Records: records})
-	if err != nil {
-		return nil, errors.Wrap(err, "encode records")
-	}
-	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
-	if _, err := writer.Write(encoded); err != nil {
-		return nil, errors.Wrap(err, "compress records")
-	}
-	if err := writer.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress records")
-	}
-	return buffer.Bytes(), nil
-}
-
 // Pull implements peerpb.DRPCRecordsServer.
 func (s *recordServer) Pull(ctx context.Context, req *peerpb.PullRequest) (*peerpb.PullResponse, error) {
 	arrived := clock.Now()
--- /dev/null
+++ b/internal/serve/start.go
@@ -0,0 +1,41 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/feed"
+)
+
+// startTime is the time from the start in which an instance follows the seeds. Then it knows most other instances: a
+// member synchronises its table 0.35 s after it was first answered.
+const startTime = 1500 * time.Millisecond
+
+// startSources reports whether an instance asks the seeds for records, and whether it asks others after them.
+//
+// The load pattern: all instances start at once, and each knows nobody. Each would take itself for the reader of its
+// region and read the store. So they follow the seeds, which read the store, until they know each other; without an answer
+// in time they do without the seeds.
+func startSources(seed bool, seeds int, hasSnapshot bool, sinceStart time.Duration) (fromSeeds, fromOthers bool) {
+	switch {
+	case seed || seeds == 0 || sinceStart > startTime:
+		return false, true
+	case hasSnapshot:
+		return true, true
+	case sinceStart <= feed.StartLimit:
+		return true, false
+	default:
+		return false, true
+	}
+}
+
+// seedSources returns the seeds in an order of this instance's own, so that they share the followers.
+func (i *Instance) seedSources() []feed.Upstream {
+	sources := make([]feed.Upstream, 0, len(i.settings.Seeds))
+	for at := range i.settings.Seeds {
+		address := i.settings.Seeds[(at+i.firstSeed)%len(i.settings.Seeds)]
+		source := i.addressSource("seed/"+address, address)
+		source.Starting = true
+		sources = append(sources, source)
+	}
+	return sources
+}
