sched: an account that is served all the while is not starved, whatever its backlog

Waiting raises the priority of a request by one for each aging limit of 10 s, so that the backlog of the large account went before every fresh request of the others. Ruled out: the shares of fair queueing, which hold within one priority. Change: the time for which an account got nothing raises its priority, and makes long work go before short work, instead of the wait of its first request.

--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -16,6 +16,7 @@
 	finish   float64
 	position int // index in the queue's list of flows, or -1
 	blocked  uint64
+	servedAt time.Time // when a request of the flow was served last
 }
 
 // queue holds the accounts that have waiting requests of one kind.
@@ -88,7 +89,7 @@
 }
 
 // charge advances the virtual times for a request that is served now.
-func (s *Scheduler) charge(r *request) {
+func (s *Scheduler) charge(r *request, now time.Time) {
 	q := &s.queues[r.queue]
 	a := s.accounts.At(r.account)
 	f := &a.flows[r.queue]
@@ -97,7 +98,7 @@
 	}
 	q.virtual = max(q.virtual, f.start)
 	f.finish = f.start + s.cost(r)/a.weight
-	f.start = f.finish
+	f.start, f.servedAt = f.finish, now
 	q.latest = max(q.latest, f.finish)
 	if q.waiting == 0 {
 		q.virtual = q.latest
@@ -143,14 +144,27 @@
 	}
 }
 
-// urgency is the account's priority, raised by one for each aging limit that the request has waited.
+// starved returns the time for which the first request of a flow has waited while the flow got nothing.
+//
+// The load pattern: one account asks for twice what the engines can serve, so that its requests wait for longer than the
+// aging limit. By their own wait they would go before the fresh requests of all other accounts, which then wait as long.
+// But an account that is served all the while is not starved, whatever its backlog.
+func (s *Scheduler) starved(r *request, now time.Time) time.Duration {
+	since := r.offeredAt
+	if served := s.accounts.At(r.account).flows[r.queue].servedAt; served.After(since) {
+		since = served
+	}
+	return now.Sub(since)
+}
+
+// urgency is the account's priority, raised by one for each aging limit for which the account is starved.
 func (s *Scheduler) urgency(r *request, now time.Time) int {
-	return r.priority + int(now.Sub(r.offeredAt)/s.policy.LongAgingLimit)
+	return r.priority + int(s.starved(r, now)/s.policy.LongAgingLimit)
 }
 
-// aged reports whether long work has waited so long that it goes before short work.
+// aged reports whether long work is starved for so long that it goes before short work.
 func (s *Scheduler) aged(r *request, now time.Time) bool {
-	return r.queue == queueLong && now.Sub(r.offeredAt) >= s.policy.LongAgingLimit
+	return r.queue == queueLong && s.starved(r, now) >= s.policy.LongAgingLimit
 }
 
 // next returns the head of the flow that goes first in a queue, leaving out flows blocked in this pass. With onlyAged
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -283,7 +283,7 @@
 	if e.trust == trustProbing {
 		e.speed.startProbe(slot, now)
 	}
-	s.charge(r)
+	s.charge(r, now)
 	if r.position != notQueued {
 		s.dequeue(slot)
 	}
