serve, relay: an instance that follows the seeds serves no followers; the log tells a shutdown from a caller that left

One stream was lost because its instance had heard nothing for 3.0 s: it was a seed, took the first ranked instance for its source as soon as that had started again, and that one followed the seed for its first 1.5 s. This came with the following of seeds at the start. The log of another stream said that its caller had left, while the end of the shutdown had cut it, and the age of a confirmation that never was had 13 digits. Change: an instance refuses followers while it follows the seeds (TestStartingServesNobody). An answer that is cut at the end of a shutdown has the reason leaving (TestCutAtShutdown). An age without a confirmation is -1.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -64,7 +64,7 @@
 		avoid = append(avoid, name)
 	}
 	if x.in.Context().Err() != nil {
-		x.abort(pond.ReasonCanceled, "the caller left")
+		x.abortClosed()
 	}
 	x.refuse(pond.ReasonNoBackend, shortRetry, "no engine took the request")
 }
@@ -73,7 +73,7 @@
 func (x *exchange) concludeGeneration(ctx context.Context, a attempt) {
 	switch {
 	case x.in.Context().Err() != nil:
-		x.abort(pond.ReasonCanceled, "the caller left")
+		x.abortClosed()
 	case a.err == nil:
 		a.hold()
 		if a.err != nil {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -104,7 +104,7 @@
 func (x *exchange) conclude(ctx context.Context, last *attempt, runs int) {
 	switch {
 	case x.in.Context().Err() != nil:
-		x.abort(pond.ReasonCanceled, "the caller left")
+		x.abortClosed()
 	case last != nil && last.err == nil:
 		x.deliver(*last)
 	case runs == 0 && ctx.Err() != nil:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -257,6 +257,24 @@
 	panic(http.ErrAbortHandler)
 }
 
+// abortClosed breaks an answer off whose connection is closed: by the caller, or by this instance at the end of its
+// shutdown.
+func (x *exchange) abortClosed() {
+	if until := x.relay.leavingUntil.Load(); until != nil && !time.Now().Before(*until) {
+		x.abort(pond.ReasonLeaving, "the shutdown ended before the answer")
+	}
+	x.abort(pond.ReasonCanceled, "the caller left")
+}
+
+// confirmedAgeMillis returns the age of the last confirmation, or -1 before the first one.
+func (x *exchange) confirmedAgeMillis() int64 {
+	confirmedAt := x.relay.options.ConfirmedAt()
+	if confirmedAt.IsZero() {
+		return -1
+	}
+	return x.relay.options.Clock().Sub(confirmedAt).Milliseconds()
+}
+
 // ended logs and counts the end of a request.
 func (x *exchange) ended(status int, outcome string, reason pond.Reason, detail string) {
 	fields := logrus.Fields{
@@ -266,7 +284,7 @@
 	if outcome != "answered" {
 		fields[logs.Reason] = reason.String()
 		fields["detail"] = detail
-		fields[logs.AgeMillis] = x.relay.options.Clock().Sub(x.relay.options.ConfirmedAt()).Milliseconds()
+		fields[logs.AgeMillis] = x.confirmedAgeMillis()
 		fields[logs.Revision] = x.relay.options.Fleet.Revision()
 	}
 	if x.catalogue != nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
+	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
@@ -449,6 +451,30 @@
 	<-left
 }
 
+// TestCutAtShutdown guards against a log that says a caller left although the shutdown of the instance cut its answer.
+func TestCutAtShutdown(t *testing.T) {
+	tests := []struct {
+		until time.Duration
+		want  string
+	}{{-time.Millisecond, "leaving"}, {time.Hour, "canceled"}}
+	for _, test := range tests {
+		bed := newBed(t, route.KindStream, &route.EngineLimits{EventTokens: 4})
+		out := new(bytes.Buffer)
+		log := logrus.New()
+		log.SetOutput(out)
+		until := time.Now().Add(test.until)
+		bed.relay.leavingUntil.Store(&until)
+		x := &exchange{relay: bed.relay, log: log.WithField(logs.Request, "r"), arrived: time.Now()}
+		func() {
+			defer func() { _ = recover() }() // http.ErrAbortHandler
+			x.abortClosed()
+		}()
+		if !strings.Contains(out.String(), "reason="+test.want) {
+			t.Errorf("the log says %q, want the reason %s", out.String(), test.want)
+		}
+	}
+}
+
 // TestGenerationNames guards against placements that are mixed up because callers send the same ID twice or none.
 func TestGenerationNames(t *testing.T) {
 	r := newBed(t, route.KindStream, nil).relay
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -221,7 +221,7 @@
 	log.Info("the stream of an engine broke off")
 	switch {
 	case x.in.Context().Err() != nil || errors.Is(err, errCallerLeft):
-		x.abort(pond.ReasonCanceled, "the caller left")
+		x.abortClosed()
 	case ctx.Err() != nil && !s.started:
 		x.fail(http.StatusGatewayTimeout, pond.ReasonDeadline, "no event arrived in time")
 	case ctx.Err() != nil:
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -225,7 +225,7 @@
 		i.members.Register,
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterScheduling(mux, i.placer) },
 		func(mux drpc.Mux) error {
-			return peerpb.DRPCRegisterRecords(mux, &recordServer{feed: i.feed, store: i.ports.Store})
+			return peerpb.DRPCRegisterRecords(mux, &recordServer{feed: i.feed, store: i.ports.Store, starting: i.starting})
 		},
 	}
 	for _, register := range services {
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/member"
@@ -138,10 +140,14 @@
 	return batch, time.Duration(resp.GetStoreRoundTripMicro()) * time.Microsecond, nil
 }
 
+// errStarting is the answer to followers of an instance that follows the seeds itself.
+var errStarting = errors.New("the instance has just started and follows others itself")
+
 // recordServer answers followers.
 type recordServer struct {
-	feed  *feed.Feed
-	store Store
+	feed     *feed.Feed
+	store    Store
+	starting func() bool
 
 	mu sync.Mutex
 	// packed is the compressed form of the batch from packedAfter to packedRevision, which goes to each follower.
@@ -178,6 +184,9 @@
 
 // Pull implements peerpb.DRPCRecordsServer.
 func (s *recordServer) Pull(ctx context.Context, req *peerpb.PullRequest) (*peerpb.PullResponse, error) {
+	if s.starting() {
+		return nil, errStarting
+	}
 	arrived := clock.Now()
 	batch := s.feed.Serve(ctx, req.GetAfter())
 	now := clock.Now()
--- a/internal/serve/records_test.go
+++ b/internal/serve/records_test.go
@@ -62,6 +62,26 @@
 	}
 }
 
+// TestStartingServesNobody guards against a circle of followers: an instance that has just started follows a seed, and the
+// seed takes it for the first of its region.
+func TestStartingServesNobody(t *testing.T) {
+	starting := true
+	f := feed.New(feed.Options{Clock: time.Now, Changed: func([]feed.Record) {}})
+	server := &recordServer{feed: f, store: noStore{}, starting: func() bool { return starting }}
+	if _, err := server.Pull(t.Context(), &peerpb.PullRequest{After: 3}); err == nil {
+		t.Error("an instance that follows the seeds answers followers")
+	}
+	starting = false
+	if _, err := server.Pull(t.Context(), &peerpb.PullRequest{After: 3}); err != nil {
+		t.Errorf("an instance that has started answers %v", err)
+	}
+}
+
+// noStore is a store to which no distance is known.
+type noStore struct{ feed.Source }
+
+func (noStore) RoundTrip() (time.Duration, bool) { return 0, false }
+
 // TestNearer guards against two regions far from the store that follow each other, and against one that follows an instance
 // which is no nearer than itself.
 func TestNearer(t *testing.T) {
--- a/internal/serve/start.go
+++ b/internal/serve/start.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 )
 
@@ -28,6 +29,14 @@
 	}
 }
 
+// starting reports whether the instance still follows the seeds. It must not be followed meanwhile: a seed that takes it for
+// the first of its region would follow it in a circle, and neither would hear anything. A day with instances that were
+// stopped in turn met that: an engine's notice came 1.5 s late.
+func (i *Instance) starting() bool {
+	fromSeeds, _ := startSources(i.settings.Seed, len(i.settings.Seeds), i.feed.Revision() > 0, clock.Now().Sub(i.startedAt))
+	return fromSeeds
+}
+
 // seedSources returns the seeds in an order of this instance's own, so that they share the followers.
 func (i *Instance) seedSources() []feed.Upstream {
 	sources := make([]feed.Upstream, 0, len(i.settings.Seeds))
