serve, platform, feed: each region reads the store again; the store is asked again after its pause

One call of the only reader was lost at 2.5 s. All other instances followed it, those of the far region included, so that each source that it tried next was one of its own followers, and nobody read the store until 4.5 s. Change: (the far region follows the near one) is taken back, so that the other region's reader is an independent source. A store that failed is asked again after its pause, instances only after the others (TestStoreAskedAgain). Measured: TestStoreAskedAgain and TestSilentSources fail without it.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -108,7 +108,7 @@
 	view    *view
 	waiters chan struct{} // closed at the next change
 	paused  map[string]time.Time
-	// failing holds the sources that failed since one last gave a current answer.
+	// failing holds the instances that failed since a source last gave a current answer.
 	failing map[string]bool
 	source  string
 }
@@ -140,30 +140,31 @@
 	return context.Cause(ctx)
 }
 
-// choose returns the first source that is not paused. While sources fail, each of them is tried once before any is tried
-// again: silent ones take longer to fail than a pause lasts, so that the first few would never let the others have a turn.
+// choose returns the first source that is not paused. While instances fail, each of them is tried once before any is tried
+// again: silent ones take longer to fail than a pause lasts, so that the first few would never let the others have a turn. The
+// store is asked again after its pause: a reader whose one call was lost has only its own followers beside it.
 func (f *Feed) choose() (Upstream, bool) {
 	now := f.options.Clock()
 	upstreams := f.options.Upstreams()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !slices.ContainsFunc(upstreams, func(u Upstream) bool { return !f.failing[u.Name] }) {
-		clear(f.failing)
-	}
-	for _, upstream := range upstreams {
-		if now.Before(f.paused[upstream.Name]) || f.failing[upstream.Name] {
-			continue
-		}
-		delete(f.paused, upstream.Name)
-		if f.source != upstream.Name {
-			f.options.Log.WithFields(logrus.Fields{
-				logs.Event: "sourceChosen", logs.Source: upstream.Name, logs.Former: f.source, logs.Revision: f.view.revision,
-			}).Info("source of the configuration changed")
-			f.source = upstream.Name
+	ready := func(u Upstream) bool { return !now.Before(f.paused[u.Name]) }
+	at := slices.IndexFunc(upstreams, func(u Upstream) bool { return ready(u) && !f.failing[u.Name] })
+	if at < 0 {
+		if at = slices.IndexFunc(upstreams, ready); at < 0 {
+			return Upstream{}, false
 		}
-		return upstream, true
+		clear(f.failing) // Each has had its turn.
+	}
+	upstream := upstreams[at]
+	delete(f.paused, upstream.Name)
+	if f.source != upstream.Name {
+		f.options.Log.WithFields(logrus.Fields{
+			logs.Event: "sourceChosen", logs.Source: upstream.Name, logs.Former: f.source, logs.Revision: f.view.revision,
+		}).Info("source of the configuration changed")
+		f.source = upstream.Name
 	}
-	return Upstream{}, false
+	return upstream, true
 }
 
 func (f *Feed) pull(ctx context.Context, upstream Upstream) {
@@ -240,7 +241,7 @@
 func (f *Feed) pause(upstream Upstream, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.failing[upstream.Name] = true
+	f.failing[upstream.Name] = !upstream.Store
 	pause := sourcePause
 	if upstream.Starting {
 		pause = startPause
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -112,6 +113,44 @@
 	})
 }
 
+// TestStoreAskedAgain guards against a reader that goes round all its followers after one lost call to the store, and hears
+// nothing meanwhile. Each of them holds its question for a while.
+func TestStoreAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lost := true
+		store := SourceFunc(func(context.Context, uint64) (Batch, error) {
+			if lost {
+				lost = false
+				return Batch{}, errors.New("connection reset")
+			}
+			time.Sleep(time.Millisecond)
+			return Batch{Revision: 6, Records: []Record{record("a", 6)}, ConfirmedAt: time.Now()}, nil
+		})
+		confirmedAt := time.Now()
+		follower := SourceFunc(func(context.Context, uint64) (Batch, error) {
+			time.Sleep(followerWait)
+			return Batch{Revision: 5, ConfirmedAt: confirmedAt}, nil
+		})
+		f := New(Options{
+			Upstreams: func() []Upstream {
+				sources := []Upstream{{Name: "store", Source: store, Store: true}}
+				for i := range 20 {
+					sources = append(sources, Upstream{Name: fmt.Sprint("follower ", i), Source: follower})
+				}
+				return sources
+			},
+			Clock: time.Now, Log: quietLog(), Changed: func([]Record) {},
+		})
+		f.merge(Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}, ConfirmedAt: confirmedAt})
+		ctx, cancel := context.WithTimeout(t.Context(), sourcePause+followerWait+100*time.Millisecond)
+		defer cancel()
+		_ = f.Run(ctx)
+		if f.Revision() != 6 {
+			t.Errorf("revision %d when the pause of the store is over, want 6", f.Revision())
+		}
+	})
+}
+
 // TestServe guards against followers that learn of a change late, and against answers that come after their timeout.
 func TestServe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -73,7 +73,6 @@
 	// startedAt is the time of the start, and firstSeed the index of the seed that is followed first.
 	startedAt time.Time
 	firstSeed int
-	distances distances
 
 	sockets  sockets
 	leaving  atomic.Bool
@@ -225,7 +224,7 @@
 		i.members.Register,
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterScheduling(mux, i.placer) },
 		func(mux drpc.Mux) error {
-			return peerpb.DRPCRegisterRecords(mux, &recordServer{feed: i.feed, store: i.ports.Store, starting: i.starting})
+			return peerpb.DRPCRegisterRecords(mux, &recordServer{feed: i.feed, starting: i.starting})
 		},
 	}
 	for _, register := range services {
--- a/internal/serve/ports.go
+++ b/internal/serve/ports.go
@@ -11,7 +11,8 @@
 
 // Ports are the adapters to a platform.
 type Ports struct {
-	Store    Store
+	// Store gives the published records.
+	Store    feed.Source
 	Decoder  fleet.Decoder
 	Ingress  Ingress
 	Protocol relay.Protocol
@@ -19,13 +20,6 @@
 	Engines  relay.Inspector
 }
 
-// Store gives the published records.
-type Store interface {
-	feed.Source
-	// RoundTrip returns the least time of a round trip to the store, and false if none was measured.
-	RoundTrip() (time.Duration, bool)
-}
-
 // Entries is an answer to a caller's question for addresses.
 type Entries struct {
 	Addresses []string
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -58,9 +58,6 @@
 	for _, at := range followed(rank, len(ranked)) {
 		sources = append(sources, i.peerSource(ranked[at]))
 	}
-	if rank == 0 {
-		sources = append(sources, i.nearerSources()...)
-	}
 	sources = append(sources, feed.Upstream{Name: "store", Source: i.ports.Store, Store: true})
 	others := i.members.Instances()
 	limit := len(sources) + fallbackPeers
@@ -101,24 +98,20 @@
 	return feed.Upstream{
 		Name: name,
 		Source: feed.SourceFunc(func(ctx context.Context, after uint64) (feed.Batch, error) {
-			batch, roundTrip, err := pull(ctx, i.network, address, after)
-			if err == nil {
-				i.distances.note(address, roundTrip, clock.Now())
-			}
-			return batch, err
+			return pull(ctx, i.network, address, after)
 		}),
 	}
 }
 
 // pull asks another instance for records. The ages in its answer are counted from the time of the question plus the time
 // for which it was held, so that an answer that was delayed on its way does not look recent.
-func pull(ctx context.Context, network *peer.Network, address string, after uint64) (feed.Batch, time.Duration, error) {
+func pull(ctx context.Context, network *peer.Network, address string, after uint64) (feed.Batch, error) {
 	asked := clock.Now()
 	conn := network.Conn(address)
 	defer conn.Close()
 	resp, err := peerpb.NewDRPCRecordsClient(conn).Pull(ctx, &peerpb.PullRequest{After: after})
 	if err != nil {
-		return feed.Batch{}, 0, err
+		return feed.Batch{}, err
 	}
 	answered := asked.Add(time.Duration(resp.GetHeldMicro()) * time.Microsecond)
 	batch := feed.Batch{Revision: resp.GetRevision(), Snapshot: resp.GetSnapshot()}
@@ -130,14 +123,14 @@
 	}
 	records, err := recordsOf(resp)
 	if err != nil {
-		return feed.Batch{}, 0, err
+		return feed.Batch{}, err
 	}
 	for _, record := range records {
 		batch.Records = append(batch.Records, feed.Record{
 			Key: record.GetKey(), Value: record.GetValue(), Revision: record.GetRevision(), Deleted: record.GetDeleted(),
 		})
 	}
-	return batch, time.Duration(resp.GetStoreRoundTripMicro()) * time.Microsecond, nil
+	return batch, nil
 }
 
 // errStarting is the answer to followers of an instance that follows the seeds itself.
@@ -146,7 +139,6 @@
 // recordServer answers followers.
 type recordServer struct {
 	feed     *feed.Feed
-	store    Store
 	starting func() bool
 
 	mu sync.Mutex
@@ -197,9 +189,6 @@
 		ConfirmedAgeMicro: ageMicro(batch.ConfirmedAt, now),
 		DisturbedAgeMicro: ageMicro(batch.DisturbedAt, now),
 	}
-	if roundTrip, measured := s.store.RoundTrip(); measured {
-		resp.StoreRoundTripMicro = max(roundTrip.Microseconds(), 1)
-	}
 	return resp, s.fill(resp, batch, req.GetAfter())
 }
 
--- a/internal/serve/records_test.go
+++ b/internal/serve/records_test.go
@@ -67,7 +67,7 @@
 func TestStartingServesNobody(t *testing.T) {
 	starting := true
 	f := feed.New(feed.Options{Clock: time.Now, Changed: func([]feed.Record) {}})
-	server := &recordServer{feed: f, store: noStore{}, starting: func() bool { return starting }}
+	server := &recordServer{feed: f, starting: func() bool { return starting }}
 	if _, err := server.Pull(t.Context(), &peerpb.PullRequest{After: 3}); err == nil {
 		t.Error("an instance that follows the seeds answers followers")
 	}
@@ -77,41 +77,6 @@
 	}
 }
 
-// noStore is a store to which no distance is known.
-type noStore struct{ feed.Source }
-
-func (noStore) RoundTrip() (time.Duration, bool) { return 0, false }
-
-// TestNearer guards against two regions far from the store that follow each other, and against one that follows an instance
-// which is no nearer than itself.
-func TestNearer(t *testing.T) {
-	const own = 60 * time.Millisecond
-	now := time.Unix(1000, 0)
-	tests := []struct {
-		name      string
-		told      bool
-		roundTrip time.Duration
-		age       time.Duration
-		want      bool
-	}{
-		{"not asked yet", false, 0, 0, true},
-		{"in the store's region", true, 2 * time.Millisecond, time.Second, true},
-		{"as far", true, 61 * time.Millisecond, time.Second, false},
-		{"a little nearer", true, 50 * time.Millisecond, time.Second, false},
-		{"does not know", true, 0, time.Second, false},
-		{"told while it started", true, 164 * time.Millisecond, 2 * distanceAge, true},
-	}
-	for _, test := range tests {
-		var d distances
-		if test.told {
-			d.note("a", test.roundTrip, now.Add(-test.age))
-		}
-		if got := d.nearer("a", own, now); got != test.want {
-			t.Errorf("%s: %v, want %v", test.name, got, test.want)
-		}
-	}
-}
-
 // BenchmarkPack measures what a snapshot of a large deployment costs its sender.
 func BenchmarkPack(b *testing.B) {
 	server := new(recordServer)
