--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -126,7 +126,7 @@
 			time.Sleep(time.Millisecond)
 			return Batch{Revision: 6, Records: []Record{record("a", 6)}, ConfirmedAt: time.Now()}, nil
 		})
-		confirmedAt := time.Now()
+		confirmedAt := time.Now().Add(-staleLimit) // What the followers hold is not current any more.
 		follower := SourceFunc(func(context.Context, uint64) (Batch, error) {
 			time.Sleep(followerWait)
 			return Batch{Revision: 5, ConfirmedAt: confirmedAt}, nil
