place, sched: requests run in another region before they wait

Cause: each region's pool decides alone. A region of six engines often has three left for some seconds, because engines are reclaimed regardless of their region. Change: an offer may carry a load limit, above which the home refuses at once instead of queueing. A request is offered to its own region up to a load of 0.8, then to the other one up to 0.65 if the budget of the link allows it, then it waits in its own region. A region that does not answer costs 250 ms. The product's own interface is unchanged (BalanceRegions). Ruled out: one pool over all regions.

--- a/internal/place/convert.go
+++ b/internal/place/convert.go
@@ -32,7 +32,7 @@
 }
 
 // requestOf converts a request of this instance for its own scheduler.
-func requestOf(req pond.PlaceRequest, retry bool) sched.Request {
+func requestOf(req pond.PlaceRequest, retry bool, maxLoad float64) sched.Request {
 	return sched.Request{
 		ID:           req.Generation,
 		Account:      req.Account,
@@ -46,12 +46,13 @@
 		Deadline:     req.Deadline,
 		Avoid:        req.Avoid,
 		Retry:        retry,
+		MaxLoad:      maxLoad,
 		Origin:       localOrigin,
 	}
 }
 
 // offerOf converts a request of this instance for the stream to a home.
-func offerOf(req pond.PlaceRequest, retry bool, now time.Time) *peerpb.Offer {
+func offerOf(req pond.PlaceRequest, retry bool, maxLoad float64, now time.Time) *peerpb.Offer {
 	return &peerpb.Offer{
 		Generation:     req.Generation,
 		Account:        req.Account,
@@ -66,6 +67,7 @@
 		RemainingMilli: max(req.Deadline.Sub(now).Milliseconds(), 0),
 		Avoid:          req.Avoid,
 		Retry:          retry,
+		MaxLoad:        float32(maxLoad),
 	}
 }
 
@@ -84,6 +86,7 @@
 		Deadline:     now.Add(time.Duration(offer.GetRemainingMilli()) * time.Millisecond),
 		Avoid:        offer.GetAvoid(),
 		Retry:        offer.GetRetry(),
+		MaxLoad:      float64(offer.GetMaxLoad()),
 		Origin:       origin,
 	}
 }
--- a/internal/place/harness_test.go
+++ b/internal/place/harness_test.go
@@ -28,6 +28,7 @@
 	north, south     int // number of engines
 	maxRunning       int
 	linkBytesPerHour int64
+	balanceRegions   bool
 }
 
 type object = map[string]any
@@ -150,7 +151,7 @@
 		close(n.gate)
 		n.placer = New(Options{
 			Manifests: fixedManifest{c.manifest}, Directory: n, Backends: n, Engines: unreachableEngines{}, Seed: 1,
-			Connect: func(address string) drpc.Conn { return c.connect(n, address) },
+			Connect: func(address string) drpc.Conn { return c.connect(n, address) }, BalanceRegions: d.balanceRegions,
 		})
 		c.nodes = append(c.nodes, n)
 	}
--- a/internal/place/home_stream.go
+++ b/internal/place/home_stream.go
@@ -129,7 +129,7 @@
 	s.lastUsedAt = now
 	s.lastHandle++
 	s.handles[r.req.Generation] = s.lastHandle
-	offer := offerOf(r.req, r.retry, now)
+	offer := offerOf(r.req, r.retry, r.maxLoad, now)
 	offer.Handle = s.lastHandle
 	return offer
 }
--- a/internal/place/options.go
+++ b/internal/place/options.go
@@ -27,6 +27,9 @@
 	// Engines reads load reports and cancels generations; nil means a client with its own connections, so that control
 	// calls never queue behind generations.
 	Engines EngineClient
+	// BalanceRegions lets requests run in another region whose engines have more room. Without it, they go to another
+	// region only after this one has refused them.
+	BalanceRegions bool
 	// Log receives warnings and home changes; nil discards them.
 	Log logrus.FieldLogger
 	// Now returns the current time; nil means time.Now.
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -147,25 +147,34 @@
 	if req.Deadline.IsZero() {
 		req.Deadline = now.Add(manifest.Policy().DefaultDeadline())
 	}
-	placement, refusal := p.placeIn(ctx, req, p.region())
+	if p.options.BalanceRegions {
+		if placement := p.placeByLoad(ctx, manifest, req); placement != nil {
+			return placement, nil
+		}
+	}
+	placement, refusal := p.placeIn(ctx, req, p.region(), 0)
 	if refusal == nil {
 		return placement, nil
 	}
 	for _, region := range p.otherRegions(manifest, req, refusal) {
-		if placement, otherRefusal := p.placeIn(ctx, req, region); otherRefusal == nil {
+		if placement, otherRefusal := p.placeIn(ctx, req, region, 0); otherRefusal == nil {
 			return placement, nil
 		}
 	}
 	return nil, refusal
 }
 
-func (p *Placer) placeIn(ctx context.Context, req pond.PlaceRequest, region string) (pond.Placement, *pond.Refusal) {
+func (p *Placer) placeIn(
+	ctx context.Context, req pond.PlaceRequest, region string, maxLoad float64,
+) (pond.Placement, *pond.Refusal) {
 	r := &localRequest{
 		placer: p,
 		req:    req,
 		key:    poolKey{model: req.Model, region: region},
 		result: make(chan placeResult, 1),
 		moves:  make(chan pond.Move, 1),
+
+		maxLoad: maxLoad,
 	}
 	r.req.Avoid, r.retry = slices.Clone(req.Avoid), len(req.Avoid) > 0
 	if !p.submit(r) {
--- a/internal/place/placer_test.go
+++ b/internal/place/placer_test.go
@@ -368,6 +368,52 @@
 	}
 }
 
+// TestBalancedRegions guards against requests that wait in a region whose engines have left while another region has
+// room, against cross-region work that is unnecessary or exceeds the byte budget, and against requests that depend on
+// another region that does not answer. Six requests come to a region that is left with one engine for four.
+func TestBalancedRegions(t *testing.T) {
+	tests := []struct {
+		name      string
+		balance   bool
+		perHour   int64
+		engines   int
+		frozen    bool
+		wantSouth int
+		wantDone  int // requests that start within two seconds
+	}{
+		{name: "off", perHour: 1 << 30, engines: 1, wantSouth: 0, wantDone: 4},
+		{name: "one engine left", balance: true, perHour: 1 << 30, engines: 1, wantSouth: 3, wantDone: 6},
+		{name: "room in the own region", balance: true, perHour: 1 << 30, engines: 3, wantSouth: 0, wantDone: 6},
+		{name: "no budget", balance: true, perHour: 1, engines: 1, wantSouth: 0, wantDone: 4},
+		{name: "the other region is frozen", balance: true, perHour: 1 << 30, engines: 1, frozen: true, wantDone: 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := testDeployment{
+				north: test.engines, south: 3, maxRunning: 4, linkBytesPerHour: test.perHour, balanceRegions: test.balance,
+			}
+			runCluster(t, d, []string{"north", "north", "south"}, func(t *testing.T, c *cluster) {
+				settle()
+				if test.frozen {
+					c.freeze(c.nodes[2])
+				}
+				for i := range 6 {
+					c.generate(c.nodes[0], fmt.Sprint("g", i), pond.ClassLong, 20*time.Second, time.Minute)
+					time.Sleep(300 * time.Millisecond) // more than otherRegionTimeout
+				}
+				synctest.Wait()
+				if test.frozen {
+					c.thaw(c.nodes[2])
+				}
+				south := c.nodes[2].placer.Stats()["letters/south"].Running
+				if c.served() != test.wantDone || south != test.wantSouth {
+					t.Errorf("%d requests started, %d in the other region; want %d and %d", c.served(), south, test.wantDone, test.wantSouth)
+				}
+			})
+		})
+	}
+}
+
 // TestOrphans guards against generations that keep running without a reader, and against canceling those whose caller
 // may still resume or whose instance cancels them itself.
 func TestOrphans(t *testing.T) {
--- a/internal/place/region.go
+++ b/internal/place/region.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -20,6 +21,15 @@
 
 	secondsPerHour = 3600
 
+	// ownRegionMaxLoad is the load of the least loaded engine of this region above which a request is offered to another
+	// region. otherRegionMaxLoad is the load there above which it returns; it is lower, because the answer then crosses
+	// the link between the regions.
+	ownRegionMaxLoad   = 0.8
+	otherRegionMaxLoad = 0.65
+
+	// otherRegionTimeout bounds the wait for a decision of another region.
+	otherRegionTimeout = 250 * time.Millisecond
+
 	// hourlyBurstSeconds is the burst of the hourly budget, in seconds of its average rate, so that a short peak can
 	// use it.
 	hourlyBurstSeconds = 60
@@ -62,6 +72,33 @@
 	(*limiter).SetBurstAt(now, burst)
 }
 
+// placeByLoad places a request at once in the first region whose engines are below its load limit, beginning with this
+// region; nil if there is none.
+//
+// Engines are reclaimed regardless of their region. When half of a region's six engines left at the same moment, its
+// requests waited up to 5 s for a first token and runs were preempted, while the other region was half empty.
+func (p *Placer) placeByLoad(ctx context.Context, manifest *spec.Manifest, req pond.PlaceRequest) pond.Placement {
+	ownRegion := p.region()
+	others := servingRegions(manifest, req.Model, ownRegion)
+	if len(others) == 0 {
+		return nil
+	}
+	placement, refusal := p.placeIn(ctx, req, ownRegion, ownRegionMaxLoad)
+	if refusal == nil {
+		return placement
+	}
+	if refusal.Reason() != pond.ReasonOverloaded ||
+		!p.budget.allow(estimatedLinkBytes(req), manifest, p.instancesIn(ownRegion), p.options.Now()) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, otherRegionTimeout)
+	defer cancel()
+	if placement, refusal = p.placeIn(ctx, req, others[0], otherRegionMaxLoad); refusal != nil {
+		return nil
+	}
+	return placement
+}
+
 // otherRegions returns the regions to try after this region refused the request for lack of capacity.
 func (p *Placer) otherRegions(manifest *spec.Manifest, req pond.PlaceRequest, refusal *pond.Refusal) []string {
 	if refusal.Reason() != pond.ReasonOverloaded && refusal.Reason() != pond.ReasonNoBackend {
--- a/internal/place/request.go
+++ b/internal/place/request.go
@@ -45,9 +45,11 @@
 	offers    int
 	// retry is true if the caller named engines that failed the request. req.Avoid also holds chosen engines that do not
 	// accept work by this instance's view, but those never received the request.
-	retry  bool
-	result chan placeResult
-	moves  chan pond.Move
+	retry bool
+	// maxLoad is the load limit of the request; see sched.Request.
+	maxLoad float64
+	result  chan placeResult
+	moves   chan pond.Move
 
 	backend string
 	address string
@@ -146,10 +148,10 @@
 type localCoordinator struct{ *pool }
 
 func (c localCoordinator) offer(r *localRequest, now time.Time) (sched.Decision, bool) {
-	decision := c.pool.offer(requestOf(r.req, r.retry), now)
+	decision := c.pool.offer(requestOf(r.req, r.retry, r.maxLoad), now)
 	return decision, decision.Verdict != sched.VerdictWait
 }
 
 func (c localCoordinator) register(r *localRequest, now time.Time) {
-	c.pool.register(requestOf(r.req, r.retry), r.backend, r.output.tokens(), now)
+	c.pool.register(requestOf(r.req, r.retry, r.maxLoad), r.backend, r.output.tokens(), now)
 }
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -33,6 +33,15 @@
 	return best, true
 }
 
+// withinMaxLoad reports whether the engine may get a request with a load limit.
+func (s *Scheduler) withinMaxLoad(engine table.Slot, r *request, now time.Time) bool {
+	if r.maxLoad == 0 {
+		return true
+	}
+	load, ok := s.candidateLoad(engine, s.engines.At(engine), r, now)
+	return ok && load <= r.maxLoad
+}
+
 // leastLoadedByBound searches by a lower bound of the load, which is cheap, and computes the load only of the engine
 // that it finds. It returns false if that load exceeds the bound of another engine, or if an engine is to be probed.
 func (s *Scheduler) leastLoadedByBound(r *request, now time.Time) (best table.Slot, load float64, ok bool) {
--- a/internal/sched/refuse.go
+++ b/internal/sched/refuse.go
@@ -28,6 +28,7 @@
 	detailTooLarge   = "the prompt exceeds the memory of every engine"
 	detailRetries    = "the retry budget is used up"
 	detailNoEngine   = "no engine that can serve the request accepts work"
+	detailBusy       = "all engines are above the load limit of the request"
 	detailOverloaded = "the predicted wait exceeds the deadline"
 )
 
--- a/internal/sched/request.go
+++ b/internal/sched/request.go
@@ -31,6 +31,9 @@
 	PrefixHash uint64
 	// Deadline is the time by which the complete output is due; zero means the policy's default.
 	Deadline time.Time
+	// MaxLoad is the greatest load, with the request, at which an engine may get it. If all are above it, the request is
+	// refused at once instead of queued. Zero is no limit.
+	MaxLoad float64
 	// Avoid names engines that must not get the request.
 	Avoid []string
 	// Retry is true if an engine has failed the request before.
@@ -98,6 +101,7 @@
 	maxOutput    int
 	prefixHash   uint64
 	deadline     time.Time
+	maxLoad      float64
 	avoid        []string
 
 	offeredAt time.Time
@@ -137,7 +141,7 @@
 	r.version, r.adapter, r.class = spec.Version, spec.Adapter, spec.Class
 	r.priority, r.prefixHash, r.avoid = spec.Priority, spec.PrefixHash, spec.Avoid
 	r.promptTokens, r.maxOutput = max(spec.PromptTokens, 0), max(spec.MaxTokens, 1)
-	r.deadline = spec.Deadline
+	r.deadline, r.maxLoad = spec.Deadline, spec.MaxLoad
 	r.engine = table.None
 	r.heapIndex = notQueued
 }
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -110,10 +110,13 @@
 func (s *Scheduler) admit(slot table.Slot, now time.Time) Decision {
 	r := s.requests.At(slot)
 	if s.mayBypassQueue(r, now) {
-		if engine, ok := s.chooseEngine(r, now); ok {
+		if engine, ok := s.chooseEngine(r, now); ok && s.withinMaxLoad(engine, r, now) {
 			return s.serve(slot, engine, now)
 		}
 	}
+	if r.maxLoad > 0 {
+		return s.refuse(slot, pond.ReasonOverloaded, time.Time{}, detailBusy, now)
+	}
 	if !s.servable(r) {
 		return s.refuse(slot, pond.ReasonNoBackend, s.jitteredRetryAt(now, minRetryDelay), detailNoEngine, now)
 	}
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -197,6 +197,8 @@
 		Connect:   i.network.Conn,
 		Log:       i.log,
 		Engines:   &outageChecker{instance: i},
+
+		BalanceRegions: true,
 	})
 	i.fleet.OnChange(i.placer.Refresh)
 	i.relay = relay.New(relay.Options{
