relay, platform: short requests are not more urgent on engines

Cause: engines admit urgent requests first. Change: all requests have the engines' default priority, so that prompts are read in their order.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -42,8 +42,6 @@
 	// Account is the client account that owns the key; empty for a request without a key.
 	Account  string
 	Deadline time.Time
-	// Urgency orders requests on an engine.
-	Urgency Urgency
 	// Position is the ID of the last event that the caller has; empty for none. The engine continues after it.
 	Position string
 	// Resume is set if the run continues from a copy of its KV cache.
@@ -52,15 +50,6 @@
 	Backup string
 }
 
-// Urgency ranks requests on an engine. The engine starts more urgent requests first and preempts less urgent ones.
-type Urgency int
-
-const (
-	UrgencyNormal Urgency = iota
-	UrgencyShort
-	UrgencyLong
-)
-
 // Resume tells where the copy of a run's KV cache is.
 type Resume struct {
 	// Holder is the address of the engine that made the copy.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -14,7 +14,7 @@
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// shortOutputTokens is the largest output that counts as short work, which engines admit first.
+// shortOutputTokens is the largest output that counts as short work.
 const shortOutputTokens = 64
 
 // maxPriorityRank converts the configuration's priority, where 0 is the most urgent, to that of pond.Placer, where
@@ -216,16 +216,9 @@
 }
 
 func (x *exchange) dispatch(backend route.Backend, resume *Resume) Dispatch {
-	d := Dispatch{
+	return Dispatch{
 		Backend: backend, Account: x.account, Deadline: x.deadline, Position: x.run.position, Resume: resume,
 	}
-	if p := x.call.Prompt; p != nil && p.MaxOutput > 0 {
-		d.Urgency = UrgencyLong
-		if p.MaxOutput <= shortOutputTokens {
-			d.Urgency = UrgencyShort
-		}
-	}
-	return d
 }
 
 func (x *exchange) logPlacement(backend route.Backend, attemptNumber int) {
