relay: free a copy whose run ended while it was made

Cause: if a run ended during the first copy of its move, the call was canceled and the target kept what it had got for several seconds, memory that no decision knew of. Change: the call is not canceled; its copy is freed when it is complete.

--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -169,12 +169,18 @@
 		return nil
 	}
 	began := time.Now()
-	first, err := m.copy(ctx, source, target, false)
+	// The copy is not canceled if the run ends meanwhile: the target would keep what it has got for several seconds.
+	first, err := m.copy(context.WithoutCancel(ctx), source, target, false)
 	if err != nil {
 		m.count(metric.MoveNotCopied)
 		log.WithError(err).WithField(logs.Event, "moveFailed").Info("a run could not be copied")
 		return nil
 	}
+	if ctx.Err() != nil {
+		m.count(metric.MoveNotNecessary)
+		m.dropCopy(source, first.Handle)
+		return nil
+	}
 	m.mu.Lock()
 	m.stopping = true
 	m.mu.Unlock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -307,6 +307,20 @@
 	p.reported = append(p.reported, fmt.Sprint(move.Backend, ok))
 }
 
+// awaitEnd waits until a placement has ended.
+func (p *fakePlacer) awaitEnd(t *testing.T) {
+	t.Helper()
+	for {
+		p.mu.Lock()
+		ended := len(p.ended)
+		p.mu.Unlock()
+		if ended > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // reportedMoves returns the moves that were reported to the placer so far.
 func (p *fakePlacer) reportedMoves() []string {
 	p.mu.Lock()
@@ -314,21 +328,31 @@
 	return slices.Clone(p.reported)
 }
 
-// fakeCopier calls onLast, which stops the source's stream, during the last copy.
+// fakeCopier calls onFirst during the first copy, and onLast, which stops the source's stream, during the last one.
 type fakeCopier struct {
-	onLast func()
-	err    error // of the last copy
+	onFirst func()
+	onLast  func()
+	err     error // of the last copy
+	dropped chan string
 }
 
-func (c *fakeCopier) Copy(_ context.Context, _ route.Backend, run string, _ route.Backend, last bool) (Copy, error) {
+func (c *fakeCopier) Copy(ctx context.Context, _ route.Backend, run string, _ route.Backend, last bool) (Copy, error) {
 	if !last {
-		return Copy{Handle: "first"}, nil
+		if c.onFirst != nil {
+			c.onFirst()
+		}
+		return Copy{Handle: "first"}, ctx.Err()
 	}
 	c.onLast()
 	return Copy{Handle: "last"}, c.err
 }
 
-func (*fakeCopier) Drop(context.Context, route.Backend, string) error { return nil }
+func (c *fakeCopier) Drop(_ context.Context, _ route.Backend, handle string) error {
+	if c.dropped != nil {
+		c.dropped <- handle
+	}
+	return nil
+}
 
 func writeEvent(w http.ResponseWriter, id int) {
 	fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", id, id)
@@ -402,6 +426,38 @@
 	}
 }
 
+// TestUnusedCopyDropped guards against a copy that occupies the target's memory for seconds because its run ended while
+// it was made.
+func TestUnusedCopyDropped(t *testing.T) {
+	copying, ended := make(chan struct{}), make(chan struct{})
+	source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		writeEvent(w, 1)
+		<-copying
+		writeEvent(w, 2)
+	})
+	bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, newFakeBackend(t, respondNotRun))
+	bed.copier.dropped = make(chan string, 1)
+	bed.copier.onFirst = func() {
+		close(copying)
+		<-ended
+	}
+	bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+	if status, _ := bed.post(t, "key"); status != http.StatusOK {
+		t.Errorf("status %d, want 200", status)
+	}
+	bed.placer.awaitEnd(t)
+	close(ended)
+	select {
+	case handle := <-bed.copier.dropped:
+		if handle != "first" {
+			t.Errorf("copy %q dropped, want the first one", handle)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the copy was not dropped")
+	}
+}
+
 // TestMoveOrderSource guards against ignoring a move away from an engine that is not leaving, and against executing a
 // move away from an engine that does not have the run any more.
 func TestMoveOrderSource(t *testing.T) {
