fleet, serve, platform: suspend only engines that do not answer at all

An engine that answered its question with an error counted as unreachable, and a suspended engine stayed so after the last other one of its service had left. Change: any response shows that the engine lives. Each renewal of a suspension looks again whether another engine takes work. Measured: TestLeaving, TestEngineCheckUnreadable and TestSuspend fail without it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -232,19 +232,29 @@
 		f.mu.Unlock()
 		return false
 	}
-	changed := !now.Before(f.suspendedUntil[id]) && f.othersAccept(tracked.backend, now)
-	if changed || now.Before(f.suspendedUntil[id]) {
+	was, is := now.Before(f.suspendedUntil[id]), f.othersAccept(tracked.backend, now)
+	if is {
 		f.suspendedUntil[id] = until
+	} else {
+		delete(f.suspendedUntil, id)
 	}
 	f.mu.Unlock()
-	if changed {
-		f.options.Log.WithFields(logrus.Fields{logs.Event: "backendSuspended", logs.Backend: id}).
-			Info("backend server does not answer and gets no new work for now")
+	if was != is {
+		f.logSuspension(id, is)
 		f.notify()
 	}
 	return true
 }
 
+func (f *Fleet) logSuspension(id string, suspended bool) {
+	log := f.options.Log.WithField(logs.Backend, id)
+	if suspended {
+		log.WithField(logs.Event, "backendSuspended").Info("backend server does not answer and gets no new work for now")
+		return
+	}
+	log.WithField(logs.Event, "backendResumed").Info("backend server gets new work again")
+}
+
 // Resume ends the suspension of a backend server that answers again.
 func (f *Fleet) Resume(id string) {
 	f.mu.Lock()
@@ -252,8 +262,7 @@
 	delete(f.suspendedUntil, id)
 	f.mu.Unlock()
 	if suspended {
-		f.options.Log.WithFields(logrus.Fields{logs.Event: "backendResumed", logs.Backend: id}).
-			Info("backend server answers again")
+		f.logSuspension(id, false)
 		f.notify()
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -178,6 +178,15 @@
 		})
 	}
 	now := time.Unix(1000, 0)
+	// Both backend servers do not answer, and the other one leaves meanwhile. Found by soak seed 118: all engines stayed
+	// suspended, and a third of the requests was refused.
+	f := newTestFleet(&now)
+	f.Apply([]feed.Record{put("ready", 2), {Key: "e2", Value: []byte("ready"), Revision: 3}}, time.Time{})
+	f.Suspend("e1", now.Add(time.Second))
+	f.Apply([]feed.Record{{Key: "e2", Value: []byte("leaving"), Revision: 4}}, time.Time{})
+	if f.Suspend("e1", now.Add(2*time.Second)); !f.Accepting("e1") {
+		t.Error("the last backend server stays suspended")
+	}
 	if newTestFleet(&now).Suspend("unknown", now) {
 		t.Error("an unknown backend server counts as listed")
 	}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -50,9 +50,10 @@
 	}
 }
 
-// engineAddress derives an address from a hash of the name. With several hundred engines, addresses can collide.
+// engineAddress derives an address from a hash of the name. The port alone collided with 600 engines.
 func engineAddress(name string) string {
-	return "127.0.0.1:" + strconv.Itoa(1+int(xxhash.Sum64String(name)%60_000))
+	hash := xxhash.Sum64String(name)
+	return fmt.Sprintf("127.%d.%d.%d:%d", byte(hash), byte(hash>>8), byte(hash>>16), 1+hash>>24%60_000)
 }
 
 // manifestOf returns a manifest with regions a and b; the weight store is in region a. If the rate is zero, there is no
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -96,10 +97,14 @@
 
 // Inspector queries the state of an engine.
 type Inspector interface {
-	// Leaving reports whether the engine says that it is about to leave.
+	// Leaving reports whether the engine says that it is about to leave. The error wraps ErrUnreadableStatus if the engine
+	// answered, but not with its state.
 	Leaving(ctx context.Context, backend route.Backend) (bool, error)
 }
 
+// ErrUnreadableStatus is the cause of an error about an engine that answers.
+var ErrUnreadableStatus = errors.New("the engine answered without its state")
+
 // CopyError is returned for a copy that an engine refused.
 type CopyError struct {
 	// NoRun is true if the engine does not run the request.
--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -6,10 +6,14 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
+	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/relay"
 	"github.com/dragonflypond/dragonflypond/internal/route"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 const (
@@ -63,6 +67,9 @@
 
 // storeOutage reports whether the store's notices may be missing.
 func (c *engineChecker) storeOutage() bool {
+	if c.instance.flags.disabled.Has(pond.MechanismEngineChecks) {
+		return false
+	}
 	feed := c.instance.feed
 	return feed.StoreFailing() || clock.Now().Sub(feed.ConfirmedAt()) >= outageCheckAge
 }
@@ -85,11 +92,16 @@
 	return engine.Load{}, errNoLoadReport
 }
 
-// ask asks an engine whether it leaves.
+// ask asks an engine whether it leaves. It returns an error only if the engine does not answer at all.
 func (c *engineChecker) ask(ctx context.Context, backend route.Backend) error {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	leaving, err := c.instance.adapters.Engines.Leaving(ctx, backend)
+	if errors.Is(err, relay.ErrUnreadableStatus) {
+		c.instance.log.WithError(err).WithFields(logrus.Fields{logs.Event: "backendStateUnknown", logs.Backend: backend.ID}).
+			Info("backend server answers, but not with its state")
+		return nil
+	}
 	if err == nil && leaving {
 		c.instance.fleet.MarkLeaving(backend.ID)
 	}
@@ -101,6 +113,9 @@
 
 // suspect has an engine asked that failed a request.
 func (c *engineChecker) suspect(id string) {
+	if c.instance.flags.disabled.Has(pond.MechanismEngineChecks) {
+		return
+	}
 	select {
 	case c.suspects <- id:
 	default:
--- a/internal/serve/enginecheck_test.go
+++ b/internal/serve/enginecheck_test.go
@@ -2,18 +2,20 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
+	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/relay"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 )
 
@@ -51,7 +53,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	records := []feed.Record{{Key: "e1", Revision: 1}, {Key: "e2", Revision: 2}}
-	i := &Instance{adapters: Adapters{Engines: engines}}
+	i := &Instance{adapters: Adapters{Engines: engines}, log: logs.New(io.Discard)}
 	i.fleet = fleet.New(fleet.Options{
 		Decoder: listDecoder{}, Regions: map[string][]string{"north": {"north-a"}}, Clock: clock.Now, Log: log,
 	})
@@ -92,6 +94,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			engines := &scriptedEngines{leaving: true}
 			i := newCheckedInstance(engines, clock.Now().Add(-test.age))
+			defer i.log.Close()
 			checker := newEngineChecker(i)
 			if _, err := checker.Load(t.Context(), "e1"); !errors.Is(err, errNoLoadReport) {
 				t.Errorf("error %v, want none but the missing report", err)
@@ -114,6 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		engines := &scriptedEngines{err: errors.New("refused")}
 		i := newCheckedInstance(engines, clock.Now())
+		defer i.log.Close()
 		checker := newEngineChecker(i)
 		ctx, cancel := context.WithCancel(t.Context())
 		stopped := make(chan struct{})
@@ -141,3 +145,27 @@
 		<-stopped
 	})
 }
+
+// TestEngineCheckUnreadable guards against suspending an engine that answers, but not with its state. Found by the soak,
+// whose engines have no status: 124 of 1,686 requests were refused instead of 48.
+func TestEngineCheckUnreadable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &scriptedEngines{err: errors.Wrap(relay.ErrUnreadableStatus, "status 404")}
+		i := newCheckedInstance(engines, clock.Now())
+		defer i.log.Close()
+		checker := newEngineChecker(i)
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			_ = checker.run(ctx)
+		}()
+		checker.suspect("e1")
+		synctest.Wait()
+		if !i.fleet.Accepting("e1") || engines.asked != 1 {
+			t.Errorf("accepting %t, asked %d times; want accepting after one answer", i.fleet.Accepting("e1"), engines.asked)
+		}
+		cancel()
+		<-stopped
+	})
+}
