sched, pond, logs: estimated figures of engines; switches and summary to measure

Cause: decisions held figures of the first deployments: 6,000 unread tokens as a full load, 1.4 s of notice, a generated token as 10 prompt tokens. What a mechanism is worth could not be measured without a patch, and nothing counted why requests fail. Change, decisions: the pool estimates the prefill rate of its engines, the notice (lower quartile of the last 16 losses, initially 1 s) and the cost of a token from its runs; a backlog of 0.8 s counts as a full load. Conclusion: kept because no decision may hold a figure of one deployment; no gain is claimed.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -62,6 +62,9 @@
 	// between two events, in milliseconds.
 	FirstEventMillis = "firstEventMillis"
 	MaxGapMillis     = "maxGapMillis"
+	// Late tells what came later than the route's target: LateFirst, LateGap or LateAnswer. It is absent for an answer on
+	// time.
+	Late = "late"
 	// Moves is the number of times that a generation moved to another engine.
 	Moves = "moves"
 	// Peer is the name of another instance, and State its state as this instance sees it.
@@ -75,6 +78,13 @@
 	Dropped = "dropped"
 )
 
+// Values of the field Late.
+const (
+	LateFirst  = "firstEvent"
+	LateGap    = "gap"
+	LateAnswer = "answer"
+)
+
 const (
 	// bufferLines bounds the lines that wait for the output; at about 300 bytes per line they take 600 KB.
 	bufferLines = 2048
--- a/internal/place/convert.go
+++ b/internal/place/convert.go
@@ -14,7 +14,7 @@
 // hashOf returns the part of a scheduler's seed that depends on its pool.
 func hashOf(key poolKey) uint64 { return xxhash.Sum64String(key.rankKey()) }
 
-func policyOf(manifest *spec.Manifest) sched.Policy {
+func policyOf(manifest *spec.Manifest, disabled pond.MechanismSet) sched.Policy {
 	policy := manifest.Policy()
 	return sched.Policy{
 		ShortMaxTokens:  policy.ShortMaxTokens(),
@@ -28,6 +28,7 @@
 		PrefixLoadBound: policy.PrefixLoadBound(),
 		DefaultDeadline: policy.DefaultDeadline(),
 		TokenCopyTime:   policy.TokenCopyTime(),
+		Disabled:        disabled,
 	}
 }
 
--- a/internal/place/options.go
+++ b/internal/place/options.go
@@ -35,6 +35,8 @@
 	// OnEngineFailure is called on the home of a pool with the name of an engine that failed a request or a move; nil
 	// ignores these failures. It must not block.
 	OnEngineFailure func(engine string)
+	// Disabled holds the mechanisms that are switched off.
+	Disabled pond.MechanismSet
 	// Log receives warnings and home changes; nil discards them.
 	Log logrus.FieldLogger
 	// Now returns the current time; nil means time.Now.
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -402,7 +402,7 @@
 	if manifest == nil {
 		return nil
 	}
-	pool := newPool(key, p.options.Backends, p.options.OnEngineFailure, manifest, p.options.Seed)
+	pool := newPool(key, p.options, manifest)
 	p.pools[key] = pool
 	return pool
 }
--- a/internal/place/placer_test.go
+++ b/internal/place/placer_test.go
@@ -432,7 +432,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			accepting := pond.BackendViewFunc(func(string) bool { return true })
-			p := newPool(poolKey{model: "letters", region: "north"}, accepting, func(string) {}, testDeployment{north: 1, maxRunning: 1}.manifest(t), 1)
+			p := newPool(poolKey{model: "letters", region: "north"}, Options{Backends: accepting, Seed: 1},
+				testDeployment{north: 1, maxRunning: 1}.manifest(t))
 			now, got := time.Unix(1_800_000_000, 0), 0
 			for i, id := range test.unread {
 				report := engine.Load{}
--- a/internal/place/pool.go
+++ b/internal/place/pool.go
@@ -29,6 +29,7 @@
 	key       poolKey
 	backends  pond.BackendView
 	onFailure func(engine string)
+	disabled  pond.MechanismSet
 	mu        sync.Mutex
 	scheduler *sched.Scheduler
 	manifest  *spec.Manifest
@@ -39,11 +40,12 @@
 	unread map[string]unreadSpan
 }
 
-func newPool(
-	key poolKey, backends pond.BackendView, onFailure func(engine string), manifest *spec.Manifest, seed uint64,
-) *pool {
-	p := &pool{key: key, backends: backends, onFailure: onFailure, disconnected: make(map[string]time.Time), unread: make(map[string]unreadSpan)}
-	p.scheduler = sched.New(policyOf(manifest), rand.New(rand.NewPCG(seed, hashOf(key))))
+func newPool(key poolKey, options Options, manifest *spec.Manifest) *pool {
+	p := &pool{
+		key: key, backends: options.Backends, onFailure: options.OnEngineFailure, disabled: options.Disabled,
+		disconnected: make(map[string]time.Time), unread: make(map[string]unreadSpan),
+	}
+	p.scheduler = sched.New(policyOf(manifest, p.disabled), rand.New(rand.NewPCG(options.Seed, hashOf(key))))
 	p.applyManifest(manifest)
 	return p
 }
@@ -72,7 +74,7 @@
 			Accepting:    p.accepting(backend),
 		})
 	}
-	p.scheduler.SetPolicy(policyOf(manifest))
+	p.scheduler.SetPolicy(policyOf(manifest, p.disabled))
 	p.scheduler.SetEngines(specs)
 }
 
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -59,7 +59,7 @@
 
 // maxRuns returns the number of engines that may run the generation. A stream that may not be resumed runs once.
 func (x *exchange) maxRuns() int {
-	if x.route.Resumable {
+	if x.route.Resumable && !x.relay.options.Disabled.Has(pond.MechanismRestarts) {
 		return x.route.MaxAttempts
 	}
 	return 1
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,7 +38,7 @@
 	usualTokenTime  = 10 * time.Millisecond
 )
 
-// Options configures a Relay. All fields are required.
+// Options configures a Relay. All fields but Disabled are required.
 type Options struct {
 	Fleet    *fleet.Fleet
 	Placer   pond.Placer
@@ -60,6 +60,8 @@
 	Metrics *metric.Requests
 	Traffic *metric.Traffic
 	Log     logrus.FieldLogger
+	// Disabled holds the mechanisms that are switched off.
+	Disabled pond.MechanismSet
 }
 
 // Relay serves callers' requests. It is safe for concurrent use.
@@ -291,6 +293,21 @@
 	return x.relay.options.Clock().Sub(confirmedAt).Milliseconds()
 }
 
+// late returns what came later than the route's targets, or "".
+func (x *exchange) late() string {
+	switch {
+	case x.route == nil:
+		return ""
+	case x.stream == nil:
+		if x.route.LatencyTarget > 0 && time.Since(x.arrived) > x.route.LatencyTarget {
+			return logs.LateAnswer
+		}
+		return ""
+	default:
+		return x.stream.late()
+	}
+}
+
 // recordEnd logs the end of a request and updates the metrics.
 func (x *exchange) recordEnd(status int, outcome string, reason pond.Reason, detail string) {
 	fields := logrus.Fields{
@@ -314,6 +331,9 @@
 	if x.stream != nil {
 		x.stream.addLogFields(fields)
 	}
+	if late := x.late(); late != "" && outcome == "answered" {
+		fields[logs.Late] = late
+	}
 	x.relay.options.Metrics.RecordEnd(kind, outcome, reason, x.account, time.Since(x.arrived))
 	x.log.WithFields(fields).Info("request ended")
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -208,6 +208,19 @@
 	}
 }
 
+// late returns what came later than the route's targets, or "".
+func (s *stream) late() string {
+	r := s.x.route
+	switch {
+	case r.LatencyTarget > 0 && s.firstEventAt.Sub(s.x.arrived) > r.LatencyTarget:
+		return logs.LateFirst
+	case r.GapTarget > 0 && s.maxGap > r.GapTarget:
+		return logs.LateGap
+	default:
+		return ""
+	}
+}
+
 // writeHeader sends the header of the response before the first event.
 func (s *stream) writeHeader() {
 	if s.headerWritten {
--- a/internal/sched/account.go
+++ b/internal/sched/account.go
@@ -115,6 +115,9 @@
 
 // lengthsFor returns the most specific sketch with enough samples for a request, or nil.
 func (s *Scheduler) lengthsFor(r *request) *lengthSketch {
+	if s.off(pond.MechanismLearnedLengths) {
+		return nil
+	}
 	if r.class == pond.ClassUnknown {
 		return s.lengthsOfUnknownClass(r)
 	}
@@ -132,6 +135,9 @@
 // class counts as short only if the learned quantile is short, because a long output in the short queue would block
 // short requests.
 func (s *Scheduler) classify(r *request) queueKind {
+	if s.off(pond.MechanismShortQueue) {
+		return queueLong
+	}
 	if r.maxOutput <= s.policy.ShortMaxTokens {
 		return queueShort
 	}
--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -40,10 +40,6 @@
 	releaseBucketWidth = 250 * time.Millisecond
 	releaseBuckets     = int(maxReportAge / releaseBucketWidth)
 
-	// prefillFullLoad is the number of prompt tokens in prefill that counts as much load as a full memory. Engines
-	// prefill 10 to 14 tokens per millisecond, so it delays a first token by about 0.6 s, a third of its target.
-	prefillFullLoad = 6000
-
 	// An engine that reports new preemptions or a queue of its own gets no new requests for this long.
 	pressurePause = 250 * time.Millisecond
 )
@@ -66,8 +62,13 @@
 	running       int
 	runningLong   int
 	prefillTokens int // prompt tokens of requests without a first token
-	maxRunning    int
-	maxLong       int
+	// prefillSince is the start of the current period of prefill, and prefilled the prompt tokens read in it.
+	prefillSince time.Time
+	prefilled    int
+	// loadPerPrefillToken is the load of one prompt token in prefill; zero if it does not count.
+	loadPerPrefillToken float64
+	maxRunning          int
+	maxLong             int
 	// external is the reported memory that the requests of this scheduler do not account for.
 	external int
 	// reportedUsed is the used memory in the last report, and reportedAt the time at which it was measured.
@@ -143,7 +144,7 @@
 
 // prefillLoad is the load of prompts in prefill. An engine prefills one prompt at a time, so an engine that has just
 // joined would get all new requests at once if only its memory counted.
-func (e *engine) prefillLoad() float64 { return float64(e.prefillTokens) / prefillFullLoad }
+func (e *engine) prefillLoad() float64 { return float64(e.prefillTokens) * e.loadPerPrefillToken }
 
 // minLoad is a lower bound of the load with a request that reserves at least minTokens.
 func (e *engine) minLoad(minTokens int) float64 {
@@ -223,11 +224,14 @@
 	e.margin = e.marginFor(e.variance)
 }
 
-func (e *engine) acquire(r *request, reserved reservation) {
+func (e *engine) acquire(r *request, reserved reservation, now time.Time) {
 	r.reserved = reserved
 	e.used += r.promptTokens + r.emitted
 	if r.emitted == 0 {
 		r.inPrefill = true
+		if e.prefillTokens == 0 {
+			e.prefillSince, e.prefilled = now, 0
+		}
 		e.prefillTokens += r.promptTokens
 	}
 	e.running++
@@ -237,16 +241,25 @@
 	e.reserve(r, reserved)
 }
 
-// endPrefill stops counting the request's prompt as in prefill.
-func (e *engine) endPrefill(r *request) {
-	if r.inPrefill {
-		r.inPrefill = false
-		e.prefillTokens -= r.promptTokens
+// endPrefill stops counting the request's prompt as in prefill. With the last prompt in prefill, it returns the prompt
+// tokens that were read since the first one, and how long that took.
+func (e *engine) endPrefill(r *request, now time.Time) (tokens int, took time.Duration) {
+	if !r.inPrefill {
+		return 0, 0
+	}
+	r.inPrefill = false
+	e.prefillTokens -= r.promptTokens
+	if r.emitted > 0 {
+		e.prefilled += r.promptTokens
+	}
+	if e.prefillTokens > 0 {
+		return 0, 0
 	}
+	return e.prefilled, now.Sub(e.prefillSince)
 }
 
 func (e *engine) release(r *request, now time.Time) {
-	e.endPrefill(r)
+	e.endPrefill(r, now)
 	e.used -= r.promptTokens + r.emitted
 	e.running--
 	if r.queue == queueLong {
@@ -315,6 +328,7 @@
 		s.minLongLimit = min(s.minLongLimit, row.longLimit)
 	}
 	s.removeRetired()
+	s.updatePrefillLoad()
 	s.dispatchDue = true
 }
 
--- a/internal/sched/evacuate.go
+++ b/internal/sched/evacuate.go
@@ -4,16 +4,7 @@
 	"time"
 
 	"github.com/dragonflypond/dragonflypond/internal/table"
-)
-
-const (
-	// leaveNotice is the time from the notice that an engine leaves until its runs may be lost. Engines are gone 1.5 to
-	// 2.1 s after the notice.
-	leaveNotice = 1400 * time.Millisecond
-
-	// outputWeight is the cost of a generated token in prompt tokens. An engine prefills 14 prompt tokens per
-	// millisecond and generates one token in 7 ms for each of about 10 running requests.
-	outputWeight = 10
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 // moveRank orders the requests that should leave an engine.
@@ -44,19 +35,18 @@
 }
 
 func (s *Scheduler) moveRank(r *request, now time.Time) moveRank {
-	e := s.engines.At(r.engine)
-	gap := s.medians.gap
-	if gap == 0 {
-		gap = s.policy.TokenGap
+	if s.off(pond.MechanismMoveOrder) {
+		return moveRank{started: r.emitted > 0, gain: -float64(r.serial)}
 	}
+	e := s.engines.At(r.engine)
 	remaining := max(min(r.predictedOutput, r.maxOutput)-r.emitted, 1)
 	timeLeft := time.Duration(0)
 	if !e.leavingAt.IsZero() {
-		timeLeft = e.leavingAt.Add(leaveNotice).Sub(now)
+		timeLeft = e.leavingAt.Add(s.rates.usableNotice()).Sub(now)
 	}
-	work := float64(r.promptTokens + outputWeight*(r.emitted+remaining))
+	work := float64(r.promptTokens) + s.outputWeight()*float64(r.emitted+remaining)
 	return moveRank{
-		endsInTime: time.Duration(remaining)*gap < timeLeft,
+		endsInTime: time.Duration(remaining)*s.tokenGap() < timeLeft,
 		started:    r.emitted > 0,
 		gain:       work / float64(max(r.promptTokens+r.emitted, 1)),
 	}
@@ -72,6 +62,6 @@
 	if e.leavingAt.IsZero() {
 		return false
 	}
-	timeLeft := e.leavingAt.Add(leaveNotice).Sub(now)
+	timeLeft := e.leavingAt.Add(s.rates.usableNotice()).Sub(now)
 	return time.Duration(e.tokensToCopy+r.promptTokens+r.emitted)*s.policy.TokenCopyTime > timeLeft
 }
--- a/internal/sched/moves.go
+++ b/internal/sched/moves.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dragonflypond/dragonflypond/internal/table"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 const (
@@ -39,7 +40,7 @@
 	if s.policy.TokenCopyTime == 0 {
 		return
 	}
-	rebalance := !now.Before(s.rebalanceAt)
+	rebalance := !now.Before(s.rebalanceAt) && !s.off(pond.MechanismRebalancing)
 	if rebalance {
 		s.rebalanceAt = now.Add(rebalanceInterval)
 	}
@@ -142,7 +143,7 @@
 			continue
 		}
 		load := e.load(r.reserved.tokens, now) + incomingCopyLoad*float64(e.incoming)
-		if e.dataCentre != dataCentre {
+		if e.dataCentre != dataCentre && !s.off(pond.MechanismNearTargets) {
 			load *= dataCentreFactor
 		}
 		if e.gapRatio > 1 {
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
 
 //go:generate go tool enumer -type=Admission -trimprefix=Admit -transform=lower -text -output=admission_enumer.go
 //go:generate go tool enumer -type=Verdict -trimprefix=Verdict -transform=lower -output=verdict_enumer.go
@@ -52,6 +56,29 @@
 	// TokenCopyTime is the time to copy the memory of one token to another engine in the same data centre; zero if
 	// engines cannot move requests.
 	TokenCopyTime time.Duration
+	// Disabled holds the mechanisms that are switched off.
+	Disabled pond.MechanismSet
+}
+
+// without returns the policy with the parameters that switch its disabled mechanisms off.
+func (p Policy) without(disabled pond.MechanismSet) Policy {
+	p.Disabled = disabled
+	if disabled.Has(pond.MechanismForecast) {
+		p.Admission = AdmitCount
+	}
+	if disabled.Has(pond.MechanismShortShare) {
+		p.ShortShare = 0
+	}
+	if disabled.Has(pond.MechanismStragglers) {
+		p.StragglerRatio = 0
+	}
+	if disabled.Has(pond.MechanismPrefixAffinity) {
+		p.PrefixLoadBound = 0
+	}
+	if disabled.Has(pond.MechanismMoves) {
+		p.TokenCopyTime = 0
+	}
+	return p
 }
 
 // Verdict is the kind of a decision.
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflypond/dragonflypond/internal/table"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 // flow holds one account's waiting requests in a queue, as a heap by deadline, then by arrival.
@@ -159,18 +160,22 @@
 
 // effectivePriority is the request's priority, raised by one for each LongAgingLimit for which its flow is starved.
 func (s *Scheduler) effectivePriority(r *request, now time.Time) int {
+	if s.off(pond.MechanismAging) {
+		return r.priority
+	}
 	return r.priority + int(s.starvedFor(r, now)/s.policy.LongAgingLimit)
 }
 
 // aged reports whether a long request is starved for so long that it goes before short ones.
 func (s *Scheduler) aged(r *request, now time.Time) bool {
-	return r.queue == queueLong && s.starvedFor(r, now) >= s.policy.LongAgingLimit
+	return !s.off(pond.MechanismAging) && r.queue == queueLong && s.starvedFor(r, now) >= s.policy.LongAgingLimit
 }
 
 // nextHead returns the head of the flow that goes first in a queue, skipping flows blocked in this dispatch pass. With
 // onlyAged only heads past the aging limit count.
 func (s *Scheduler) nextHead(kind queueKind, onlyAged bool, now time.Time) (table.Slot, bool) {
 	best, bestPriority, bestStart := table.None, 0, 0.0
+	byAccount := !s.off(pond.MechanismAccountShares)
 	for _, account := range s.queues[kind].flows {
 		f := &s.accounts.At(account).flows[kind]
 		if f.blockedPass == s.dispatchPass {
@@ -182,11 +187,15 @@
 			continue
 		}
 		priority := s.effectivePriority(r, now)
+		start := 0.0
+		if byAccount {
+			start = f.virtualStart
+		}
 		first := best == table.None || priority > bestPriority ||
 			priority == bestPriority &&
-				(f.virtualStart < bestStart || f.virtualStart == bestStart && s.dueBefore(head, best))
+				(start < bestStart || start == bestStart && s.dueBefore(head, best))
 		if first {
-			best, bestPriority, bestStart = head, priority, f.virtualStart
+			best, bestPriority, bestStart = head, priority, start
 		}
 	}
 	return best, best != table.None
--- a/internal/sched/refuse.go
+++ b/internal/sched/refuse.go
@@ -86,6 +86,9 @@
 // because requests are queued whenever the prediction is low for a moment, and the excess is refused only after a long
 // wait. With it, no fewer requests are served.
 func (s *Scheduler) lateness(r *request, now time.Time) time.Duration {
+	if s.off(pond.MechanismPredictedRefusal) {
+		return 0
+	}
 	late := waitSafetyFactor*float64(s.predictedWait(r, now)) + float64(r.serviceTime-r.deadline.Sub(now))
 	return max(time.Duration(late/waitSafetyFactor), 0) // Each second of delay shortens the wait by a second.
 }
@@ -102,10 +105,7 @@
 
 // predictedWait is the work ahead of the request that does not fit now, divided by the drain rate.
 func (s *Scheduler) predictedWait(r *request, now time.Time) time.Duration {
-	gap := s.medians.gap
-	if gap == 0 {
-		gap = s.policy.TokenGap
-	}
+	gap := s.tokenGap()
 	free := s.freeTokens(r, now)
 	rate := s.drain.rate(r.queue, free, gap)
 	if rate <= 0 {
--- a/internal/sched/replay_test.go
+++ b/internal/sched/replay_test.go
@@ -64,7 +64,13 @@
 // replay offers the arrivals to a scheduler and returns their outcomes. The scheduler learns of cancelled requests only
 // with reportCancels.
 func replay(arrivals []arrival, span time.Duration, modify func(*Request, arrival), reportCancels bool) []result {
-	s := newTestScheduler(testPolicy(), testEngines(replayEngines, replayMemory, 24)...)
+	return replayWith(testPolicy(), arrivals, span, modify, reportCancels)
+}
+
+func replayWith(
+	policy Policy, arrivals []arrival, span time.Duration, modify func(*Request, arrival), reportCancels bool,
+) []result {
+	s := newTestScheduler(policy, testEngines(replayEngines, replayMemory, 24)...)
 	results := make([]result, len(arrivals))
 	offeredAt, retryAt := make([]time.Time, len(arrivals)), make(map[int]time.Time)
 	running := make(map[string]*replayRun)
@@ -338,3 +344,32 @@
 		t.Errorf("other callers wait %v at p95, without reported cancellations %v; want three quarters at most", with.waitP95, without.waitP95)
 	}
 }
+
+// TestReplayDisabled replays a burst with each mechanism switched off. It guards against a switch that leaves requests
+// without a decision, so that a measurement without the mechanism says nothing about it.
+func TestReplayDisabled(t *testing.T) {
+	for _, mechanism := range pond.MechanismValues() {
+		t.Run(mechanism.String(), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(3, 1))
+			long := func() arrival { return longArrival(random, fmt.Sprint("account", random.IntN(8))) }
+			shortArrival := func() arrival { return arrival{account: "short", length: shortOutputTokens, timeout: 6 * time.Second} }
+			arrivals := mergeArrivals(
+				poisson(random, 2*longPerSecond, 0, 8*time.Second, long), poisson(random, 8, 0, 20*time.Second, shortArrival),
+			)
+			policy := testPolicy()
+			policy.Disabled = 1 << uint(mechanism)
+			undecided, served := 0, 0
+			for _, r := range replayWith(policy, arrivals, 80*time.Second, nil, true) {
+				if !r.served && r.refused == 0 {
+					undecided++
+				}
+				if r.served {
+					served++
+				}
+			}
+			if undecided > 0 || served < len(arrivals)/2 {
+				t.Errorf("%d of %d requests served, %d without a decision", served, len(arrivals), undecided)
+			}
+		})
+	}
+}
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -31,8 +31,11 @@
 	queues          [queueCount]queue
 	drain           drain
 	medians         medians
-	retryBudget     float64
-	movesInProgress int
+	rates           rates
+	// runningPerEngine is the mean number of running requests of the engines that run any.
+	runningPerEngine float64
+	retryBudget      float64
+	movesInProgress  int
 
 	serial       uint64
 	dispatchPass uint64
@@ -57,7 +60,7 @@
 // New returns a scheduler without engines. The random source is used for the jitter of RetryAt.
 func New(policy Policy, random *rand.Rand) *Scheduler {
 	return &Scheduler{
-		policy:      policy,
+		policy:      policy.without(policy.Disabled),
 		random:      random,
 		engines:     table.New[string, engine](0),
 		requests:    table.New[string, request](0),
@@ -69,7 +72,7 @@
 }
 
 // SetPolicy replaces the policy. Engine limits follow it at the next SetEngines.
-func (s *Scheduler) SetPolicy(policy Policy) { s.policy = policy }
+func (s *Scheduler) SetPolicy(policy Policy) { s.policy = policy.without(policy.Disabled) }
 
 // Offer submits a new request. VerdictWait means that a later Tick returns the final decision. A known request gets its
 // current decision again.
@@ -192,10 +195,12 @@
 	if progress.Tokens <= r.emitted {
 		return
 	}
-	e.endPrefill(r)
 	e.used += progress.Tokens - r.emitted
 	s.drain.addTokens(r, progress.Tokens-r.emitted)
 	r.emitted = progress.Tokens
+	if tokens, took := e.endPrefill(r, now); tokens > 0 {
+		s.rates.addPrefill(tokens, took)
+	}
 	if r.emitted >= r.repredictAt && !r.repredictDue {
 		r.repredictDue = true
 		s.repredictSlots = append(s.repredictSlots, slot)
@@ -223,6 +228,9 @@
 		s.learn(r, end.Tokens)
 		s.drain.addOutput(r)
 	}
+	if end.BackendFailed && !e.leavingAt.IsZero() {
+		s.rates.addLoss(now.Sub(e.leavingAt))
+	}
 	if end.BackendFailed && s.policy.StragglerRatio > 0 {
 		e.avoid(now)
 	}
@@ -272,6 +280,9 @@
 	return s.decisions
 }
 
+// off reports whether a mechanism is switched off.
+func (s *Scheduler) off(m pond.Mechanism) bool { return s.policy.Disabled.Has(m) }
+
 func (s *Scheduler) waiting() int { return s.queues[queueShort].waiting + s.queues[queueLong].waiting }
 
 func (s *Scheduler) currentDecision(slot table.Slot) Decision {
@@ -309,7 +320,7 @@
 		s.hold = engineHold{engine: table.None, request: table.None}
 	}
 	r.setRepredictAt()
-	e.acquire(r, reserved)
+	e.acquire(r, reserved, now)
 	s.drain.addRunning(r, s.cost(r))
 }
 
--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflypond/dragonflypond/internal/table"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 const (
@@ -128,6 +129,7 @@
 	s.evaluateAt = now.Add(evaluateInterval)
 	s.drain.updateRates(now)
 	s.updateMedians(now)
+	s.updatePrefillLoad()
 	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
 		if s.engines.Used(slot) {
 			s.updateStraggler(slot, now)
@@ -180,7 +182,7 @@
 		e.gapRatio = max(float64(stats.gap)/float64(s.medians.gap), 1)
 	}
 	best, known := stats.baseline.best()
-	e.slowBaseline = known && s.medians.baselineEngines >= minObservedEngines &&
+	e.slowBaseline = known && !s.off(pond.MechanismSlowEngines) && s.medians.baselineEngines >= minObservedEngines &&
 		float64(best) > slowBaselineRatio*float64(s.medians.baseline)
 	if s.policy.StragglerRatio <= 0 {
 		return
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -202,7 +202,8 @@
 
 		ReportInterval:  i.checker.interval,
 		OnEngineFailure: i.checker.suspect,
-		BalanceRegions:  true,
+		BalanceRegions:  !i.flags.disabled.Has(pond.MechanismRegionBalance),
+		Disabled:        i.flags.disabled,
 	})
 	i.fleet.OnChange(i.placer.Refresh)
 	i.relay = relay.New(relay.Options{
@@ -219,6 +220,7 @@
 		Clock:       clock.Now,
 		Metrics:     metric.NewRequests(i.metrics),
 		Traffic:     i.traffic,
+		Disabled:    i.flags.disabled,
 		Log:         i.log,
 	})
 }
--- a/internal/serve/settings.go
+++ b/internal/serve/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/config"
 	"github.com/dragonflypond/dragonflypond/internal/peer"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 // cpuBoundLinkBits is the link capacity in bits per second from which the processor and not the link limits an
@@ -65,12 +66,15 @@
 type Flags struct {
 	metricsPort int
 	secret      string
+	disable     string
+	disabled    pond.MechanismSet
 }
 
 // Register registers the flags.
 func (f *Flags) Register(flags *flag.FlagSet) {
 	flags.IntVar(&f.metricsPort, "metrics-port", 9464, "`PORT` of the metrics on this instance's IP; 0 serves none")
 	flags.StringVar(&f.secret, "secret", "", "cluster secret for the traffic between instances")
+	flags.StringVar(&f.disable, "disable", "", "`LIST` of mechanisms that are switched off, separated by commas, to measure them")
 }
 
 // Parse sets the registered flags from args and the environment and validates them.
@@ -81,6 +85,10 @@
 	if flags.NArg() > 0 {
 		return errors.Errorf("unexpected argument %q; allowed: flags only", flags.Arg(0))
 	}
+	var err error
+	if f.disabled, err = pond.ParseMechanisms(f.disable); err != nil {
+		return errors.Wrap(err, "flag -disable")
+	}
 	if len(f.secret) < peer.MinSecretBytes {
 		return errors.Errorf("flag -secret has a value of %d bytes; allowed: at least %d", len(f.secret), peer.MinSecretBytes)
 	}
