feed: a current instance knows better whether the store was in an outage

An instance whose own way to the store was paused took that for an outage of the store and doubted removals for two seconds, also after another instance, current all the while, had told it of them. Change: a more current instance's view of the outage replaces the own one. Measured: TestOutageOfOwnLink fails without it.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -320,3 +320,39 @@
 		}
 	})
 }
+
+// TestOutageOfOwnLink guards against an instance that was cut off from the store alone and doubts removals that the
+// others know for certain, so that it sends work to a backend server that has left. Found by soak seed 118 with 8 s: the
+// removal of i-0004 was certain at three instances and doubtful at the fourth, whose store was paused for four seconds.
+func TestOutageOfOwnLink(t *testing.T) {
+	start := time.Now()
+	outage := start.Add(4 * time.Second)
+	tests := []struct {
+		name  string
+		batch Batch
+		want  time.Time
+	}{
+		{"from the store", Batch{Revision: 6, ConfirmedAt: start.Add(5 * time.Second)}, outage},
+		{"from a current instance", Batch{Revision: 6, FromInstance: true, ConfirmedAt: start.Add(5 * time.Second)}, time.Time{}},
+		{"from an instance that saw an outage", Batch{
+			Revision: 6, FromInstance: true, ConfirmedAt: start.Add(5 * time.Second), StoreOutageAt: start.Add(3 * time.Second),
+		}, start.Add(3 * time.Second)},
+		{"from an instance that is as stale", Batch{Revision: 6, FromInstance: true, ConfirmedAt: start}, outage},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			f := New(Options{
+				Upstreams: func() []Upstream { return nil }, Clock: time.Now, Log: discardLog(), OnChange: func([]Record) {},
+			})
+			f.applyBatch(Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}, ConfirmedAt: start})
+			f.handleFailure(Upstream{Name: "store", IsStore: true}, errors.New("timeout"), outage)
+			if !f.StoreOutageAt().Equal(outage) {
+				t.Fatalf("outage at %v after the failure, want %v", f.StoreOutageAt(), outage)
+			}
+			f.applyBatch(test.batch)
+			if !f.StoreOutageAt().Equal(test.want) {
+				t.Errorf("outage at %v, want %v", f.StoreOutageAt(), test.want)
+			}
+		})
+	}
+}
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -30,6 +30,8 @@
 	Snapshot bool
 	// ConfirmedAt is the last time at which the source's state was known to be current.
 	ConfirmedAt time.Time
+	// FromInstance is true for a response of another instance.
+	FromInstance bool
 	// StoreOutageAt is the last time at which the store was known to be in an outage; zero for never.
 	StoreOutageAt time.Time
 	// StoreFailedAt is the last time at which a call to the store failed; zero for never.
@@ -61,7 +63,9 @@
 
 // apply applies a batch and returns the changes. A batch older than the replica changes no record and confirms nothing.
 func (r *replica) apply(batch Batch) []Record {
-	if batch.StoreOutageAt.After(r.storeOutageAt) {
+	// An instance that is more current knows better whether the store was in an outage: what failed here may have been
+	// only the way to the store.
+	if batch.StoreOutageAt.After(r.storeOutageAt) || batch.FromInstance && batch.ConfirmedAt.After(r.confirmedAt) {
 		r.storeOutageAt = batch.StoreOutageAt
 	}
 	if batch.StoreFailedAt.After(r.storeFailedAt) {
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -118,7 +118,7 @@
 		return feed.Batch{}, err
 	}
 	respondedAt := requestedAt.Add(time.Duration(resp.GetHeldMicro()) * time.Microsecond)
-	batch := feed.Batch{Revision: resp.GetRevision(), Snapshot: resp.GetSnapshot()}
+	batch := feed.Batch{Revision: resp.GetRevision(), Snapshot: resp.GetSnapshot(), FromInstance: true}
 	if age := resp.GetConfirmedAgeMicro(); age >= 0 {
 		batch.ConfirmedAt = respondedAt.Add(-time.Duration(age) * time.Microsecond)
 	}
