sched, place, relay: short requests pass where many prompts wait

Cause: without priorities on engines, short requests wait behind all prompts. Change: the home marks a short request as urgent if its engine has 0.8 s of prompts or more to read; the decision carries it to the instance that sends it.

--- a/internal/place/convert.go
+++ b/internal/place/convert.go
@@ -116,7 +116,7 @@
 }
 
 func messageOfDecision(decision sched.Decision, now time.Time) *peerpb.ScheduleDecision {
-	message := &peerpb.ScheduleDecision{Generation: decision.ID}
+	message := &peerpb.ScheduleDecision{Generation: decision.ID, Urgent: decision.Urgent}
 	switch decision.Verdict {
 	case sched.VerdictServe:
 		message.Backend = decision.Engine
@@ -137,7 +137,9 @@
 }
 
 func decisionOfMessage(message *peerpb.ScheduleDecision, now time.Time) sched.Decision {
-	decision := sched.Decision{ID: message.GetGeneration(), Engine: message.GetBackend()}
+	decision := sched.Decision{
+		ID: message.GetGeneration(), Engine: message.GetBackend(), Urgent: message.GetUrgent(),
+	}
 	refusal := message.GetRefusal()
 	switch {
 	case message.GetBackend() != "":
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -90,6 +90,7 @@
 var (
 	_ pond.Placer                 = (*Placer)(nil)
 	_ pond.MovablePlacement       = (*localRequest)(nil)
+	_ pond.UrgentPlacement        = (*localRequest)(nil)
 	_ peerpb.DRPCSchedulingServer = (*Placer)(nil)
 	_ coordinator                 = (*homeStream)(nil)
 	_ coordinator                 = localCoordinator{}
@@ -252,17 +253,18 @@
 	case sched.VerdictRefuse:
 		p.refuse(r, newRefusal(decision.Reason, decision.RetryAt, decision.Detail))
 	case sched.VerdictServe:
-		p.assignEngine(r, decision.Engine, now)
+		p.assignEngine(r, decision, now)
 	}
 }
 
 // assignEngine assigns the request to an engine, or offers it again if this instance's view says that the engine does
 // not accept work. The lock must be held.
-func (p *Placer) assignEngine(r *localRequest, engine string, now time.Time) {
+func (p *Placer) assignEngine(r *localRequest, decision sched.Decision, now time.Time) {
+	engine := decision.Engine
 	backend, ok := p.options.Manifests.Current().Backend(engine)
 	if ok && now.Before(r.req.Deadline) && p.options.Backends.Accepting(engine) {
 		r.state, r.placedAt = requestRunning, now
-		r.backend, r.address = engine, backend.Address()
+		r.backend, r.address, r.urgent = engine, backend.Address(), decision.Urgent
 		r.result <- placeResult{}
 		return
 	}
--- a/internal/place/request.go
+++ b/internal/place/request.go
@@ -53,6 +53,7 @@
 
 	backend string
 	address string
+	urgent  bool
 
 	placedAt       time.Time
 	output         output
@@ -114,6 +115,9 @@
 // Backend implements pond.Placement.
 func (r *localRequest) Backend() (name, address string) { return r.backend, r.address }
 
+// Urgent implements pond.UrgentPlacement.
+func (r *localRequest) Urgent() bool { return r.urgent }
+
 // Progress implements pond.Placement. It is called for each event, so it only stores the count; the next reportProgress
 // sends it.
 func (r *localRequest) Progress(tokens int, now time.Time) { r.output.update(tokens, now) }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -43,6 +43,8 @@
 	// Account is the client account that owns the key; empty for a request without a key.
 	Account  string
 	Deadline time.Time
+	// Urgent is true if the engine should read the prompt before others that wait there.
+	Urgent bool
 	// Position is the ID of the last event that the caller has; empty for none. The engine continues after it.
 	Position string
 	// Resume is set if the run continues from a copy of its KV cache.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -120,7 +120,11 @@
 	if !isLast {
 		ctx, run.stall = newStallTimer(ctx, x.deadline)
 	}
-	run.attempt = x.send(ctx, x.dispatch(backend, nil))
+	dispatch := x.dispatch(backend, nil)
+	if urgent, ok := placement.(pond.UrgentPlacement); ok {
+		dispatch.Urgent = urgent.Urgent()
+	}
+	run.attempt = x.send(ctx, dispatch)
 	if !run.attempt.notRun {
 		x.run.runs++
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -38,6 +38,7 @@
 	req.Header.Set("Call", call.ID)
 	req.Header.Set("Account", d.Account)
 	req.Header.Set("After", d.Position)
+	req.Header.Set("Urgent", strconv.FormatBool(d.Urgent))
 	if d.Resume != nil {
 		req.Header.Set("Handle", d.Resume.Handle)
 	}
@@ -270,6 +271,7 @@
 type fakePlacer struct {
 	moves    chan pond.Move
 	spread   bool
+	urgent   bool
 	placed   int
 	mu       sync.Mutex
 	reported []string
@@ -293,6 +295,7 @@
 }
 
 func (p *fakePlacer) Progress(int, time.Time) {}
+func (p *fakePlacer) Urgent() bool            { return p.urgent }
 func (p *fakePlacer) Moves() <-chan pond.Move { return p.moves }
 
 func (p *fakePlacer) Done(end pond.PlacementEnd, _ time.Time) {
@@ -426,6 +429,25 @@
 	}
 }
 
+// TestUrgentPlacement guards against an engine that is not told that a request is urgent, or that others are not.
+func TestUrgentPlacement(t *testing.T) {
+	for _, urgent := range []bool{false, true} {
+		got := make(chan string, 1)
+		source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			got <- r.Header.Get("Urgent")
+			continueStream(w, r)
+		})
+		bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source)
+		bed.placer.urgent = urgent
+		if status, _ := bed.post(t, "key"); status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+		if want := strconv.FormatBool(urgent); <-got != want {
+			t.Errorf("the engine was not told that urgent is %s", want)
+		}
+	}
+}
+
 // TestUnusedCopyDropped guards against a copy that occupies the target's memory for seconds because its run ended while
 // it was made.
 func TestUnusedCopyDropped(t *testing.T) {
--- a/internal/sched/rates.go
+++ b/internal/sched/rates.go
@@ -21,6 +21,9 @@
 	// prefillFullDelay is the delay by prompts in prefill that counts as much load as a full memory.
 	prefillFullDelay = 800 * time.Millisecond
 
+	// urgentPrefillLoad is the load of prompts in prefill from which a short request passes them.
+	urgentPrefillLoad = 1
+
 	// initialNotice is the assumed time from the notice that an engine leaves until its runs are lost, before
 	// minNoticeSamples were lost.
 	initialNotice    = time.Second
@@ -118,3 +121,13 @@
 	}
 	s.runningPerEngine = float64(running) / float64(max(busy, 1))
 }
+
+// isUrgent reports whether an engine should read the prompt of a request that it gets before those that wait there.
+//
+// Engines preempt less urgent runs for urgent ones when their memory is full, and read the prompts of long requests after
+// those of all urgent ones. With short requests always urgent, three times as many tokens were read again, and long
+// requests waited up to 4.6 s on engines that had just joined. With none urgent, 224 of 1,450 short requests had their
+// first token after 1.5 s in a burst of long ones.
+func (s *Scheduler) isUrgent(r *request, e *engine) bool {
+	return r.queue == queueShort && !s.off(pond.MechanismUrgency) && e.prefillLoad() >= urgentPrefillLoad
+}
--- a/internal/sched/rates_test.go
+++ b/internal/sched/rates_test.go
@@ -137,3 +137,39 @@
 		t.Errorf("load %v for prompts in prefill, want none", load)
 	}
 }
+
+// TestUrgency replays the load of a burst on one engine. It guards against short requests that wait behind the prompts of
+// long ones, and against preempting runs for short requests that need not wait.
+func TestUrgency(t *testing.T) {
+	tests := []struct {
+		name     string
+		disabled pond.MechanismSet
+		backlog  int // prompts of 3,000 tokens that the engine has to read
+		class    pond.Class
+		want     bool
+	}{
+		{"idle engine", 0, 0, pond.ClassShort, false},
+		{"one prompt ahead", 0, 1, pond.ClassShort, false},
+		{"a second of prompts", 0, 4, pond.ClassShort, true},
+		{"long request", 0, 4, pond.ClassLong, false},
+		{"switched off", 1 << uint(pond.MechanismUrgency), 4, pond.ClassShort, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			policy := testPolicy()
+			policy.Disabled = test.disabled
+			s := newTestScheduler(policy, testEngines(1, 60_000, 24)...)
+			for i := range test.backlog {
+				s.Register(Request{
+					ID: fmt.Sprint("long", i), Account: "x", PromptTokens: 3000, MaxTokens: 1000, Deadline: epoch.Add(time.Hour),
+				}, s.engines.Key(0), 0, epoch)
+			}
+			d := s.Offer(Request{
+				ID: "r", Account: "x", Class: test.class, PromptTokens: 2000, MaxTokens: 1000, Deadline: epoch.Add(time.Hour),
+			}, epoch)
+			if d.Verdict != VerdictServe || d.Urgent != test.want {
+				t.Errorf("decision %+v, want one to serve, urgent %t", d, test.want)
+			}
+		})
+	}
+}
--- a/internal/sched/request.go
+++ b/internal/sched/request.go
@@ -69,6 +69,8 @@
 	// Engine is set with VerdictServe and VerdictMove, and Source with VerdictMove.
 	Engine string
 	Source string
+	// Urgent is true with VerdictServe if the engine should read the prompt before others that wait there.
+	Urgent bool
 	// Reason, RetryAt and Detail are set with VerdictRefuse.
 	Reason  pond.Reason
 	RetryAt time.Time
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -304,9 +304,12 @@
 	if r.heapIndex != notQueued {
 		s.dequeue(slot)
 	}
+	urgent := s.isUrgent(r, e)
 	s.start(slot, engineSlot, need, now)
 	s.prefixes.set(r.prefixHash, engineSlot)
-	return s.currentDecision(slot)
+	decision := s.currentDecision(slot)
+	decision.Urgent = urgent
+	return decision
 }
 
 func (s *Scheduler) start(slot, engineSlot table.Slot, reserved reservation, now time.Time) {
--- a/pkg/pond/mechanism.go
+++ b/pkg/pond/mechanism.go
@@ -31,6 +31,8 @@
 	MechanismAging
 	// MechanismPrefillLoad counts prompts that an engine has not read as load.
 	MechanismPrefillLoad
+	// MechanismUrgency lets engines with many prompts to read begin with those of short requests.
+	MechanismUrgency
 	// MechanismSlowEngines keeps long requests off engines with a high baseline gap.
 	MechanismSlowEngines
 	// MechanismStragglers avoids engines that are slow or fail for a moment.
--- a/pkg/pond/mechanism_enumer.go
+++ b/pkg/pond/mechanism_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _MechanismName = "regionBalanceforecastlearnedLengthspredictedRefusalshortQueueshortShareaccountSharesagingprefillLoadslowEnginesstragglersprefixAffinitymovesmoveOrdernearTargetsrebalancingengineChecksrestarts"
+const _MechanismName = "regionBalanceforecastlearnedLengthspredictedRefusalshortQueueshortShareaccountSharesagingprefillLoadurgencyslowEnginesstragglersprefixAffinitymovesmoveOrdernearTargetsrebalancingengineChecksrestarts"
 
-var _MechanismIndex = [...]uint8{0, 13, 21, 35, 51, 61, 71, 84, 89, 100, 111, 121, 135, 140, 149, 160, 171, 183, 191}
+var _MechanismIndex = [...]uint8{0, 13, 21, 35, 51, 61, 71, 84, 89, 100, 107, 118, 128, 142, 147, 156, 167, 178, 190, 198}
 
-const _MechanismLowerName = "regionbalanceforecastlearnedlengthspredictedrefusalshortqueueshortshareaccountsharesagingprefillloadslowenginesstragglersprefixaffinitymovesmoveorderneartargetsrebalancingenginechecksrestarts"
+const _MechanismLowerName = "regionbalanceforecastlearnedlengthspredictedrefusalshortqueueshortshareaccountsharesagingprefillloadurgencyslowenginesstragglersprefixaffinitymovesmoveorderneartargetsrebalancingenginechecksrestarts"
 
 func (i Mechanism) String() string {
 	if i < 0 || i >= Mechanism(len(_MechanismIndex)-1) {
@@ -33,18 +33,19 @@
 	_ = x[MechanismAccountShares-(6)]
 	_ = x[MechanismAging-(7)]
 	_ = x[MechanismPrefillLoad-(8)]
-	_ = x[MechanismSlowEngines-(9)]
-	_ = x[MechanismStragglers-(10)]
-	_ = x[MechanismPrefixAffinity-(11)]
-	_ = x[MechanismMoves-(12)]
-	_ = x[MechanismMoveOrder-(13)]
-	_ = x[MechanismNearTargets-(14)]
-	_ = x[MechanismRebalancing-(15)]
-	_ = x[MechanismEngineChecks-(16)]
-	_ = x[MechanismRestarts-(17)]
+	_ = x[MechanismUrgency-(9)]
+	_ = x[MechanismSlowEngines-(10)]
+	_ = x[MechanismStragglers-(11)]
+	_ = x[MechanismPrefixAffinity-(12)]
+	_ = x[MechanismMoves-(13)]
+	_ = x[MechanismMoveOrder-(14)]
+	_ = x[MechanismNearTargets-(15)]
+	_ = x[MechanismRebalancing-(16)]
+	_ = x[MechanismEngineChecks-(17)]
+	_ = x[MechanismRestarts-(18)]
 }
 
-var _MechanismValues = []Mechanism{MechanismRegionBalance, MechanismForecast, MechanismLearnedLengths, MechanismPredictedRefusal, MechanismShortQueue, MechanismShortShare, MechanismAccountShares, MechanismAging, MechanismPrefillLoad, MechanismSlowEngines, MechanismStragglers, MechanismPrefixAffinity, MechanismMoves, MechanismMoveOrder, MechanismNearTargets, MechanismRebalancing, MechanismEngineChecks, MechanismRestarts}
+var _MechanismValues = []Mechanism{MechanismRegionBalance, MechanismForecast, MechanismLearnedLengths, MechanismPredictedRefusal, MechanismShortQueue, MechanismShortShare, MechanismAccountShares, MechanismAging, MechanismPrefillLoad, MechanismUrgency, MechanismSlowEngines, MechanismStragglers, MechanismPrefixAffinity, MechanismMoves, MechanismMoveOrder, MechanismNearTargets, MechanismRebalancing, MechanismEngineChecks, MechanismRestarts}
 
 var _MechanismNameToValueMap = map[string]Mechanism{
 	_MechanismName[0:13]:    MechanismRegionBalance,
@@ -56,15 +57,16 @@
 	_MechanismName[71:84]:   MechanismAccountShares,
 	_MechanismName[84:89]:   MechanismAging,
 	_MechanismName[89:100]:  MechanismPrefillLoad,
-	_MechanismName[100:111]: MechanismSlowEngines,
-	_MechanismName[111:121]: MechanismStragglers,
-	_MechanismName[121:135]: MechanismPrefixAffinity,
-	_MechanismName[135:140]: MechanismMoves,
-	_MechanismName[140:149]: MechanismMoveOrder,
-	_MechanismName[149:160]: MechanismNearTargets,
-	_MechanismName[160:171]: MechanismRebalancing,
-	_MechanismName[171:183]: MechanismEngineChecks,
-	_MechanismName[183:191]: MechanismRestarts,
+	_MechanismName[100:107]: MechanismUrgency,
+	_MechanismName[107:118]: MechanismSlowEngines,
+	_MechanismName[118:128]: MechanismStragglers,
+	_MechanismName[128:142]: MechanismPrefixAffinity,
+	_MechanismName[142:147]: MechanismMoves,
+	_MechanismName[147:156]: MechanismMoveOrder,
+	_MechanismName[156:167]: MechanismNearTargets,
+	_MechanismName[167:178]: MechanismRebalancing,
+	_MechanismName[178:190]: MechanismEngineChecks,
+	_MechanismName[190:198]: MechanismRestarts,
 }
 
 var _MechanismLowerNameToValueMap = map[string]Mechanism{
@@ -77,15 +79,16 @@
 	_MechanismLowerName[71:84]:   MechanismAccountShares,
 	_MechanismLowerName[84:89]:   MechanismAging,
 	_MechanismLowerName[89:100]:  MechanismPrefillLoad,
-	_MechanismLowerName[100:111]: MechanismSlowEngines,
-	_MechanismLowerName[111:121]: MechanismStragglers,
-	_MechanismLowerName[121:135]: MechanismPrefixAffinity,
-	_MechanismLowerName[135:140]: MechanismMoves,
-	_MechanismLowerName[140:149]: MechanismMoveOrder,
-	_MechanismLowerName[149:160]: MechanismNearTargets,
-	_MechanismLowerName[160:171]: MechanismRebalancing,
-	_MechanismLowerName[171:183]: MechanismEngineChecks,
-	_MechanismLowerName[183:191]: MechanismRestarts,
+	_MechanismLowerName[100:107]: MechanismUrgency,
+	_MechanismLowerName[107:118]: MechanismSlowEngines,
+	_MechanismLowerName[118:128]: MechanismStragglers,
+	_MechanismLowerName[128:142]: MechanismPrefixAffinity,
+	_MechanismLowerName[142:147]: MechanismMoves,
+	_MechanismLowerName[147:156]: MechanismMoveOrder,
+	_MechanismLowerName[156:167]: MechanismNearTargets,
+	_MechanismLowerName[167:178]: MechanismRebalancing,
+	_MechanismLowerName[178:190]: MechanismEngineChecks,
+	_MechanismLowerName[190:198]: MechanismRestarts,
 }
 
 var _MechanismNames = []string{
@@ -98,15 +101,16 @@
 	_MechanismName[71:84],
 	_MechanismName[84:89],
 	_MechanismName[89:100],
-	_MechanismName[100:111],
-	_MechanismName[111:121],
-	_MechanismName[121:135],
-	_MechanismName[135:140],
-	_MechanismName[140:149],
-	_MechanismName[149:160],
-	_MechanismName[160:171],
-	_MechanismName[171:183],
-	_MechanismName[183:191],
+	_MechanismName[100:107],
+	_MechanismName[107:118],
+	_MechanismName[118:128],
+	_MechanismName[128:142],
+	_MechanismName[142:147],
+	_MechanismName[147:156],
+	_MechanismName[156:167],
+	_MechanismName[167:178],
+	_MechanismName[178:190],
+	_MechanismName[190:198],
 }
 
 // MechanismString retrieves an enum value from the enum constants string name.
--- a/pkg/pond/place.go
+++ b/pkg/pond/place.go
@@ -47,6 +47,13 @@
 	Done(end PlacementEnd, now time.Time)
 }
 
+// UrgentPlacement is a placement that tells how urgent the generation is on its backend server.
+type UrgentPlacement interface {
+	Placement
+	// Urgent reports whether the backend server should read the prompt before others that wait there.
+	Urgent() bool
+}
+
 // Placer decides where a generation runs. Place blocks while the request waits in a queue. The error is a *Refusal if
 // the system decided not to serve the request.
 type Placer interface {
