--- a/internal/place/doc.go
+++ b/internal/place/doc.go
@@ -7,6 +7,9 @@
 // currently decides for an instance is called its coordinator. A request is resolved once for its caller: after it was
 // offered to another coordinator, decisions of an earlier one are ignored.
 //
+// With Options.BalanceRegions, a request is first offered to the home of its own region and then to that of another one
+// with a load limit, above which a home refuses at once. Only then it waits, in its own region.
+//
 // # Usage
 //
 //	placer := place.New(place.Options{
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -184,12 +184,19 @@
 
 // post sends a request and returns the status and the body. Status 0 stands for a truncated response.
 func (b *testBed) post(t *testing.T, key string) (int, string) {
+	t.Helper()
+	return b.postAt(t, key, "")
+}
+
+// postAt is post for a caller that has the events up to a position.
+func (b *testBed) postAt(t *testing.T, key, position string) (int, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.front.URL+"/x", strings.NewReader("hello"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Header.Set("Key", key)
+	req.Header.Set("Position", position)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return 0, ""
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -79,27 +79,6 @@
 	b.fleet.Apply([]feed.Record{{Key: "catalogue", Revision: 90}}, time.Time{})
 }
 
-// postAt sends a request of a caller that has the events up to a position.
-func (b *testBed) postAt(t *testing.T, position string) (int, string) {
-	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, b.front.URL+"/x", strings.NewReader("hello"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Header.Set("Key", "key")
-	req.Header.Set("Position", position)
-	resp, err := http.DefaultTransport.RoundTrip(req)
-	if err != nil {
-		return 0, ""
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, string(body)
-	}
-	return resp.StatusCode, string(body)
-}
-
 // TestResumableStream guards against resumable streams that are lost with their engine, events that are sent twice to a
 // caller that resumes, and repeated runs of streams that may not be resumed.
 func TestResumableStream(t *testing.T) {
@@ -135,7 +114,7 @@
 			if test.resumable {
 				bed.setResumable(500*time.Millisecond, 2)
 			}
-			status, body := bed.postAt(t, test.position)
+			status, body := bed.postAt(t, "key", test.position)
 			if status != test.wantStatus || status == 200 && body != test.wantBody {
 				t.Errorf("response %d %q, want %d %q", status, body, test.wantStatus, test.wantBody)
 			}
@@ -166,7 +145,7 @@
 			bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, backends...)
 			bed.placer.spread = true
 			bed.setResumable(time.Second, 2)
-			if status, _ := bed.postAt(t, ""); status != test.wantStatus {
+			if status, _ := bed.postAt(t, "key", ""); status != test.wantStatus {
 				t.Errorf("status %d, want %d", status, test.wantStatus)
 			}
 		})
@@ -217,7 +196,7 @@
 		if position > 0 {
 			caller = strconv.Itoa(position)
 		}
-		status, body := bed.postAt(t, caller)
+		status, body := bed.postAt(t, "key", caller)
 		if want := eventsFrom(position + 1); status != http.StatusOK || body != want {
 			rt.Fatalf("response %d %q, want %q", status, body, want)
 		}
--- a/internal/serve/enginecheck_test.go
+++ b/internal/serve/enginecheck_test.go
@@ -77,6 +77,20 @@
 	return i
 }
 
+// start runs the checker and returns a function that stops it.
+func (c *engineChecker) start(t *testing.T) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = c.run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-stopped
+	}
+}
+
 // TestEngineCheckOutage guards against engines that are asked while the store is current, which costs a call each, and
 // against notices that are missed because nobody asks while the store is not.
 func TestEngineCheckOutage(t *testing.T) {
@@ -119,12 +133,7 @@
 		i := newCheckedInstance(engines, clock.Now())
 		defer i.log.Close()
 		checker := newEngineChecker(i)
-		ctx, cancel := context.WithCancel(t.Context())
-		stopped := make(chan struct{})
-		go func() {
-			defer close(stopped)
-			_ = checker.run(ctx)
-		}()
+		defer checker.start(t)()
 		for range 3 {
 			checker.suspect("e1") // Several requests fail at the same time.
 		}
@@ -141,8 +150,6 @@
 		if !i.fleet.Accepting("e1") || engines.asked != 3 {
 			t.Errorf("accepting %t after %d questions, want true after the third", i.fleet.Accepting("e1"), engines.asked)
 		}
-		cancel()
-		<-stopped
 	})
 }
 
@@ -154,18 +161,11 @@
 		i := newCheckedInstance(engines, clock.Now())
 		defer i.log.Close()
 		checker := newEngineChecker(i)
-		ctx, cancel := context.WithCancel(t.Context())
-		stopped := make(chan struct{})
-		go func() {
-			defer close(stopped)
-			_ = checker.run(ctx)
-		}()
+		defer checker.start(t)()
 		checker.suspect("e1")
 		synctest.Wait()
 		if !i.fleet.Accepting("e1") || engines.asked != 1 {
 			t.Errorf("accepting %t, asked %d times; want accepting after one answer", i.fleet.Accepting("e1"), engines.asked)
 		}
-		cancel()
-		<-stopped
 	})
 }
