--- a/internal/serve/enginecheck_test.go
+++ b/internal/serve/enginecheck_test.go
@@ -43,6 +43,12 @@
 	return e.leaving, e.err
 }
 
+func (e *scriptedEngines) askedCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked
+}
+
 func (e *scriptedEngines) answer() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -113,9 +119,9 @@
 			if _, err := checker.Load(t.Context(), "e1"); !errors.Is(err, errNoLoadReport) {
 				t.Errorf("error %v, want none but the missing report", err)
 			}
-			if engines.asked != test.wantAsked || i.fleet.Accepting("e1") != test.wantAccepting {
+			if engines.askedCount() != test.wantAsked || i.fleet.Accepting("e1") != test.wantAccepting {
 				t.Errorf("asked %d times, accepting %t; want %d and %t",
-					engines.asked, i.fleet.Accepting("e1"), test.wantAsked, test.wantAccepting)
+					engines.askedCount(), i.fleet.Accepting("e1"), test.wantAsked, test.wantAccepting)
 			}
 			if checker.interval() != test.wantInterval {
 				t.Errorf("interval %v, want %v", checker.interval(), test.wantInterval)
@@ -138,17 +144,17 @@
 			checker.suspect("e1") // Several requests fail at the same time.
 		}
 		synctest.Wait()
-		if i.fleet.Accepting("e1") || !i.fleet.Accepting("e2") || engines.asked != 1 {
+		if i.fleet.Accepting("e1") || !i.fleet.Accepting("e2") || engines.askedCount() != 1 {
 			t.Errorf("accepting: e1 %t, e2 %t, asked %d times; want only e2, once",
-				i.fleet.Accepting("e1"), i.fleet.Accepting("e2"), engines.asked)
+				i.fleet.Accepting("e1"), i.fleet.Accepting("e2"), engines.askedCount())
 		}
 		time.Sleep(suspectCheckInterval + time.Millisecond)
 		synctest.Wait()
 		engines.answer()
 		time.Sleep(suspectCheckInterval)
 		synctest.Wait()
-		if !i.fleet.Accepting("e1") || engines.asked != 3 {
-			t.Errorf("accepting %t after %d questions, want true after the third", i.fleet.Accepting("e1"), engines.asked)
+		if !i.fleet.Accepting("e1") || engines.askedCount() != 3 {
+			t.Errorf("accepting %t after %d questions, want true after the third", i.fleet.Accepting("e1"), engines.askedCount())
 		}
 	})
 }
@@ -164,8 +170,8 @@
 		defer checker.start(t)()
 		checker.suspect("e1")
 		synctest.Wait()
-		if !i.fleet.Accepting("e1") || engines.asked != 1 {
-			t.Errorf("accepting %t, asked %d times; want accepting after one answer", i.fleet.Accepting("e1"), engines.asked)
+		if !i.fleet.Accepting("e1") || engines.askedCount() != 1 {
+			t.Errorf("accepting %t, asked %d times; want accepting after one answer", i.fleet.Accepting("e1"), engines.askedCount())
 		}
 	})
 }
