quota, relay, platform: log the limits that backend servers name

Change: platform reads the header of each response to our own request; quota.Table orders what responses say by the time at which their requests were sent; limitNamed and limitLifted are logged, and a counter holds the requests sent to servers under a limit. No decision depends on it yet. Measured: not measured; no logic changed. go test of the packages passes.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -65,6 +65,8 @@
 	// Late tells what came later than the route's target: LateFirst, LateGap or LateAnswer. It is absent for an answer on
 	// time.
 	Late = "late"
+	// PerSecond is a limit of requests per second.
+	PerSecond = "perSecond"
 	// Moves is the number of times that a generation moved to another engine.
 	Moves = "moves"
 	// Peer is the name of another instance, and State its state as this instance sees it.
--- a/internal/metric/requests.go
+++ b/internal/metric/requests.go
@@ -24,6 +24,7 @@
 	moveDelay         prometheus.Histogram
 	copyTime          prometheus.Histogram
 	pauseTime         prometheus.Histogram
+	limited           *prometheus.CounterVec
 	accounts          labelSet
 }
 
@@ -35,6 +36,9 @@
 	MoveNotNecessary = "notNecessary"
 )
 
+// LimitedSent labels requests sent to backend servers that name a limit.
+const LimitedSent = "sent"
+
 // Causes of moves.
 const (
 	MoveLeaving = "engineLeaves"
@@ -70,10 +74,12 @@
 			Namespace: Namespace, Name: "move_pause_seconds", Help: "Time from the end of one engine's stream to the next one's head.",
 			Buckets: gapBuckets,
 		}),
+		limited: newCounter("limited_requests_total", "Requests for backend servers that name a limit, by service and outcome.",
+			"service", "outcome"),
 		accounts: labelSet{limit: maxAccounts, other: otherAccounts},
 	}
 	m.registry.MustRegister(
-		r.ended, r.duration, r.durationByAccount, r.firstEventTime, r.moves, r.moveDelay, r.copyTime, r.pauseTime)
+		r.ended, r.duration, r.durationByAccount, r.firstEventTime, r.moves, r.moveDelay, r.copyTime, r.pauseTime, r.limited)
 	return r
 }
 
@@ -104,3 +110,8 @@
 	r.copyTime.Observe(copied.Seconds())
 	r.pauseTime.Observe(pause.Seconds())
 }
+
+// CountLimited counts a request for a backend server that names a limit, by outcome.
+func (r *Requests) CountLimited(service, outcome string) {
+	r.limited.WithLabelValues(service, outcome).Inc()
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/quota"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 )
 
@@ -71,6 +72,8 @@
 	Leaving bool
 	// Genuine is false for a response to another request or one that did not come from the backend server itself.
 	Genuine bool
+	// Limit is what the response says about the rate of requests that the backend server takes.
+	Limit quota.Reading
 }
 
 // Copy is the result of copying the KV cache of a run.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -14,6 +14,7 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -183,6 +184,10 @@
 	if err != nil {
 		return attempt{notRun: true, err: err}
 	}
+	if _, limited := x.relay.options.Limits.Limit(d.Backend.ID); limited {
+		x.relay.options.Metrics.CountLimited(x.service.Name, metric.LimitedSent)
+	}
+	sentAt := x.relay.options.Clock()
 	resp, err := x.relay.transport.Send(req)
 	if err != nil {
 		var failure *engine.Error
@@ -192,6 +197,7 @@
 	distance := x.relay.options.Fleet.Distance(x.relay.options.DataCentre, d.Backend.DataCentre)
 	resp.Body = &countingBody{ReadCloser: resp.Body, bytes: x.relay.options.Traffic.ResponseBytes(distance)}
 	reply := x.relay.options.Protocol.InspectResponse(resp, x.call)
+	x.relay.options.Limits.Observe(d.Backend.ID, reply.Limit, sentAt)
 	switch {
 	case reply.NotRun || reply.AddressReassigned:
 		_ = resp.Body.Close()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
+	"github.com/dragonflypond/dragonflypond/internal/quota"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -45,6 +46,7 @@
 	Protocol Protocol
 	Copier   Copier
 	Budget   *RetryBudget
+	Limits   *quota.Gate
 	// Instances returns the number of instances in the fleet.
 	Instances func() int
 	// Instance is the name of this instance, and DataCentre its data centre.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
+	"github.com/dragonflypond/dragonflypond/internal/quota"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -168,6 +169,7 @@
 	bed.relay = New(Options{
 		Fleet: bed.fleet, Placer: bed.placer, Protocol: fakeProtocol{}, Copier: bed.copier,
 		Budget:    NewRetryBudget(0.2, 50, 10*time.Second),
+		Limits:    quota.NewGate(quota.Options{Known: func(string) bool { return true }, Clock: time.Now, Log: quietLog()}),
 		Instances: func() int { return 1 }, DataCentre: "north-a", KeyLease: func() time.Duration { return 5 * time.Second },
 		ConfirmedAt: func() time.Time { return bed.confirmedAt }, Clock: time.Now,
 		Metrics: metric.NewRequests(metric.New()), Traffic: metric.NewTraffic(metric.New()), Log: quietLog(),
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -25,6 +25,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/peer"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 	"github.com/dragonflypond/dragonflypond/internal/place"
+	"github.com/dragonflypond/dragonflypond/internal/quota"
 	"github.com/dragonflypond/dragonflypond/internal/relay"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -65,6 +66,7 @@
 	fleet   *fleet.Fleet
 	placer  *place.Placer
 	checker *engineChecker
+	limits  *quota.Gate
 	relay   *relay.Relay
 	metrics *metric.Metrics
 	traffic *metric.Traffic
@@ -192,6 +194,7 @@
 
 func (i *Instance) assembleRelay() {
 	i.checker = newEngineChecker(i)
+	i.limits = quota.NewGate(quota.Options{Known: i.knowsBackend, Clock: clock.Now, Log: i.log})
 	i.placer = place.New(place.Options{
 		Manifests: i.fleet,
 		Directory: i.members,
@@ -211,6 +214,7 @@
 		Placer:      i.placer,
 		Protocol:    i.adapters.Protocol,
 		Copier:      i.adapters.Copier,
+		Limits:      i.limits,
 		Budget:      relay.NewRetryBudget(i.settings.RetryRatio, i.settings.RetrySlack, i.settings.RetryWindow),
 		Instances:   func() int { return len(i.members.Instances()) },
 		Instance:    i.settings.Instance,
@@ -225,6 +229,11 @@
 	})
 }
 
+func (i *Instance) knowsBackend(id string) bool {
+	_, known := i.fleet.Backend(id)
+	return known
+}
+
 func (i *Instance) assemblePeers() error {
 	i.peers = i.network.NewServer()
 	mux := i.peers.Mux()
