soak: test that fails, a limit exceeded by all instances together

Change: the soak's backend servers can name a limit, and its recorder counts by the users' rule: arrivals from instances that were told half a second before, in any 4 s from 4 s after the limit was first named. Each instance logs limitNamed once and goes on sending; nothing uses the limit.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -23,6 +23,7 @@
 	mu         sync.Mutex
 	requests   map[string]*requestState
 	violations []string
+	limits     []*rateLimit // all that were named in the run
 }
 
 // requestState is the state of one request at the backend servers.
@@ -53,7 +54,8 @@
 	listener      net.Listener
 	proxy         *proxy
 	isEngine      bool
-	leavingAt     time.Time // protected by recorder.mu
+	leavingAt     time.Time  // protected by recorder.mu
+	limit         *rateLimit // protected by recorder.mu; nil for none
 	findByAddress func(address string) *backend
 }
 
@@ -106,7 +108,11 @@
 	w.Header().Set("X-Attempt-Id", id)
 	b.recorder.mu.Lock()
 	pastDrain := !b.leavingAt.IsZero() && time.Since(b.leavingAt) > drainLimit && r.Header.Get("Kv-From") == ""
+	limit := b.recordArrival(id)
 	b.recorder.mu.Unlock()
+	if limit != nil {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(limit.perSecond, 'f', 1, 64))
+	}
 	if pastDrain {
 		b.recorder.reportViolation("request %s reached %s later than %v after it began to leave", id, b.id, drainLimit)
 	}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -44,6 +44,7 @@
 	closing   atomic.Bool
 
 	mu            sync.Mutex
+	disturbances  map[string][]disturbance // faults of single instances, by front address
 	version       int
 	revoked       map[string]time.Time
 	backends      map[string]*backend
@@ -63,6 +64,36 @@
 	stopped chan struct{} // closed when supervise returns
 }
 
+// disturbance is the time of a fault of one instance.
+type disturbance struct{ from, until time.Time }
+
+// disturb records a fault of an instance that lasts until the returned function is called.
+func (c *cluster) disturb(i *instance) (end func()) {
+	from, address := time.Now(), i.ip+frontPort
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	index := len(c.disturbances[address])
+	const open = time.Hour
+	c.disturbances[address] = append(c.disturbances[address], disturbance{from, from.Add(open)})
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.disturbances[address][index].until = time.Now()
+	}
+}
+
+// disturbed reports whether the instance with a front address had a fault within limitGrace before a time.
+func (c *cluster) disturbed(address string, at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, d := range c.disturbances[address] {
+		if at.After(d.from) && at.Before(d.until.Add(limitGrace)) {
+			return true
+		}
+	}
+	return false
+}
+
 // subnet returns the first three octets of the loopback addresses of the instances. They depend on the process ID,
 // because two concurrent runs with the same addresses joined each other's clusters.
 func subnet() string {
@@ -75,7 +106,7 @@
 	c := &cluster{
 		t: t, seed: seed, binary: binary, store: newStore(), recorder: newRecorder(),
 		keys: []string{"key-0", "key-1", "key-2", "key-3"}, revoked: make(map[string]time.Time),
-		backends: make(map[string]*backend),
+		backends: make(map[string]*backend), disturbances: make(map[string][]disturbance),
 	}
 	c.storeHTTP = httptest.NewServer(c.store)
 	t.Cleanup(c.close)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -253,15 +253,21 @@
 }
 
 func (c *cluster) anyBackend(random *rand.Rand) *backend {
+	backends := c.allBackends()
+	return backends[random.IntN(len(backends))]
+}
+
+// allBackends returns the backend servers in use, the oldest first.
+func (c *cluster) allBackends() []*backend {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ids := make([]string, 0, len(c.backends))
+	backends := make([]*backend, 0, len(c.backends))
 	for i := 1; i <= c.lastBackendID; i++ {
-		if id := fmt.Sprintf("i-%04d", i); c.backends[id] != nil {
-			ids = append(ids, id)
+		if b := c.backends[fmt.Sprintf("i-%04d", i)]; b != nil {
+			backends = append(backends, b)
 		}
 	}
-	return c.backends[ids[random.IntN(len(ids))]]
+	return backends
 }
 
 // injectFaults starts faults at random intervals for the given duration. Faults may overlap.
