quota, relay, serve: a permit for each request to a backend server with a limit

What callers saw: a portal replica that named 3.3 requests a second got 52 in 4 s; requests there failed or came late. Cause: the system had no notion of a limit that a backend server names. Each instance chose replicas by its own open requests, so the nine together sent what the callers asked for. The class: a bound on the sum over all instances that no instance sees (the retry budget is such a bound too; it is split by the number of instances). Evidence: after limitNamed the arrivals in the soak stay as before (171 in 4 s at 3.4/s); no line of code read the header. Ruled out: instances that keep the limit for themselves (one sends at most 3.4/s then; single ones sent more), and repeats alone (1 in 8 lookups; the excess is seven times the limit). Change: one instance, ranked by rendezvous hashing among those in the server's region, counts the permits of a server and the others ask it before each send: first attempts, repeats, streams, runs that go on from a copy, and status questions to engines. It starts empty, so a home that is new, thawed or replaced grants nothing for the time before. Without an answer nothing is sent to that server. A request that has run is not repeated at a server with a limit. What no server takes is refused at once; the returns of callers are spread at the rate of the limits. The home tells all instances when a limit is named, changed or lifted. A share for each instance was ruled out: with 80 instances and 3.4/s each would have one request in 24 s, and all of them saved up would be 80 at once. Measured: the test below on the code before, with both replicas limited to 3.4/s and 10.2/s: fails.

--- a/internal/metric/requests.go
+++ b/internal/metric/requests.go
@@ -36,8 +36,11 @@
 	MoveNotNecessary = "notNecessary"
 )
 
-// LimitedSent labels requests sent to backend servers that name a limit.
-const LimitedSent = "sent"
+// Outcomes of requests for backend servers that name a limit.
+const (
+	LimitedSent   = "sent"
+	LimitedDenied = "denied"
+)
 
 // Causes of moves.
 const (
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -1,16 +1,46 @@
 package quota
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
 
 	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// Options configures a Gate.
+const (
+	// askTimeout bounds one question to a home. Regions are 30 ms apart.
+	askTimeout = 250 * time.Millisecond
+
+	// maxPermitAge is the age from which a permit is not used, because the home has granted others since.
+	maxPermitAge = 500 * time.Millisecond
+
+	// homeBackoff is the time for which a home that did not answer is skipped, and maxHomes the number of homes that are
+	// asked in turn.
+	homeBackoff = time.Second
+	maxHomes    = 2
+
+	// noHomeDelay is the time after which callers may return if no home answers.
+	noHomeDelay = 500 * time.Millisecond
+
+	// tellInterval is the least time between two messages of this instance about one backend server.
+	tellInterval = 200 * time.Millisecond
+)
+
+// Options configures a Gate. All fields are required.
 type Options struct {
+	// Self is the name of this instance.
+	Self pond.InstanceID
+	// Homes returns the instances that may be the home of a backend server, the home first.
+	Homes func(backend string) []pond.Instance
+	// Peers returns the instances that learn of changes.
+	Peers func() []pond.Instance
+	// Connect returns a drpc connection to a peer address.
+	Connect func(peerAddress string) drpc.Conn
 	// Known reports whether a backend server is in use or was so recently.
 	Known func(backend string) bool
 	// Clock includes the time for which the machine was suspended.
@@ -18,34 +48,191 @@
 	Log   logrus.FieldLogger
 }
 
-// Gate is one instance's view of the limits of backend servers. It is safe for concurrent use.
+// Gate decides for one instance whether it may send a request to a backend server. It is safe for concurrent use.
 type Gate struct {
 	options Options
 
-	mu    sync.Mutex
-	table *Table
+	mu           sync.Mutex
+	table        *Table
+	ledger       *Ledger
+	denials      map[string]*denial            // by backend server
+	backoffUntil map[pond.InstanceID]time.Time // homes that did not answer
+	nextTell     map[string]time.Time          // by backend server
 }
 
 // NewGate returns a gate that knows no limit.
 func NewGate(options Options) *Gate {
-	return &Gate{options: options, table: NewTable(options.Known)}
+	return &Gate{
+		options:      options,
+		table:        NewTable(options.Known),
+		ledger:       NewLedger(),
+		denials:      make(map[string]*denial),
+		backoffUntil: make(map[pond.InstanceID]time.Time),
+		nextTell:     make(map[string]time.Time),
+	}
+}
+
+// Limit returns the limit of a backend server in requests per second, and false if it has none.
+func (g *Gate) Limit(backend string) (perSecond float64, limited bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Limit(backend)
+}
+
+// Exhausted reports whether the last question for a permit was denied and it is too early to ask again.
+func (g *Gate) Exhausted(backend string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, limited := g.table.Limit(backend)
+	d, denied := g.denials[backend]
+	return limited && denied && g.options.Clock().Before(d.askAt)
+}
+
+// Permit asks for one request to a backend server. It must be called immediately before the request is sent, also for
+// one that is sent again. Without a limit, every request is permitted.
+func (g *Gate) Permit(ctx context.Context, backend string) Permit {
+	g.mu.Lock()
+	now := g.options.Clock()
+	notice, _ := g.table.Notice(backend)
+	if _, limited := g.table.Limit(backend); !limited {
+		g.mu.Unlock()
+		return Permit{granted: true}
+	}
+	if d, denied := g.denials[backend]; denied && now.Before(d.askAt) {
+		defer g.mu.Unlock()
+		return d.permit(now)
+	}
+	g.mu.Unlock()
+	answer, ok := g.askHomes(ctx, notice)
+	return g.decide(backend, answer, ok, now)
+}
+
+// askHomes asks the homes of a backend server in turn. It returns false if none answers.
+func (g *Gate) askHomes(ctx context.Context, notice Notice) (Answer, bool) {
+	asked := 0
+	for _, home := range g.options.Homes(notice.backend) {
+		if asked == maxHomes || ctx.Err() != nil {
+			break
+		}
+		if home.ID() == g.options.Self {
+			return g.take(notice.backend, string(g.options.Self)), true
+		}
+		if g.inBackoff(home.ID()) {
+			continue
+		}
+		asked++
+		answer, err := g.ask(ctx, home.PeerAddress(), notice)
+		if err == nil {
+			return answer, true
+		}
+		if ctx.Err() == nil {
+			g.backOff(home.ID(), notice.backend, err)
+		}
+	}
+	return Answer{}, false
+}
+
+// take decides as the home of a backend server.
+func (g *Gate) take(backend, asker string) Answer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	perSecond, limited := g.table.Limit(backend)
+	if !limited {
+		return Answer{granted: true}
+	}
+	return g.ledger.Take(backend, asker, perSecond, g.options.Clock())
+}
+
+// decide turns the answer of a home into a permit.
+func (g *Gate) decide(backend string, answer Answer, answered bool, askedAt time.Time) Permit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Clock()
+	if answered && answer.granted {
+		if now.Sub(askedAt) <= maxPermitAge {
+			delete(g.denials, backend)
+			return Permit{granted: true}
+		}
+		answered = false
+	}
+	if !answered {
+		answer = Answer{retryAfter: noHomeDelay, askAfter: minAskDelay, spacing: minAskDelay}
+	}
+	g.evict()
+	d := newDenial(answer, now)
+	g.denials[backend] = d
+	return d.permit(now)
+}
+
+// evict drops the state of backend servers that are no longer known. The lock must be held.
+func (g *Gate) evict() {
+	for backend := range g.denials {
+		if !g.options.Known(backend) {
+			delete(g.denials, backend)
+		}
+	}
+	for backend := range g.nextTell {
+		if !g.options.Known(backend) {
+			delete(g.nextTell, backend)
+		}
+	}
+	g.ledger.Evict(g.options.Known)
+}
+
+func (g *Gate) inBackoff(home pond.InstanceID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.options.Clock().Before(g.backoffUntil[home])
 }
 
-// Observe applies what a response to a request sent at a time says about the limit of a backend server.
+func (g *Gate) backOff(home pond.InstanceID, backend string, err error) {
+	now := g.options.Clock()
+	g.mu.Lock()
+	for id, until := range g.backoffUntil {
+		if now.After(until) {
+			delete(g.backoffUntil, id)
+		}
+	}
+	g.backoffUntil[home] = now.Add(homeBackoff)
+	g.mu.Unlock()
+	g.options.Log.WithError(err).WithFields(logrus.Fields{logs.Event: "limitHomeLost", logs.Home: home, logs.Backend: backend}).
+		Warn("the home of a limit does not answer")
+}
+
+// Observe applies what a response to a request sent at a time says about the limit of a backend server, and tells other
+// instances of a change.
 func (g *Gate) Observe(backend string, reading Reading, sentAt time.Time) {
 	g.mu.Lock()
 	notice, changed := g.table.Observe(backend, reading, sentAt, g.options.Clock())
+	tell := changed && g.mayTell(backend)
 	g.mu.Unlock()
 	if changed {
 		g.logChange(notice, "response")
 	}
+	if tell {
+		go g.spread(notice)
+	}
 }
 
-// Limit returns the limit of a backend server in requests per second, and false if it has none.
-func (g *Gate) Limit(backend string) (perSecond float64, limited bool) {
+// merge applies a notice of another instance and reports whether it changes the limit.
+func (g *Gate) merge(notice Notice, source string) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.table.Limit(backend)
+	changed := g.table.Merge(notice)
+	g.mu.Unlock()
+	if changed {
+		g.logChange(notice, source)
+	}
+	return changed
+}
+
+// mayTell reports whether a change may be told now. The lock must be held.
+func (g *Gate) mayTell(backend string) bool {
+	now := g.options.Clock()
+	if now.Before(g.nextTell[backend]) {
+		return false
+	}
+	g.nextTell[backend] = now.Add(tellInterval)
+	return true
 }
 
 func (g *Gate) logChange(n Notice, source string) {
--- /dev/null
+++ b/internal/quota/peers.go
@@ -0,0 +1,141 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+)
+
+// maxTellConcurrency bounds the messages that a home sends at the same time when it spreads a change.
+const maxTellConcurrency = 16
+
+var _ peerpb.DRPCLimitsServer = (*Server)(nil)
+
+// Server answers the questions and messages of other instances.
+type Server struct{ gate *Gate }
+
+// NewServer returns the peer service of a gate.
+func NewServer(gate *Gate) *Server { return &Server{gate: gate} }
+
+// ask asks another instance as the home for a permit.
+func (g *Gate) ask(ctx context.Context, address string, notice Notice) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	conn := g.options.Connect(address)
+	defer conn.Close()
+	resp, err := peerpb.NewDRPCLimitsClient(conn).Permit(ctx, &peerpb.PermitRequest{
+		Limit: g.messageOf(notice), Asker: string(g.options.Self),
+	})
+	if err != nil {
+		return Answer{}, err
+	}
+	if resp.GetLimit() != nil {
+		g.merge(g.noticeOf(resp.GetLimit()), "home")
+	}
+	return Answer{
+		granted:    resp.GetGranted(),
+		retryAfter: time.Duration(resp.GetRetryAfterMicro()) * time.Microsecond,
+		askAfter:   time.Duration(resp.GetAskAfterMicro()) * time.Microsecond,
+		spacing:    time.Duration(resp.GetSpacingMicro()) * time.Microsecond,
+	}, nil
+}
+
+// Permit implements peerpb.DRPCLimitsServer.
+func (s *Server) Permit(_ context.Context, req *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	g := s.gate
+	backend := req.GetLimit().GetBackend()
+	if g.merge(g.noticeOf(req.GetLimit()), req.GetAsker()) {
+		go g.tellPeers(backend)
+	}
+	answer := g.take(backend, req.GetAsker())
+	return &peerpb.PermitResponse{
+		Granted:         answer.granted,
+		RetryAfterMicro: answer.retryAfter.Microseconds(),
+		AskAfterMicro:   answer.askAfter.Microseconds(),
+		SpacingMicro:    answer.spacing.Microseconds(),
+		Limit:           g.messageOf(g.notice(backend)),
+	}, nil
+}
+
+// Tell implements peerpb.DRPCLimitsServer.
+func (s *Server) Tell(_ context.Context, req *peerpb.TellRequest) (*peerpb.TellResponse, error) {
+	g := s.gate
+	if g.merge(g.noticeOf(req.GetLimit()), req.GetTeller()) && req.GetSpread() {
+		go g.tellPeers(req.GetLimit().GetBackend())
+	}
+	return new(peerpb.TellResponse), nil
+}
+
+// spread has the home of a backend server tell all instances of a change. If no home answers, the others learn of it from
+// the responses to their own requests.
+func (g *Gate) spread(notice Notice) {
+	for _, home := range g.options.Homes(notice.backend) {
+		if home.ID() == g.options.Self {
+			g.tellPeers(notice.backend)
+			return
+		}
+		if g.inBackoff(home.ID()) {
+			continue
+		}
+		if err := g.tell(home.PeerAddress(), notice, true); err != nil {
+			g.backOff(home.ID(), notice.backend, err)
+			continue
+		}
+		return
+	}
+}
+
+// tellPeers tells all instances the newest notice about a backend server.
+func (g *Gate) tellPeers(backend string) {
+	notice := g.notice(backend)
+	var group errgroup.Group
+	group.SetLimit(maxTellConcurrency)
+	for _, peer := range g.options.Peers() {
+		if peer.ID() == g.options.Self {
+			continue
+		}
+		group.Go(func() error { return g.tell(peer.PeerAddress(), notice, false) })
+	}
+	if err := group.Wait(); err != nil {
+		g.options.Log.WithError(err).WithFields(logrus.Fields{logs.Event: "limitNotTold", logs.Backend: backend}).
+			Info("an instance could not be told about the limit of a backend server")
+	}
+}
+
+func (g *Gate) tell(address string, notice Notice, spread bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	conn := g.options.Connect(address)
+	defer conn.Close()
+	_, err := peerpb.NewDRPCLimitsClient(conn).Tell(ctx, &peerpb.TellRequest{
+		Limit: g.messageOf(notice), Teller: string(g.options.Self), Spread: spread,
+	})
+	return err
+}
+
+func (g *Gate) notice(backend string) Notice {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	notice, _ := g.table.Notice(backend)
+	return notice
+}
+
+// messageOf encodes a notice with its age, so that clock differences do not matter.
+func (g *Gate) messageOf(n Notice) *peerpb.LimitNotice {
+	return &peerpb.LimitNotice{
+		Backend: n.backend, PerSecond: n.perSecond, Lifted: n.lifted, AgeMicro: g.options.Clock().Sub(n.asOf).Microseconds(),
+	}
+}
+
+func (g *Gate) noticeOf(message *peerpb.LimitNotice) Notice {
+	asOf := g.options.Clock().Add(-time.Duration(max(message.GetAgeMicro(), 0)) * time.Microsecond)
+	if message.GetLifted() {
+		return NewLiftedNotice(message.GetBackend(), asOf)
+	}
+	return NewNotice(message.GetBackend(), max(message.GetPerSecond(), 0), asOf)
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -55,7 +55,7 @@
 		if !x.keyStillValid() {
 			break
 		}
-		backend, ok := x.nextReplica(tried)
+		backend, ok := x.nextReplica(ctx, tried, runs)
 		if !ok {
 			break
 		}
@@ -111,6 +111,8 @@
 		x.writeResponse(*last)
 	case runs == 0 && ctx.Err() != nil:
 		x.refuse(pond.ReasonDeadline, shortRetryDelay, "the time was over before a replica took the request")
+	case runs == 0 && len(x.denied) > 0:
+		x.refuseLimited()
 	case runs == 0:
 		x.refuse(pond.ReasonNoBackend, shortRetryDelay, "no replica took the request")
 	case ctx.Err() != nil:
@@ -121,21 +123,64 @@
 }
 
 // nextReplica chooses a replica that has not been tried and counts the request to it.
-func (x *exchange) nextReplica(tried []string) (route.Backend, bool) {
+func (x *exchange) nextReplica(ctx context.Context, tried []string, runs int) (route.Backend, bool) {
+	for {
+		backend, ok := x.relay.replicas.acquire(x.replicaCandidates(tried, runs), time.Now())
+		if !ok {
+			return route.Backend{}, false
+		}
+		if x.permitted(ctx, backend.ID) {
+			return backend, true
+		}
+		x.relay.replicas.release(backend.ID, false, time.Now())
+	}
+}
+
+// replicaCandidates returns the replicas that the request may be sent to. A request that has run is not repeated at a
+// replica with a limit, which has too little for the requests that have not run.
+func (x *exchange) replicaCandidates(tried []string, runs int) []candidate {
 	o := &x.relay.options
 	region := o.Fleet.Region(o.DataCentre)
 	var candidates []candidate
 	for _, backend := range o.Fleet.AcceptingBackends(x.service.Name) {
-		if slices.Contains(tried, backend.ID) {
+		_, limited := o.Limits.Limit(backend.ID)
+		if slices.Contains(tried, backend.ID) || slices.Contains(x.denied, backend.ID) || limited && runs > 0 {
 			continue
 		}
 		candidates = append(candidates, candidate{
 			backend:        backend,
 			sameDataCentre: backend.DataCentre == o.DataCentre,
 			sameRegion:     o.Fleet.Region(backend.DataCentre) == region,
+			limited:        limited,
 		})
 	}
-	return x.relay.replicas.acquire(candidates, time.Now())
+	return candidates
+}
+
+// permitted asks whether the limit of a backend server permits the request, and records a denial.
+func (x *exchange) permitted(ctx context.Context, backend string) bool {
+	o := &x.relay.options
+	permit := o.Limits.Permit(ctx, backend)
+	if permit.Granted() {
+		return true
+	}
+	x.denied = append(x.denied, backend)
+	if x.permitAt.IsZero() || permit.RetryAt().Before(x.permitAt) {
+		x.permitAt = permit.RetryAt()
+	}
+	o.Metrics.CountLimited(x.service.Name, metric.LimitedDenied)
+	perSecond, _ := o.Limits.Limit(backend)
+	x.log.WithFields(logrus.Fields{
+		logs.Event: "limitReached", logs.Backend: backend, logs.PerSecond: perSecond,
+		"retryMillis": permit.RetryAt().Sub(o.Clock()).Milliseconds(),
+	}).Info("the limit of a backend server does not permit the request")
+	return false
+}
+
+// refuseLimited refuses a request that no limit permitted.
+func (x *exchange) refuseLimited() {
+	x.refuse(pond.ReasonRateLimited, max(x.permitAt.Sub(x.relay.options.Clock()), shortRetryDelay),
+		"the limits of the backend servers are used up")
 }
 
 // tryReplica sends the request to a replica and buffers its response.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -17,6 +17,9 @@
 // shortOutputTokens is the largest output that counts as short work.
 const shortOutputTokens = 64
 
+// maxDeniedEngines bounds how often a generation is placed again because the limit of the chosen engine is used up.
+const maxDeniedEngines = 3
+
 // maxPriorityRank converts the configuration's priority, where 0 is the most urgent, to that of pond.Placer, where
 // larger numbers are more urgent.
 const maxPriorityRank = 9
@@ -80,6 +83,14 @@
 			return startedRun{}, func() { x.handlePlacementError(err) }
 		}
 		name, _ := placement.Backend()
+		if !x.permitted(ctx, name) {
+			placement.Done(pond.PlacementEnd{}, time.Now())
+			if len(x.denied) >= maxDeniedEngines {
+				return startedRun{}, func() { x.giveUpLimited(ctx) }
+			}
+			x.run.avoid = append(x.run.avoid, name)
+			continue
+		}
 		backend, known := r.options.Fleet.Backend(name)
 		allowed := x.run.sent == 0 || r.options.Budget.TryRetry(x.service.Name, r.options.Instances(), time.Now())
 		if !known || !allowed || !x.keyStillValid() {
@@ -136,6 +147,15 @@
 	return run
 }
 
+// giveUpLimited responds to a generation that the limits of the chosen engines did not permit.
+func (x *exchange) giveUpLimited(ctx context.Context) {
+	if x.run.runs == 0 && x.in.Context().Err() == nil {
+		x.refuseLimited()
+		return
+	}
+	x.giveUp(ctx, shortRetryDelay, "the limits of the chosen engines are used up")
+}
+
 // giveUp responds to a generation for which there is no other engine. It says that the generation did not run only if
 // that is certain.
 func (x *exchange) giveUp(ctx context.Context, after time.Duration, detail string) {
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -168,6 +168,11 @@
 		log.WithField(logs.Event, "moveFailed").Warn("the target of a move is unknown")
 		return nil
 	}
+	if x.relay.options.Limits.Exhausted(target.ID) {
+		m.count(metric.MoveNotCopied)
+		log.WithField(logs.Event, "moveFailed").Info("the limit of the target is used up")
+		return nil
+	}
 	began := time.Now()
 	// The copy is not canceled if the run ends meanwhile: the target would keep what it has got for several seconds.
 	first, err := m.copy(context.WithoutCancel(ctx), source, target, false)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -123,6 +123,10 @@
 	log       logrus.FieldLogger
 	// run holds the attempts to run a generation.
 	run runAttempts
+	// denied names the backend servers whose limits did not permit the request, and permitAt is the earliest time at which
+	// one of them may.
+	denied   []string
+	permitAt time.Time
 	// stream is the response stream of a generation; nil without one.
 	stream *stream
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -26,8 +26,8 @@
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// fakeProtocol sends the request ID in the header "Call" and the position in "After". It reads both "Call" and
-// "NotRun" of responses.
+// fakeProtocol sends the request ID in the header "Call" and the position in "After". It reads "Call", "NotRun" and
+// "Limit" of responses.
 type fakeProtocol struct{}
 
 func (fakeProtocol) Request(ctx context.Context, in *http.Request, call *Call, d Dispatch, body Body) (*http.Request, error) {
@@ -47,7 +47,11 @@
 }
 
 func (fakeProtocol) InspectResponse(resp *http.Response, call *Call) Reply {
-	return Reply{NotRun: resp.Header.Get("NotRun") != "", Genuine: resp.Header.Get("Call") == call.ID}
+	reply := Reply{NotRun: resp.Header.Get("NotRun") != "", Genuine: resp.Header.Get("Call") == call.ID, Limit: quota.NoLimit()}
+	if perSecond, err := strconv.ParseFloat(resp.Header.Get("Limit"), 64); err == nil {
+		reply.Limit = quota.LimitOf(perSecond)
+	}
+	return reply
 }
 
 // fakeBackend counts the requests that reach it.
@@ -140,6 +144,15 @@
 	return log
 }
 
+// newTestGate returns a gate of an instance that is the home of all backend servers.
+func newTestGate() *quota.Gate {
+	self := pond.NewInstance(pond.InstanceRef{ID: "self"}, pond.InstanceLive, "", "", "north-a", "north")
+	return quota.NewGate(quota.Options{
+		Self: "self", Homes: func(string) []pond.Instance { return []pond.Instance{self} },
+		Peers: func() []pond.Instance { return nil }, Known: func(string) bool { return true }, Clock: time.Now, Log: quietLog(),
+	})
+}
+
 func newTestBed(t *testing.T, kind route.Kind, engine *route.EngineSpec, backends ...*fakeBackend) *testBed {
 	content := route.Content{
 		Version: 1,
@@ -169,7 +182,7 @@
 	bed.relay = New(Options{
 		Fleet: bed.fleet, Placer: bed.placer, Protocol: fakeProtocol{}, Copier: bed.copier,
 		Budget:    NewRetryBudget(0.2, 50, 10*time.Second),
-		Limits:    quota.NewGate(quota.Options{Known: func(string) bool { return true }, Clock: time.Now, Log: quietLog()}),
+		Limits:    newTestGate(),
 		Instances: func() int { return 1 }, DataCentre: "north-a", KeyLease: func() time.Duration { return 5 * time.Second },
 		ConfirmedAt: func() time.Time { return bed.confirmedAt }, Clock: time.Now,
 		Metrics: metric.NewRequests(metric.New()), Traffic: metric.NewTraffic(metric.New()), Log: quietLog(),
--- a/internal/relay/replicas.go
+++ b/internal/relay/replicas.go
@@ -17,6 +17,9 @@
 	otherDataCentreCost = 0.25
 	otherRegionCost     = 2.0
 
+	// limitedCost is added to the cost of a replica with a limit, because a permit has to be asked for.
+	limitedCost = 0.1
+
 	// suspectCost ranks every suspect replica behind all others.
 	suspectCost = 1000.0
 )
@@ -39,6 +42,7 @@
 	backend        route.Backend
 	sameDataCentre bool
 	sameRegion     bool
+	limited        bool
 }
 
 // cost ranks a replica; the lowest cost is chosen. Only this instance's open requests are counted, relative to the
@@ -52,6 +56,9 @@
 	default:
 		cost += otherRegionCost
 	}
+	if c.limited {
+		cost += limitedCost
+	}
 	if now.Before(state.suspectUntil) {
 		cost += suspectCost
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -273,6 +273,9 @@
 	resumeStart := time.Now()
 	_ = s.body.Close()
 	for _, target := range result.targets {
+		if !s.x.permitted(ctx, target.ID) {
+			continue
+		}
 		resume := &Resume{Holder: result.holder, Handle: result.handle}
 		a := s.x.send(ctx, s.x.dispatch(target, resume))
 		if a.err == nil && a.resp.StatusCode == http.StatusOK {
--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -96,6 +96,9 @@
 func (c *engineChecker) ask(ctx context.Context, backend route.Backend) error {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
+	if !c.instance.limits.Permit(ctx, backend.ID).Granted() {
+		return nil // The limit holds for all requests to the engine; nothing is learned about it.
+	}
 	leaving, err := c.instance.adapters.Engines.Leaving(ctx, backend)
 	if errors.Is(err, relay.ErrUnreadableStatus) {
 		c.instance.log.WithError(err).WithFields(logrus.Fields{logs.Event: "backendStateUnknown", logs.Backend: backend.ID}).
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -194,7 +194,15 @@
 
 func (i *Instance) assembleRelay() {
 	i.checker = newEngineChecker(i)
-	i.limits = quota.NewGate(quota.Options{Known: i.knowsBackend, Clock: clock.Now, Log: i.log})
+	i.limits = quota.NewGate(quota.Options{
+		Self:    pond.InstanceID(i.settings.Instance),
+		Homes:   i.limitHomes,
+		Peers:   i.livePeers,
+		Connect: i.network.Conn,
+		Known:   i.knowsBackend,
+		Clock:   clock.Now,
+		Log:     i.log,
+	})
 	i.placer = place.New(place.Options{
 		Manifests: i.fleet,
 		Directory: i.members,
@@ -229,6 +237,19 @@
 	})
 }
 
+// limitHomes ranks the instances that may count the requests to a backend server. Those in its region come first, so that
+// a region that loses the others goes on.
+func (i *Instance) limitHomes(backend string) []pond.Instance {
+	const rankKey = "limit/"
+	server, _ := i.fleet.Backend(backend)
+	if homes := member.Rank(i.members, rankKey+backend, member.InRegion(i.fleet.Region(server.DataCentre))); len(homes) > 0 {
+		return homes
+	}
+	return member.Rank(i.members, rankKey+backend)
+}
+
+func (i *Instance) livePeers() []pond.Instance { return member.Rank(i.members, "") }
+
 func (i *Instance) knowsBackend(id string) bool {
 	_, known := i.fleet.Backend(id)
 	return known
@@ -238,6 +259,7 @@
 	i.peers = i.network.NewServer()
 	mux := i.peers.Mux()
 	services := []func(drpc.Mux) error{
+		func(mux drpc.Mux) error { return peerpb.DRPCRegisterLimits(mux, quota.NewServer(i.limits)) },
 		i.members.Register,
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterScheduling(mux, i.placer) },
 		func(mux drpc.Mux) error {
--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -106,11 +106,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { load.run(ctx, rand.New(rand.NewPCG(1, 2)), callInterval) })
-	var limited []*backend
+	perSecond := 3.4
 	for _, b := range c.allBackends() {
-		if !b.isEngine && len(limited) == 0 {
-			limited = append(limited, b)
-			b.nameLimit(3.4)
+		if !b.isEngine {
+			b.nameLimit(perSecond)
+			perSecond *= 3
 		}
 	}
 	time.Sleep(limitGrace + limitWindow)
@@ -134,7 +134,10 @@
 		}
 	}
 	t.Logf("%d served, %d refused", served, refused)
-	if served == 0 {
-		t.Error("nothing was served")
+	for _, limit := range c.recorder.limits {
+		if least := int(limit.perSecond * limitWindow.Seconds()); len(limit.arrivals) < least {
+			t.Errorf("%s got %d requests in %v, want at least %d", limit.backend, len(limit.arrivals),
+				limitGrace+limitWindow, least)
+		}
 	}
 }
