--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -65,6 +65,10 @@
 	// Late tells what came later than the route's target: LateFirst, LateGap or LateAnswer. It is absent for an answer on
 	// time.
 	Late = "late"
+	// Parts holds the IDs of the parts of a prompt that other requests may have too.
+	Parts = "parts"
+	// WeightsVersion is the version of an engine's weights.
+	WeightsVersion = "weightsVersion"
 	// PerSecond is a limit of requests per second.
 	PerSecond = "perSecond"
 	// Moves is the number of times that a generation moved to another engine.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -34,6 +34,8 @@
 	MaxOutput int
 	// PrefixHash is the hash of the prompt prefix that other requests have too; zero for none.
 	PrefixHash uint64
+	// SharedParts holds the IDs of the parts of the prompt that other requests may have too, in order.
+	SharedParts []string
 	// LengthHint is the caller's estimate of the output in tokens; zero for none. It is accurate only at the median.
 	LengthHint int
 }
@@ -74,6 +76,8 @@
 	Genuine bool
 	// Limit is what the response says about the rate of requests that the backend server takes.
 	Limit quota.Reading
+	// WeightsVersion is the version of the weights with which an engine generates the response; empty if it is not stated.
+	WeightsVersion string
 }
 
 // Copy is the result of copying the KV cache of a run.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -42,6 +42,8 @@
 	buffered []byte
 	rest     io.ReadCloser
 	err      error
+	// weightsVersion is the version of the engine's weights; empty if it is not known.
+	weightsVersion string
 }
 
 func (a attempt) ok() bool { return a.err == nil && a.resp.StatusCode < http.StatusInternalServerError }
@@ -216,6 +218,7 @@
 	if a.resp != nil {
 		fields[logs.Status] = a.resp.StatusCode
 	}
+	x.addPromptFields(fields, a.weightsVersion)
 	log := x.log.WithFields(fields)
 	if a.err != nil {
 		log = log.WithError(a.err)
@@ -223,6 +226,14 @@
 	log.Info("a backend server failed the request")
 }
 
+// addPromptFields adds the parts of the prompt that other requests may have too, and the version of the engine's weights.
+func (x *exchange) addPromptFields(fields logrus.Fields, weightsVersion string) {
+	if x.call.Prompt != nil {
+		fields[logs.Parts] = x.call.Prompt.SharedParts
+		fields[logs.WeightsVersion] = weightsVersion
+	}
+}
+
 // send sends the request to one backend server and checks the status and header of the response.
 func (x *exchange) send(ctx context.Context, d Dispatch) attempt {
 	req, err := x.relay.options.Protocol.Request(ctx, x.in, x.call, d, x.body)
@@ -251,7 +262,7 @@
 		_ = resp.Body.Close()
 		return attempt{resp: resp, err: errForeignResponse}
 	}
-	return attempt{resp: resp, leaving: reply.Leaving, rest: resp.Body}
+	return attempt{resp: resp, leaving: reply.Leaving, rest: resp.Body, weightsVersion: reply.WeightsVersion}
 }
 
 // buffer reads the response body up to the limit. A body that ends early makes the attempt fail.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,8 +36,10 @@
 	x         *exchange
 	placement pond.Placement
 	reader    *bufio.Reader
-	head      http.Header
-	flusher   *http.ResponseController
+	// weightsVersion is the version of the current engine's weights; empty if it is not known.
+	weightsVersion string
+	head           http.Header
+	flusher        *http.ResponseController
 	// lastNumericID is the last numeric event ID that the caller has. events counts the forwarded events, and
 	// eventsBefore those forwarded before the current placement.
 	lastNumericID int64
@@ -71,16 +73,17 @@
 	}
 	x.stream = s
 	s.reader = bufio.NewReaderSize(nil, readBufferBytes)
-	s.setBackend(run.backend, run.attempt.rest)
+	s.setBackend(run.backend, run.attempt)
 	return s
 }
 
 // setBackend switches to the events of an engine.
-func (s *stream) setBackend(backend route.Backend, body io.ReadCloser) {
+func (s *stream) setBackend(backend route.Backend, a attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.backend, s.body = backend, body
-	s.reader.Reset(body)
+	s.backend, s.body = backend, a.rest
+	s.weightsVersion = a.weightsVersion
+	s.reader.Reset(a.rest)
 }
 
 func (s *stream) currentBackend() route.Backend {
@@ -245,11 +248,12 @@
 // fail ends a response that cannot be continued.
 func (s *stream) fail(ctx context.Context, err error) {
 	x := s.x
-	log := x.log.WithError(err).WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		logs.Event: "streamBroken", logs.Backend: s.backend.ID, logs.Position: s.x.run.position, "events": s.events,
 		"accepting": x.relay.options.Fleet.Accepting(s.backend.ID),
-	})
-	log.Info("the stream of an engine broke off")
+	}
+	x.addPromptFields(fields, s.weightsVersion)
+	x.log.WithError(err).WithFields(fields).Info("the stream of an engine broke off")
 	switch {
 	case x.in.Context().Err() != nil || errors.Is(err, errCallerLeft):
 		x.abortDisconnected()
@@ -280,7 +284,7 @@
 		a := s.x.send(ctx, s.x.dispatch(target, resume))
 		if a.err == nil && a.resp.StatusCode == http.StatusOK {
 			s.logMove(target, result, time.Since(resumeStart))
-			s.setBackend(target, a.rest)
+			s.setBackend(target, a)
 			s.stall = nil
 			s.moves++
 			s.mover.finish(result, true)
@@ -321,7 +325,7 @@
 		return false
 	}
 	s.placement, s.stall = run.placement, run.stall
-	s.setBackend(run.backend, run.attempt.rest)
+	s.setBackend(run.backend, run.attempt)
 	s.mover = newMover(s, ctx)
 	return true
 }
