soak: test that fails, a part of prompts that crashes one engine after the other

Change: prompts of the soak have parts; an engine that begins to answer one with a given part ends within its first event, is back under another ID after 1 s, and its entry lapses after 3 s. The recorder counts by the users' rule.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -24,6 +24,7 @@
 	requests   map[string]*requestState
 	violations []string
 	limits     []*rateLimit // all that were named in the run
+	crashParts map[string]*crashPart
 }
 
 // requestState is the state of one request at the backend servers.
@@ -34,11 +35,14 @@
 	starts          int // number of times that a backend server started it from the beginning
 	generatedEvents int // number of events generated so far
 	totalEvents     int
-	runningOn       *backend // the backend server that runs it now; nil for none
+	crashes         *crashPart // the part of its prompt that crashes engines; nil for none
+	runningOn       *backend   // the backend server that runs it now; nil for none
 	handles         map[string]bool
 }
 
-func newRecorder() *recorder { return &recorder{requests: make(map[string]*requestState)} }
+func newRecorder() *recorder {
+	return &recorder{requests: make(map[string]*requestState), crashParts: make(map[string]*crashPart)}
+}
 
 func (r *recorder) reportViolation(format string, args ...any) {
 	r.mu.Lock()
@@ -57,6 +61,7 @@
 	leavingAt     time.Time  // protected by recorder.mu
 	limit         *rateLimit // protected by recorder.mu; nil for none
 	findByAddress func(address string) *backend
+	crash         func(*backend) // ends the engine as a crash of its process does
 }
 
 func newBackend(id string, rec *recorder, isEngine bool) (*backend, error) {
@@ -155,6 +160,7 @@
 			account: r.Header.Get("X-Tenant")}
 		_, outputTokens, _ := strings.Cut(r.Header.Get("X-Token-Count"), ",")
 		state.totalEvents, _ = strconv.Atoi(outputTokens)
+		state.crashes = b.recorder.recordCrashPart(id, r.Header.Get("X-Prompt-Prefix"))
 		b.recorder.requests[id] = state
 	}
 	state.starts++
@@ -185,6 +191,9 @@
 			b.release(state)
 			return
 		}
+		if state.crashes != nil {
+			b.crashUnder(w, state.crashes)
+		}
 		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", next, state.id, next)
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			b.release(state)
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -26,6 +26,7 @@
 type outcome struct {
 	id       string
 	kind     requestKind
+	parts    string // shared parts of the prompt, as the header lists them
 	key      string
 	sentAt   time.Time
 	status   int // 0 if no response arrived
@@ -62,7 +63,8 @@
 		}
 		kind, key := requestKind(random.IntN(3)), g.cluster.keys[random.IntN(len(g.cluster.keys))]
 		events, first := 20+random.IntN(250), random.IntN(len(g.cluster.instances))
-		group.Go(func() { g.sendRequest(kind, key, events, first) })
+		parts := fmt.Sprintf("%s,b%d:400", firstPart, random.IntN(soundParts))
+		group.Go(func() { g.sendRequest(kind, key, parts, events, first) })
 	}
 }
 
@@ -99,10 +101,10 @@
 	return response.Addresses[0], true
 }
 
-func (g *loadGenerator) sendRequest(kind requestKind, key string, events, first int) {
+func (g *loadGenerator) sendRequest(kind requestKind, key, parts string, events, first int) {
 	g.mu.Lock()
 	g.lastSerial++
-	o := outcome{id: fmt.Sprintf("%x-%06d", g.cluster.seed, g.lastSerial), kind: kind, key: key}
+	o := outcome{id: fmt.Sprintf("%x-%06d", g.cluster.seed, g.lastSerial), kind: kind, key: key, parts: parts}
 	g.mu.Unlock()
 	address, ok := g.resolve(first)
 	if !ok {
@@ -136,6 +138,7 @@
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(callerLimit.Milliseconds()))
 	if o.kind == kindStream {
 		req.Header.Set("X-Token-Count", fmt.Sprintf("500,%d", events))
+		req.Header.Set("X-Prompt-Prefix", o.parts+","+o.id+":21")
 	}
 	resp, err := g.client.Do(req)
 	if err != nil {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -187,7 +187,7 @@
 		c.t.Error(err)
 		return
 	}
-	b.findByAddress = c.backendByAddress
+	b.findByAddress, b.crash = c.backendByAddress, c.crashEngine
 	c.mu.Lock()
 	c.backends[id] = b
 	c.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -303,6 +303,7 @@
 		t.Error(text)
 	}
 	checkLimits(t, c, load)
+	checkCrashParts(t, c, load)
 	served, sent, late := 0, 0, 0
 	counts := make(map[int]int)
 	for _, o := range load.outcomes {
