serve: an engine that may not be asked is neither suspended nor used again

Cause: with the permits for limited servers, a status question that is not permitted counted as an answer, so a suspended engine got new work again without one. Change: errNotPermitted is its own result: a suspicion waits, a store outage's question is left out. The test's instance has limits, and TestEngineCheckWithinLimit covers the case.

--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -39,6 +39,9 @@
 	maxSuspects = 256
 )
 
+// errNotPermitted is returned instead of an engine's state if the limit that the engine names is used up.
+var errNotPermitted = errors.New("the limit of the engine does not permit a question")
+
 // errNoLoadReport is returned instead of a load report.
 var errNoLoadReport = errors.New("load reports are not used; engines are only checked when the store or an engine fails")
 
@@ -85,19 +88,20 @@
 	if !ok || !fleet.Accepting(backend.ID) {
 		return engine.Load{}, errNoLoadReport
 	}
-	if err := c.ask(ctx, backend); err != nil {
+	if err := c.ask(ctx, backend); err != nil && !errors.Is(err, errNotPermitted) {
 		c.suspect(backend.ID)
 		return engine.Load{}, err
 	}
 	return engine.Load{}, errNoLoadReport
 }
 
-// ask asks an engine whether it leaves. It returns an error only if the engine does not answer at all.
+// ask asks an engine whether it leaves. It returns errNotPermitted if the engine's limit is used up, and another error only
+// if the engine does not answer at all.
 func (c *engineChecker) ask(ctx context.Context, backend route.Backend) error {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	if !c.instance.limits.Permit(ctx, backend.ID).Granted() {
-		return nil // The limit holds for all requests to the engine; nothing is learned about it.
+		return errNotPermitted
 	}
 	leaving, err := c.instance.adapters.Engines.Leaving(ctx, backend)
 	if errors.Is(err, relay.ErrUnreadableStatus) {
@@ -164,10 +168,15 @@
 		if !ok {
 			return
 		}
-		if err := c.ask(ctx, backend); err == nil {
+		err := c.ask(ctx, backend)
+		if err == nil {
 			fleet.Resume(id)
 			return
 		}
+		if errors.Is(err, errNotPermitted) {
+			sleepUntil(ctx, time.Now().Add(suspectCheckInterval))
+			continue
+		}
 		if ctx.Err() != nil || !fleet.Suspend(id, clock.Now().Add(suspension)) {
 			return
 		}
--- a/internal/serve/enginecheck_test.go
+++ b/internal/serve/enginecheck_test.go
@@ -15,8 +15,10 @@
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/quota"
 	"github.com/dragonflypond/dragonflypond/internal/relay"
 	"github.com/dragonflypond/dragonflypond/internal/route"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 // listDecoder decodes a record as a ready backend server with the record's key as ID and address.
@@ -64,6 +66,9 @@
 		Decoder: listDecoder{}, Regions: map[string][]string{"north": {"north-a"}}, Clock: clock.Now, Log: log,
 	})
 	i.fleet.Apply(records, time.Time{})
+	i.limits = quota.NewGate(quota.Options{
+		Self: "self", Homes: func(string) []pond.Instance { return nil }, Known: i.knowsBackend, Clock: clock.Now, Log: log,
+	})
 	served := false
 	store := feed.SourceFunc(func(ctx context.Context, _ uint64) (feed.Batch, error) {
 		if served {
@@ -175,3 +180,22 @@
 		}
 	})
 }
+
+// TestEngineCheckWithinLimit guards against questions beyond the limit that an engine names, and against an engine that is
+// suspended, or used again, because it could not be asked.
+func TestEngineCheckWithinLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &scriptedEngines{err: errors.New("refused")}
+		i := newCheckedInstance(engines, clock.Now())
+		defer i.log.Close()
+		i.limits.Observe("e1", quota.LimitOf(0), clock.Now())
+		checker := newEngineChecker(i)
+		defer checker.start(t)()
+		checker.suspect("e1")
+		time.Sleep(2 * suspectCheckInterval)
+		synctest.Wait()
+		if engines.askedCount() != 0 || !i.fleet.Accepting("e1") {
+			t.Errorf("asked %d times, accepting %t; want never and true", engines.askedCount(), i.fleet.Accepting("e1"))
+		}
+	})
+}
