hazard, relay, serve: keep parts of prompts that crash engines off the others

What callers saw: letters and answers on 23 engines cut off or lost, one engine after the other, while requests with one part in their prompts went on coming at all instances; refused and late work on the engines that were left. Cause: no instance compared what the broken requests had in common, and the evidence is spread: each instance saw two of nine crashes. The class: harm that follows a property of requests and not the request or the server, so that limits for each request (attempts, budget) and each server (suspicion, suspension) do not bound it. Ruled out: a request that the system carries on (26 broken streams, 26 requests), and engines that end for a cause of their own (always exactly one stream without an event). Change: an engine that breaks off a request before its second event, is not known to leave and does not answer a status question leaves a crash with the parts of that request (not the last one). Instances merge their reports; parts are only added and cleared, so any order gives the same. An answer that has begun clears its parts, on that version of the weights. A request is refused if it holds all candidates of three crashes, with Retry-After; one that holds some runs alone, by a permit of the part's home. Such a run is not repeated at another engine unless its parts are sound. Crashes are pushed to all instances, exchanged every 3 s while there are any, and asked for by an instance that starts. Tables are bounded (256 crashes of 64 parts). An answer without a length that ends without an event counts as broken off. Why it works: a refusal needs candidates that are all in the request, so a sound part is refused for company only together with the cause (property test); the third crash with one candidate left ends it, and experiments settle ties one engine at a time.

--- /dev/null
+++ b/internal/hazard/doc.go
@@ -0,0 +1,29 @@
+// Package hazard keeps prompts that crash engines from ending one engine after the other.
+//
+// A part of a prompt may crash each engine that begins to answer it. Such requests come at any instance, no two alike, and
+// share their caller and their other parts with sound ones. So the evidence is kept by part, and by all instances together:
+//
+//   - An engine that ends without a notice leaves a crash with the parts of the requests that it had just begun to answer.
+//     Instances merge their reports of one crash.
+//   - An answer that has begun clears the parts of its prompt on that version of the weights, in past crashes and in later
+//     ones. So a part that sound requests have is cleared soon, however often it was seen beside the cause.
+//   - A request is refused if its parts include all that are left of minCrashes crashes: one of them is the cause.
+//   - A request with a part that is left of so many crashes beside others is an experiment. It may show that the part is
+//     sound, so one at a time runs, by a permit of the part's home. So may one request, long after the last crash.
+//
+// Crashes only grow by merging: parts are added and cleared, never taken back. Any order of messages gives the same table.
+// An instance that starts asks another one for its table. Tables are bounded: the oldest crashes and clearings yield.
+//
+// Table decides and does no I/O. Guard shares it with other instances.
+//
+// # Usage
+//
+//	admission := guard.Admit(ctx, parts)
+//	if !admission.Admitted() {
+//		return refuse(admission.RetryAt())
+//	}
+//	// After the first events of the answer:
+//	guard.Begun(parts, version)
+//	// If the engine breaks off before:
+//	guard.Broke(backend, parts, version, writing)
+package hazard
--- /dev/null
+++ b/internal/hazard/guard.go
@@ -0,0 +1,195 @@
+package hazard
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+
+	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+const (
+	// exchangeInterval is the time between two exchanges of all crashes with another instance, and startInterval the time
+	// between two attempts of an instance that has just started.
+	exchangeInterval = 3 * time.Second
+	startInterval    = 200 * time.Millisecond
+
+	// noHomeDelay is the time after which a caller may return if no instance answers that could permit an experiment.
+	noHomeDelay = time.Second
+)
+
+// Options configures a Guard. All fields are required.
+type Options struct {
+	// Self is the name of this instance.
+	Self pond.InstanceID
+	// Homes returns the instances that may permit experiments with a part, the home first.
+	Homes func(part string) []pond.Instance
+	// Peers returns the instances that share their crashes.
+	Peers func() []pond.Instance
+	// Connect returns a drpc connection to a peer address.
+	Connect func(peerAddress string) drpc.Conn
+	// Ended reports whether an engine that broke a request off has ended. It may take some time.
+	Ended func(ctx context.Context, engine string) bool
+	// Clock includes the time for which the machine was suspended.
+	Clock func() time.Time
+	Log   logrus.FieldLogger
+}
+
+// Guard decides for one instance which generations may run, and shares what it knows with the others. It is safe for
+// concurrent use.
+type Guard struct {
+	options Options
+
+	mu    sync.Mutex
+	table *Table
+}
+
+// NewGuard returns a guard that knows no crash.
+func NewGuard(options Options) *Guard { return &Guard{options: options, table: NewTable()} }
+
+// Admission is the decision about one generation.
+type Admission struct {
+	decision Decision
+	admitted bool
+}
+
+// Admitted reports whether the generation may be sent to an engine.
+func (a Admission) Admitted() bool { return a.admitted }
+
+// Parts returns the parts that may be the cause of crashes.
+func (a Admission) Parts() []string { return a.decision.parts }
+
+// Crashes returns the number of crashes that led to the decision.
+func (a Admission) Crashes() int { return a.decision.crashes }
+
+// Experiment reports whether the generation is to show if its parts are sound.
+func (a Admission) Experiment() bool { return a.decision.verdict == VerdictExperiment }
+
+// RetryAt returns when the caller of a generation that was not admitted may return, by the guard's clock.
+func (a Admission) RetryAt() time.Time { return a.decision.retryAt }
+
+// Admit decides about a generation whose prompt has the parts.
+func (g *Guard) Admit(ctx context.Context, parts []string) Admission {
+	decision := g.Check(parts)
+	a := Admission{decision: decision, admitted: decision.verdict == VerdictAdmit}
+	if decision.verdict == VerdictExperiment {
+		a.admitted, a.decision.retryAt = g.askExperiment(ctx, decision.parts)
+	}
+	return a
+}
+
+// Check decides about a generation without asking for an experiment.
+func (g *Guard) Check(parts []string) Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Check(parts, g.options.Clock())
+}
+
+// Sound reports whether answers with each of the parts have begun.
+func (g *Guard) Sound(parts []string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Sound(parts, g.options.Clock())
+}
+
+// Begun records that an engine with a version of the weights has begun to answer a prompt with the parts.
+func (g *Guard) Begun(parts []string, version string) {
+	if len(parts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	changed := messagesOf(g.table.Clear(parts, version, g.options.Clock()), g.options.Clock())
+	g.mu.Unlock()
+	if len(changed) == 0 {
+		return
+	}
+	g.options.Log.WithFields(logrus.Fields{
+		logs.Event: "partsCleared", logs.Parts: parts, logs.WeightsVersion: version, "crashes": len(changed),
+	}).Info("an answer has begun; its parts are not the cause of crashes")
+	go g.push(changed)
+}
+
+// Broke records that an engine broke off a request that it had hardly begun to answer, if the engine has ended.
+func (g *Guard) Broke(r Report) {
+	if len(r.parts) == 0 {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), experimentTime)
+		defer cancel()
+		if g.options.Ended(ctx, r.engine.id) {
+			g.record(r)
+		}
+	}()
+}
+
+func (g *Guard) record(r Report) {
+	g.mu.Lock()
+	now := g.options.Clock()
+	crash, changed := g.table.Record(r, now)
+	messages, candidates := messagesOf([]*Crash{crash}, now), crash.candidates()
+	g.mu.Unlock()
+	if !changed {
+		return
+	}
+	g.options.Log.WithFields(logrus.Fields{
+		logs.Event: "engineCrashed", logs.Backend: r.engine.id, logs.Parts: r.parts, logs.WeightsVersion: r.version,
+		"writing": r.writing, "candidates": candidates,
+	}).Warn("an engine ended when it began to answer a request")
+	g.push(messages)
+}
+
+// Run exchanges crashes with other instances until ctx ends.
+func (g *Guard) Run(ctx context.Context) error {
+	interval, started := startInterval, false
+	for {
+		timer := time.NewTimer(interval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return context.Cause(ctx)
+		case <-timer.C:
+		}
+		peer, ok := g.anyPeer()
+		if !ok || started && g.empty() {
+			continue
+		}
+		if err := g.exchange(ctx, peer.PeerAddress(), g.messages(), true); err != nil {
+			g.options.Log.WithError(err).WithFields(logrus.Fields{logs.Event: "crashesNotExchanged", logs.Peer: peer.ID()}).
+				Info("another instance did not exchange crashes of engines")
+			continue
+		}
+		interval, started = exchangeInterval, true
+	}
+}
+
+func (g *Guard) anyPeer() (pond.Instance, bool) {
+	var peers []pond.Instance
+	for _, peer := range g.options.Peers() {
+		if peer.ID() != g.options.Self {
+			peers = append(peers, peer)
+		}
+	}
+	if len(peers) == 0 {
+		return pond.Instance{}, false
+	}
+	return peers[rand.IntN(len(peers))], true
+}
+
+func (g *Guard) empty() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.table.crashes) == 0
+}
+
+// Crashes returns the number of crashes that the instance knows.
+func (g *Guard) Crashes() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.table.crashes)
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -41,6 +41,8 @@
 	// buffered is the whole body, or its beginning if rest is set.
 	buffered []byte
 	rest     io.ReadCloser
+	// unframed is true if the body has no length of its own and ends with its connection.
+	unframed bool
 	err      error
 	// weightsVersion is the version of the engine's weights; empty if it is not known.
 	weightsVersion string
@@ -262,7 +264,10 @@
 		_ = resp.Body.Close()
 		return attempt{resp: resp, err: errForeignResponse}
 	}
-	return attempt{resp: resp, leaving: reply.Leaving, rest: resp.Body, weightsVersion: reply.WeightsVersion}
+	return attempt{
+		resp: resp, leaving: reply.Leaving, rest: resp.Body, weightsVersion: reply.WeightsVersion,
+		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+	}
 }
 
 // buffer reads the response body up to the limit. A body that ends early makes the attempt fail.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -35,6 +35,10 @@
 	// this instance has forwarded.
 	position        string
 	deliveredTokens int
+	// crashed is true if an engine ended when it had hardly begun to answer.
+	crashed bool
+	// experiment is true if the generation is permitted to show whether its prompt crashes engines.
+	experiment bool
 }
 
 // startedRun is a generation that an engine has begun to answer.
@@ -52,6 +56,10 @@
 		x.refuse(pond.ReasonLeaving, shortRetryDelay, "this instance is shutting down")
 		return
 	}
+	if !x.admitPrompt(ctx) {
+		x.refusePrompt()
+		return
+	}
 	run, respond := x.startRun(ctx)
 	if respond != nil {
 		respond()
@@ -70,7 +78,8 @@
 
 // mayRunAgain reports whether another engine may run the generation after one that may have run it.
 func (x *exchange) mayRunAgain(ctx context.Context) bool {
-	return ctx.Err() == nil && x.body.Replayable() && x.run.sent < maxAttempts && x.run.runs < x.maxRuns()
+	safe := !x.run.crashed || x.relay.options.Hazards.Sound(x.sharedParts())
+	return ctx.Err() == nil && x.body.Replayable() && x.run.sent < maxAttempts && x.run.runs < x.maxRuns() && safe
 }
 
 // startRun places the generation and sends it, to several engines in turn if need be. If none answers with a stream, it
@@ -93,6 +102,10 @@
 		}
 		backend, known := r.options.Fleet.Backend(name)
 		allowed := x.run.sent == 0 || r.options.Budget.TryRetry(x.service.Name, r.options.Instances(), time.Now())
+		if !x.admitPrompt(ctx) {
+			placement.Done(pond.PlacementEnd{}, time.Now())
+			return startedRun{}, x.givePromptUp
+		}
 		if !known || !allowed || !x.keyStillValid() {
 			placement.Done(pond.PlacementEnd{}, time.Now())
 			return startedRun{}, func() {
@@ -108,6 +121,9 @@
 		}
 		placement.Done(pond.PlacementEnd{BackendFailed: true}, time.Now())
 		x.logAttempt(name, x.run.sent, a)
+		if a.err != nil && !a.notRun && ctx.Err() == nil {
+			x.recordBreak(backend, a, false)
+		}
 		if a.leaving {
 			r.options.Fleet.MarkLeaving(name)
 		}
--- /dev/null
+++ b/internal/relay/prompt.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypond/dragonflypond/internal/hazard"
+	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/route"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// begunEvents is the number of whole events from which an engine has begun to answer a prompt without harm. An engine that
+// crashes under a prompt may have sent its first event.
+const begunEvents = 2
+
+func (x *exchange) sharedParts() []string {
+	if x.call.Prompt == nil {
+		return nil
+	}
+	return x.call.Prompt.SharedParts
+}
+
+// admitPrompt reports whether the generation may be sent to an engine. It is called again directly before the send, because
+// the request may have waited.
+func (x *exchange) admitPrompt(ctx context.Context) bool {
+	if x.run.experiment {
+		return true
+	}
+	admission := x.relay.options.Hazards.Admit(ctx, x.sharedParts())
+	if admission.Admitted() && !admission.Experiment() {
+		return true
+	}
+	fields := logrus.Fields{logs.Event: "promptRefused", logs.Parts: admission.Parts(), "crashes": admission.Crashes()}
+	if admission.Admitted() {
+		x.run.experiment = true
+		fields[logs.Event] = "promptExperiment"
+		x.log.WithFields(fields).Warn("a prompt is admitted to show whether its parts crash engines")
+		return true
+	}
+	x.permitAt = admission.RetryAt()
+	fields["experiment"] = admission.Experiment()
+	x.log.WithFields(fields).Info("a prompt has parts under which engines have crashed")
+	return false
+}
+
+// refusePrompt refuses a generation that has not run.
+func (x *exchange) refusePrompt() {
+	x.refuse(pond.ReasonUnsafePrompt, max(x.permitAt.Sub(x.relay.options.Clock()), shortRetryDelay),
+		"engines crashed under a part of the prompt")
+}
+
+// givePromptUp responds to a generation that is not admitted any more.
+func (x *exchange) givePromptUp() {
+	if x.run.runs == 0 {
+		x.refusePrompt()
+		return
+	}
+	x.fail(http.StatusBadGateway, pond.ReasonUnsafePrompt, "engines crashed under a part of the prompt")
+}
+
+// recordBreak records that an engine broke off a generation that it had hardly begun to answer. writing is true if the head
+// of the answer had come. An engine that is known to leave ends for that reason.
+func (x *exchange) recordBreak(backend route.Backend, a attempt, writing bool) {
+	if _, leaving := x.relay.options.Fleet.LeavingSince(backend.ID); leaving {
+		return
+	}
+	x.run.crashed = true
+	x.relay.options.Hazards.Broke(
+		hazard.NewReport(backend.ID, backend.StartedAtMillis, a.weightsVersion, writing, x.sharedParts()))
+}
+
+// recordBegun records that an engine answers the prompt without harm.
+func (s *stream) recordBegun() {
+	s.x.relay.options.Hazards.Begun(s.x.sharedParts(), s.attempt.weightsVersion)
+}
+
+// hardlyBegun reports whether the current engine has sent fewer events than show that the prompt does no harm.
+func (s *stream) hardlyBegun() bool { return s.events-s.eventsBefore < begunEvents }
+
+// endedEmpty reports whether the end of an answer without a length and without events may be the end of its connection only.
+func (s *stream) endedEmpty() bool {
+	return s.attempt.unframed && s.events == s.eventsBefore && s.x.run.position == "" && s.moves == 0
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
+	"github.com/dragonflypond/dragonflypond/internal/hazard"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/quota"
@@ -47,6 +48,7 @@
 	Copier   Copier
 	Budget   *RetryBudget
 	Limits   *quota.Gate
+	Hazards  *hazard.Guard
 	// Instances returns the number of instances in the fleet.
 	Instances func() int
 	// Instance is the name of this instance, and DataCentre its data centre.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
+	"github.com/dragonflypond/dragonflypond/internal/hazard"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/quota"
@@ -136,6 +137,7 @@
 	confirmedAt time.Time
 	copier      *fakeCopier
 	placer      *fakePlacer
+	parts       []string // shared parts of the prompts
 }
 
 func quietLog() logrus.FieldLogger {
@@ -153,6 +155,16 @@
 	})
 }
 
+// newTestGuard returns a guard of the only instance, for which every engine that breaks a request off has ended.
+func newTestGuard() *hazard.Guard {
+	self := pond.NewInstance(pond.InstanceRef{ID: "self"}, pond.InstanceLive, "", "", "north-a", "north")
+	return hazard.NewGuard(hazard.Options{
+		Self: "self", Homes: func(string) []pond.Instance { return []pond.Instance{self} },
+		Peers: func() []pond.Instance { return nil }, Ended: func(context.Context, string) bool { return true },
+		Clock: time.Now, Log: quietLog(),
+	})
+}
+
 func newTestBed(t *testing.T, kind route.Kind, engine *route.EngineSpec, backends ...*fakeBackend) *testBed {
 	content := route.Content{
 		Version: 1,
@@ -183,6 +195,7 @@
 		Fleet: bed.fleet, Placer: bed.placer, Protocol: fakeProtocol{}, Copier: bed.copier,
 		Budget:    NewRetryBudget(0.2, 50, 10*time.Second),
 		Limits:    newTestGate(),
+		Hazards:   newTestGuard(),
 		Instances: func() int { return 1 }, DataCentre: "north-a", KeyLease: func() time.Duration { return 5 * time.Second },
 		ConfirmedAt: func() time.Time { return bed.confirmedAt }, Clock: time.Now,
 		Metrics: metric.NewRequests(metric.New()), Traffic: metric.NewTraffic(metric.New()), Log: quietLog(),
@@ -190,7 +203,7 @@
 	bed.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 		bed.relay.Serve(w, in, &Call{
 			ID: "call-1", Host: in.Host, Path: in.URL.Path, Key: in.Header.Get("Key"), Deadline: time.Now().Add(4 * time.Second),
-			Prompt: &Prompt{Tokens: 100, MaxOutput: 200}, Position: in.Header.Get("Position"),
+			Prompt: &Prompt{Tokens: 100, MaxOutput: 200, SharedParts: bed.parts}, Position: in.Header.Get("Position"),
 		})
 	}))
 	t.Cleanup(bed.front.Close)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,10 +36,10 @@
 	x         *exchange
 	placement pond.Placement
 	reader    *bufio.Reader
-	// weightsVersion is the version of the current engine's weights; empty if it is not known.
-	weightsVersion string
-	head           http.Header
-	flusher        *http.ResponseController
+	// attempt is the current engine's answer.
+	attempt attempt
+	head    http.Header
+	flusher *http.ResponseController
 	// lastNumericID is the last numeric event ID that the caller has. events counts the forwarded events, and
 	// eventsBefore those forwarded before the current placement.
 	lastNumericID int64
@@ -82,7 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.backend, s.body = backend, a.rest
-	s.weightsVersion = a.weightsVersion
+	s.attempt = a
 	s.reader.Reset(a.rest)
 }
 
@@ -113,6 +113,9 @@
 	}()
 	for {
 		err := s.forwardEvents()
+		if err == nil && s.endedEmpty() {
+			err = io.ErrUnexpectedEOF
+		}
 		end.Tokens = s.tokens()
 		if err == nil {
 			if s.mover.sourceStopping() && s.resumeFromCopy(ctx) {
@@ -127,6 +130,9 @@
 			continue
 		}
 		end.BackendFailed = ctx.Err() == nil && !callerLeft
+		if end.BackendFailed && s.hardlyBegun() {
+			s.x.recordBreak(s.currentBackend(), s.attempt, true)
+		}
 		if end.BackendFailed && s.restart(ctx, err) {
 			continue
 		}
@@ -198,6 +204,9 @@
 		s.maxGap = max(s.maxGap, now.Sub(s.lastEventAt))
 	}
 	s.lastEventAt = now
+	if s.events-s.eventsBefore == begunEvents {
+		s.recordBegun()
+	}
 }
 
 // addLogFields adds the fields that describe the stream.
@@ -241,6 +250,9 @@
 }
 
 func (s *stream) finish() {
+	if s.hardlyBegun() {
+		s.recordBegun()
+	}
 	s.writeHeader()
 	s.x.recordEnd(http.StatusOK, "answered", 0, "")
 }
@@ -252,7 +264,7 @@
 		logs.Event: "streamBroken", logs.Backend: s.backend.ID, logs.Position: s.x.run.position, "events": s.events,
 		"accepting": x.relay.options.Fleet.Accepting(s.backend.ID),
 	}
-	x.addPromptFields(fields, s.weightsVersion)
+	x.addPromptFields(fields, s.attempt.weightsVersion)
 	x.log.WithError(err).WithFields(fields).Info("the stream of an engine broke off")
 	switch {
 	case x.in.Context().Err() != nil || errors.Is(err, errCallerLeft):
--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -115,6 +115,17 @@
 	return err
 }
 
+// ended reports whether an engine that broke a request off has ended: it does not answer any more. Without a permit to ask,
+// it is taken for alive.
+func (c *engineChecker) ended(ctx context.Context, id string) bool {
+	backend, ok := c.instance.fleet.Backend(id)
+	if !ok {
+		return true
+	}
+	err := c.ask(ctx, backend)
+	return err != nil && !errors.Is(err, errNotPermitted)
+}
+
 // Cancel does nothing: an engine ends a generation by itself when the connection is closed.
 func (*engineChecker) Cancel(context.Context, string, string) error { return errNoLoadReport }
 
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -19,6 +19,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
+	"github.com/dragonflypond/dragonflypond/internal/hazard"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/member"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
@@ -67,6 +68,7 @@
 	placer  *place.Placer
 	checker *engineChecker
 	limits  *quota.Gate
+	hazards *hazard.Guard
 	relay   *relay.Relay
 	metrics *metric.Metrics
 	traffic *metric.Traffic
@@ -216,6 +218,15 @@
 		BalanceRegions:  !i.flags.disabled.Has(pond.MechanismRegionBalance),
 		Disabled:        i.flags.disabled,
 	})
+	i.hazards = hazard.NewGuard(hazard.Options{
+		Self:    pond.InstanceID(i.settings.Instance),
+		Homes:   func(part string) []pond.Instance { return member.Rank(i.members, "hazard/"+part) },
+		Peers:   i.livePeers,
+		Connect: i.network.Conn,
+		Ended:   i.checker.ended,
+		Clock:   clock.Now,
+		Log:     i.log,
+	})
 	i.fleet.OnChange(i.placer.Refresh)
 	i.relay = relay.New(relay.Options{
 		Fleet:       i.fleet,
@@ -223,6 +234,7 @@
 		Protocol:    i.adapters.Protocol,
 		Copier:      i.adapters.Copier,
 		Limits:      i.limits,
+		Hazards:     i.hazards,
 		Budget:      relay.NewRetryBudget(i.settings.RetryRatio, i.settings.RetrySlack, i.settings.RetryWindow),
 		Instances:   func() int { return len(i.members.Instances()) },
 		Instance:    i.settings.Instance,
@@ -260,6 +272,7 @@
 	mux := i.peers.Mux()
 	services := []func(drpc.Mux) error{
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterLimits(mux, quota.NewServer(i.limits)) },
+		func(mux drpc.Mux) error { return peerpb.DRPCRegisterHazards(mux, hazard.NewServer(i.hazards)) },
 		i.members.Register,
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterScheduling(mux, i.placer) },
 		func(mux drpc.Mux) error {
@@ -303,6 +316,7 @@
 	group.Go(func() error { return i.feed.Run(ctx) })
 	group.Go(func() error { return i.placer.Run(ctx) })
 	group.Go(func() error { return i.checker.run(ctx) })
+	group.Go(func() error { return i.hazards.Run(ctx) })
 	group.Go(func() error { return i.peers.Serve(ctx, i.sockets.peer) })
 	group.Go(i.front.acceptLoop)
 	for _, server := range i.auxServers() {
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -23,6 +23,7 @@
 	engines, avoidedEngines        int
 	reservedTokens, usableTokens   int
 	droppedLogLines                int64
+	engineCrashes                  int
 	sentBytes, receivedBytes       uint64
 }
 
@@ -56,6 +57,8 @@
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.reservedTokens) }},
 	{Name: "placement_usable_tokens", Help: "Engine memory that placement may use.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.usableTokens) }},
+	{Name: "engine_crashes", Help: "Crashes of engines under requests that this instance remembers.",
+		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.engineCrashes) }},
 	{Name: "log_lines_dropped_total", Help: "Log lines that were not written, because of their rate or of a slow reader.",
 		Type: prometheus.CounterValue, Value: func(s *instanceStats) float64 { return float64(s.droppedLogLines) }},
 	{Name: "membership_sent_bytes_total", Help: "Bytes of membership datagrams sent.",
@@ -81,6 +84,7 @@
 		ready:           i.ready(),
 		openRequests:    i.relay.Open(),
 		droppedLogLines: i.log.DroppedLines(),
+		engineCrashes:   i.hazards.Crashes(),
 		sentBytes:       members.SentBytes,
 		receivedBytes:   members.ReceivedBytes,
 	}
--- a/pkg/pond/reason_enumer.go
+++ b/pkg/pond/reason_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _ReasonName = "internalbadRequestunauthenticatedforbiddennotFoundtooLargerateLimitedtooManyOpenoverloadeddeadlinenotReadyleavingnoBackendbackendFailedgenerationLostsupersededcursorInvalidkeyMissingkeyInvalidkeyExpiredkeyReusedexecutorGonetableFullcanceled"
+const _ReasonName = "internalbadRequestunauthenticatedforbiddennotFoundtooLargerateLimitedtooManyOpenoverloadeddeadlinenotReadyleavingnoBackendbackendFailedgenerationLostsupersededcursorInvalidkeyMissingkeyInvalidkeyExpiredkeyReusedexecutorGonetableFullcanceledunsafePrompt"
 
-var _ReasonIndex = [...]uint8{0, 8, 18, 33, 42, 50, 58, 69, 80, 90, 98, 106, 113, 122, 135, 149, 159, 172, 182, 192, 202, 211, 223, 232, 240}
+var _ReasonIndex = [...]uint8{0, 8, 18, 33, 42, 50, 58, 69, 80, 90, 98, 106, 113, 122, 135, 149, 159, 172, 182, 192, 202, 211, 223, 232, 240, 252}
 
-const _ReasonLowerName = "internalbadrequestunauthenticatedforbiddennotfoundtoolargeratelimitedtoomanyopenoverloadeddeadlinenotreadyleavingnobackendbackendfailedgenerationlostsupersededcursorinvalidkeymissingkeyinvalidkeyexpiredkeyreusedexecutorgonetablefullcanceled"
+const _ReasonLowerName = "internalbadrequestunauthenticatedforbiddennotfoundtoolargeratelimitedtoomanyopenoverloadeddeadlinenotreadyleavingnobackendbackendfailedgenerationlostsupersededcursorinvalidkeymissingkeyinvalidkeyexpiredkeyreusedexecutorgonetablefullcanceledunsafeprompt"
 
 func (i Reason) String() string {
 	if i < 0 || i >= Reason(len(_ReasonIndex)-1) {
@@ -48,9 +48,10 @@
 	_ = x[ReasonExecutorGone-(21)]
 	_ = x[ReasonTableFull-(22)]
 	_ = x[ReasonCanceled-(23)]
+	_ = x[ReasonUnsafePrompt-(24)]
 }
 
-var _ReasonValues = []Reason{ReasonInternal, ReasonBadRequest, ReasonUnauthenticated, ReasonForbidden, ReasonNotFound, ReasonTooLarge, ReasonRateLimited, ReasonTooManyOpen, ReasonOverloaded, ReasonDeadline, ReasonNotReady, ReasonLeaving, ReasonNoBackend, ReasonBackendFailed, ReasonGenerationLost, ReasonSuperseded, ReasonCursorInvalid, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyExpired, ReasonKeyReused, ReasonExecutorGone, ReasonTableFull, ReasonCanceled}
+var _ReasonValues = []Reason{ReasonInternal, ReasonBadRequest, ReasonUnauthenticated, ReasonForbidden, ReasonNotFound, ReasonTooLarge, ReasonRateLimited, ReasonTooManyOpen, ReasonOverloaded, ReasonDeadline, ReasonNotReady, ReasonLeaving, ReasonNoBackend, ReasonBackendFailed, ReasonGenerationLost, ReasonSuperseded, ReasonCursorInvalid, ReasonKeyMissing, ReasonKeyInvalid, ReasonKeyExpired, ReasonKeyReused, ReasonExecutorGone, ReasonTableFull, ReasonCanceled, ReasonUnsafePrompt}
 
 var _ReasonNameToValueMap = map[string]Reason{
 	_ReasonName[0:8]:     ReasonInternal,
@@ -77,6 +78,7 @@
 	_ReasonName[211:223]: ReasonExecutorGone,
 	_ReasonName[223:232]: ReasonTableFull,
 	_ReasonName[232:240]: ReasonCanceled,
+	_ReasonName[240:252]: ReasonUnsafePrompt,
 }
 
 var _ReasonLowerNameToValueMap = map[string]Reason{
@@ -104,6 +106,7 @@
 	_ReasonLowerName[211:223]: ReasonExecutorGone,
 	_ReasonLowerName[223:232]: ReasonTableFull,
 	_ReasonLowerName[232:240]: ReasonCanceled,
+	_ReasonLowerName[240:252]: ReasonUnsafePrompt,
 }
 
 var _ReasonNames = []string{
@@ -131,6 +134,7 @@
 	_ReasonName[211:223],
 	_ReasonName[223:232],
 	_ReasonName[232:240],
+	_ReasonName[240:252],
 }
 
 // ReasonString retrieves an enum value from the enum constants string name.
--- a/pkg/pond/refusal.go
+++ b/pkg/pond/refusal.go
@@ -36,6 +36,8 @@
 	ReasonExecutorGone
 	ReasonTableFull
 	ReasonCanceled
+	// ReasonUnsafePrompt is a prompt with a part under which engines have crashed.
+	ReasonUnsafePrompt
 )
 
 // Refusal is the error for a request that the system decided not to serve or could not finish.
