--- a/internal/hazard/guard_test.go
+++ b/internal/hazard/guard_test.go
@@ -72,7 +72,7 @@
 func (n *node) start() {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n.guard = NewGuard(Options{
+	guard := NewGuard(Options{
 		Self:    n.self.ID(),
 		Homes:   n.homes,
 		Peers:   n.Instances,
@@ -86,8 +86,10 @@
 		Log:   log,
 	})
 	ctx, stop := context.WithCancel(n.fleet.ctx)
-	n.stop = stop
-	go func() { _ = n.guard.Run(ctx) }()
+	n.fleet.mu.Lock()
+	n.guard, n.stop = guard, stop
+	n.fleet.mu.Unlock()
+	go func() { _ = guard.Run(ctx) }()
 }
 
 func (n *node) connect(address string) drpc.Conn {
