hazard: every instance exchanges crashes with the others in turn

An instance that started asked one other at random; if that had missed the crashes as well, it stayed without them until one that had them chose it. Change: an instance that starts asks three others, and each exchanges with the others in turn every 3 s, also with an empty table, so that a cut or restarted one is complete after one round at the latest, and mostly after the first exchange. An exchange of empty tables is one small call in 3 s.

--- a/internal/hazard/guard.go
+++ b/internal/hazard/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,10 +15,14 @@
 )
 
 const (
-	// exchangeInterval is the time between two exchanges of all crashes with another instance, and startInterval the time
-	// between two attempts of an instance that has just started.
+	// exchangeInterval is the time between two exchanges of all crashes with another instance. An instance that has just
+	// started asks startPeers others with startInterval between them.
 	exchangeInterval = 3 * time.Second
 	startInterval    = 200 * time.Millisecond
+	startPeers       = 3
+
+	// maxTurns spreads the instances with which the others begin.
+	maxTurns = 1 << 16
 
 	// noHomeDelay is the time after which a caller may return if no instance answers that could permit an experiment.
 	noHomeDelay = time.Second
@@ -144,10 +149,15 @@
 	g.push(messages)
 }
 
-// Run exchanges crashes with other instances until ctx ends.
+// Run exchanges crashes with the other instances in turn until ctx ends. An instance that starts asks several at once, because
+// one of them may have started or been cut off as well.
 func (g *Guard) Run(ctx context.Context) error {
-	interval, started := startInterval, false
-	for {
+	asked := 0
+	for turn := rand.IntN(maxTurns); ; turn++ {
+		interval := exchangeInterval
+		if asked < startPeers {
+			interval = startInterval
+		}
 		timer := time.NewTimer(interval)
 		select {
 		case <-ctx.Done():
@@ -155,8 +165,8 @@
 			return context.Cause(ctx)
 		case <-timer.C:
 		}
-		peer, ok := g.anyPeer()
-		if !ok || started && g.empty() {
+		peer, ok := g.peer(turn)
+		if !ok {
 			continue
 		}
 		if err := g.exchange(ctx, peer.PeerAddress(), g.messages(), true); err != nil {
@@ -164,27 +174,17 @@
 				Info("another instance did not exchange crashes of engines")
 			continue
 		}
-		interval, started = exchangeInterval, true
+		asked++
 	}
 }
 
-func (g *Guard) anyPeer() (pond.Instance, bool) {
-	var peers []pond.Instance
-	for _, peer := range g.options.Peers() {
-		if peer.ID() != g.options.Self {
-			peers = append(peers, peer)
-		}
-	}
+// peer returns the other instance whose turn it is, and false if there is none.
+func (g *Guard) peer(turn int) (pond.Instance, bool) {
+	peers := slices.DeleteFunc(slices.Clone(g.options.Peers()), func(peer pond.Instance) bool { return peer.ID() == g.options.Self })
 	if len(peers) == 0 {
 		return pond.Instance{}, false
 	}
-	return peers[rand.IntN(len(peers))], true
-}
-
-func (g *Guard) empty() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.table.crashes) == 0
+	return peers[turn%len(peers)], true
 }
 
 // Crashes returns the number of crashes that the instance knows.
