--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -39,6 +39,7 @@
 	store     *store
 	storeHTTP *httptest.Server
 	recorder  *recorder
+	load      *loadGenerator
 	keys      []string
 	instances []*instance
 	closing   atomic.Bool
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -112,6 +112,7 @@
 		t.Fatal("not every instance is ready within 10 s")
 	}
 	load := newLoadGenerator(c)
+	c.load = load
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { load.run(ctx, rand.New(rand.NewPCG(seed, 2)), callInterval) })
@@ -258,6 +259,13 @@
 		time.Sleep(time.Duration(1000+random.IntN(8000)) * time.Millisecond)
 		lift()
 	}},
+	{"prompts crash engines", func(c *cluster, random *rand.Rand) {
+		part := fmt.Sprintf("bad%x", random.Uint32())
+		c.recorder.addCrashPart(part)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1000+random.IntN(12000))*time.Millisecond)
+		defer cancel()
+		c.load.sendCrashing(ctx, random, part, time.Duration(200+random.IntN(800))*time.Millisecond)
+	}},
 }
 
 func (c *cluster) anyInstance(random *rand.Rand) *instance {
@@ -320,7 +328,7 @@
 			late++
 		}
 		c.checkRevoked(t, o, state)
-		if o.sentAt.After(measureStart) && c.revoked[o.key].IsZero() {
+		if o.sentAt.After(measureStart) && c.revoked[o.key].IsZero() && !hasCrashPart(o.parts, c.recorder.crashParts) {
 			sent++
 			if o.status == http.StatusOK && o.complete {
 				served++
