relay: a run that goes on waits for a permit instead of being lost

Cause: a run that is resumed from its copy at an engine with a limit was given up at once when no permit was there, although the copy lives for seconds and the next permit may come sooner. Change: such a run asks again for 1.5 s; its callers leave after a gap of 2 s.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -27,6 +27,12 @@
 	// maxAttempts bounds the attempts of a request, including those that no backend server ran. The MaxAttempts of a
 	// route counts only the others.
 	maxAttempts = 4
+
+	// maxPermitWait bounds the wait of a run that goes on for a permit. Callers leave after a gap of two seconds. The pauses
+	// between two questions are from minPermitPause to maxPermitPause.
+	maxPermitWait  = 1500 * time.Millisecond
+	minPermitPause = 20 * time.Millisecond
+	maxPermitPause = 200 * time.Millisecond
 )
 
 var errForeignResponse = errors.New("the response did not come from the backend server or belongs to another request")
@@ -181,6 +187,25 @@
 	return false
 }
 
+// awaitPermit waits some time for a permit for a run that goes on, which would be lost without one.
+func (x *exchange) awaitPermit(ctx context.Context, backend string) bool {
+	o := &x.relay.options
+	for giveUpAt := o.Clock().Add(maxPermitWait); ; {
+		permit := o.Limits.Permit(ctx, backend)
+		if permit.Granted() {
+			return true
+		}
+		if ctx.Err() != nil || o.Clock().After(giveUpAt) {
+			return x.permitted(ctx, backend)
+		}
+		delay := min(max(permit.RetryAt().Sub(o.Clock()), minPermitPause), maxPermitPause)
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay):
+		}
+	}
+}
+
 // refuseLimited refuses a request that no limit permitted.
 func (x *exchange) refuseLimited() {
 	x.refuse(pond.ReasonRateLimited, max(x.permitAt.Sub(x.relay.options.Clock()), shortRetryDelay),
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/quota"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
@@ -97,3 +98,24 @@
 		}
 	}
 }
+
+// TestLimitedMoveTarget guards against a run that is lost although a permit for the engine that has its copy comes soon.
+func TestLimitedMoveTarget(t *testing.T) {
+	stop := make(chan struct{})
+	var bed *testBed
+	source := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		writeEvent(w, 1)
+		bed.placer.moves <- pond.Move{Backend: "b1"}
+		<-stop
+		resetConnection(w, nil)
+	})
+	target := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, 2) })
+	bed = newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, target)
+	bed.copier.onLast = func() { close(stop) }
+	bed.decoder.backends["b0"] = route.Backend{ID: "b0", Service: "s", Address: source.address(), Leaving: true}
+	bed.fleet.Apply([]feed.Record{{Key: "b0", Revision: 9}}, time.Time{})
+	bed.relay.options.Limits.Observe("b1", quota.LimitOf(4), time.Now())
+	if status, body := bed.post(t, "key"); status != http.StatusOK || target.requestCount() != 1 {
+		t.Errorf("status %d, %q, %d requests at the target; want a whole answer", status, body, target.requestCount())
+	}
+}
