relay: spoiled and stalled answers are no crashes of engines

Cause: every answer that broke off early counted as a possible crash, so that a resumable stream was not repeated after an answer that belonged to another request, was spoiled, or was cut here because it stalled. Change: mayBeCrash leaves these out; connections that end or are reset count as before, after the status question. Measured: go test ./internal/relay, 3 times: passes.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -121,7 +121,7 @@
 		}
 		placement.Done(pond.PlacementEnd{BackendFailed: true}, time.Now())
 		x.logAttempt(name, x.run.sent, a)
-		if a.err != nil && !a.notRun && ctx.Err() == nil {
+		if a.err != nil && !a.notRun && ctx.Err() == nil && mayBeCrash(a.err) {
 			x.recordBreak(backend, a, false)
 		}
 		if a.leaving {
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/sirupsen/logrus"
@@ -61,6 +62,12 @@
 	x.fail(http.StatusBadGateway, pond.ReasonUnsafePrompt, "engines crashed under a part of the prompt")
 }
 
+// mayBeCrash reports whether an error of an answer may come from the end of its engine. Answers that are spoiled, or that this
+// instance has cut because they stalled, do not.
+func mayBeCrash(err error) bool {
+	return !errors.Is(err, errForeignResponse) && !errors.Is(err, errEventTooLarge) && !errors.Is(err, context.Canceled)
+}
+
 // recordBreak records that an engine broke off a generation that it had hardly begun to answer. writing is true if the head
 // of the answer had come. An engine that is known to leave ends for that reason.
 func (x *exchange) recordBreak(backend route.Backend, a attempt, writing bool) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -130,7 +130,7 @@
 			continue
 		}
 		end.BackendFailed = ctx.Err() == nil && !callerLeft
-		if end.BackendFailed && s.hardlyBegun() {
+		if end.BackendFailed && s.hardlyBegun() && mayBeCrash(err) {
 			s.x.recordBreak(s.currentBackend(), s.attempt, true)
 		}
 		if end.BackendFailed && s.restart(ctx, err) {
