--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -2,8 +2,8 @@
 //
 // A limit holds for the requests of all instances together, and no instance sees their sum. So one instance, the home
 // of the backend server, grants a permit for each request, and the others ask it. An instance that gets no answer sends
-// nothing to the server: it uses other servers or refuses the request. Nobody obeys a limit of its own reckoning, so a
-// home that starts late, wakes late or replaces another one grants nothing for the time before.
+// nothing to the server: it uses other servers or refuses the request. A home that has just started or replaces another
+// one begins with an empty account, because permits may have been granted elsewhere until then.
 //
 // A limit holds until an answer to a later request names none. Requests go on within it, so there are such answers.
 //
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -1,8 +1,6 @@
 package quota
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	// burstTime is the time for which permits that nobody asked for are kept.
--- a/internal/quota/permit.go
+++ b/internal/quota/permit.go
@@ -1,8 +1,6 @@
 package quota
 
-import (
-	"time"
-)
+import "time"
 
 // Permit is the decision about one request to a backend server.
 type Permit struct {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -21,7 +21,7 @@
 	seedsFlag  = flag.String("soak.seeds", "1-2", "seeds to run as `FIRST-LAST`")
 	lengthFlag = flag.Duration("soak.length", 6*time.Second, "duration of the fault injection in each run")
 	countFlag  = flag.Int("soak.instances", 4, "number of instances in each run")
-	logsFlag   = flag.String("soak.logs", "", "directory for the logs of the instances; if empty, a temporary one")
+	logsFlag   = flag.String("soak.logs", "", "directory for the logs of the instances; if empty, a temporary one that is kept if the run fails")
 )
 
 const (
@@ -47,9 +47,26 @@
 	{118, 14, "an instance that briefly lost the store treated the removal of an engine's entry as doubtful"},
 }
 
+// keptOnFailure returns a directory that is removed unless the test fails. A failure that shows once cannot be traced without
+// the logs.
+func keptOnFailure(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the logs of the instances are in %s", dir)
+			return
+		}
+		_ = os.RemoveAll(dir) // What is left over does no harm.
+	})
+	return dir
+}
+
 func logDir(t *testing.T, seed uint64) string {
 	if *logsFlag == "" {
-		return t.TempDir()
+		return keptOnFailure(t)
 	}
 	dir := filepath.Join(*logsFlag, fmt.Sprint("seed-", seed))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
