platform, feed, serve: log when the store comes back from an older copy

Change: the era is read in each response of the store; a greater one is logged with both revisions. A metric has it. No decision uses it. Measured: tests of feed, serve and platform pass.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -282,6 +282,7 @@
 func (f *Feed) applyBatch(batch Batch) []Record {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteEra(batch)
 	confirmedAt, failing := f.replica.confirmedAt, f.replica.storeFailing()
 	changed := f.replica.apply(batch)
 	if len(changed) > 0 || f.replica.confirmedAt.After(confirmedAt) || f.replica.storeFailing() != failing {
@@ -290,6 +291,20 @@
 	return changed
 }
 
+// noteEra records that the store has come back from an older copy. The lock must be held.
+func (f *Feed) noteEra(batch Batch) {
+	if batch.Era <= f.replica.era {
+		return
+	}
+	if f.replica.revision > 0 {
+		f.options.Log.WithFields(logrus.Fields{
+			logs.Event: "storeEraChanged", "era": batch.Era, "formerEra": f.replica.era,
+			logs.Revision: batch.Revision, "ownRevision": f.replica.revision, "snapshot": batch.Snapshot,
+		}).Warn("the store has come back from an older copy")
+	}
+	f.replica.era = batch.Era
+}
+
 // wakeFollowers ends the waits of Serve. The lock must be held.
 func (f *Feed) wakeFollowers() {
 	close(f.updated)
@@ -303,6 +318,13 @@
 	return f.replica.revision
 }
 
+// Era returns the highest era of the store that a source has stated.
+func (f *Feed) Era() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.era
+}
+
 // ConfirmedAt returns the last time at which the replica was known to be current.
 func (f *Feed) ConfirmedAt() time.Time {
 	f.mu.Lock()
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -25,7 +25,9 @@
 // Batch is a response of a source.
 type Batch struct {
 	// Records are the changes after the requested revision, or all records if Snapshot is true.
-	Records  []Record
+	Records []Record
+	// Era is the number of times that the store has come back from an older copy, as it states in its responses.
+	Era      uint64
 	Revision uint64
 	Snapshot bool
 	// ConfirmedAt is the last time at which the source's state was known to be current.
@@ -40,7 +42,9 @@
 
 // replica is a local copy of the published records. It has no lock and no clock.
 type replica struct {
-	records  map[string]Record
+	records map[string]Record
+	// era is the highest one that a source has stated.
+	era      uint64
 	revision uint64
 	// history holds the latest changes in the order in which they were applied; historyBase is the revision before the
 	// first one.
@@ -144,7 +148,7 @@
 // changesSince returns the changes after a revision, or a snapshot if the history does not reach back so far.
 func (r *replica) changesSince(revision uint64) Batch {
 	batch := Batch{
-		Revision: r.revision, ConfirmedAt: r.confirmedAt,
+		Era: r.era, Revision: r.revision, ConfirmedAt: r.confirmedAt,
 		StoreOutageAt: r.storeOutageAt, StoreFailedAt: r.storeFailedAt,
 	}
 	if revision >= r.historyBase && revision > 0 {
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -15,6 +15,7 @@
 type instanceStats struct {
 	confirmedAge, storeOutageAge   time.Duration // negative for never
 	revision, configurationVersion uint64
+	storeEra                       uint64
 	ready                          bool
 	openRequests                   int
 	liveInstances                  int
@@ -36,6 +37,8 @@
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return ageSeconds(s.storeOutageAge) }},
 	{Name: "records_revision", Help: "Revision of the copy of the published records.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.revision) }},
+	{Name: "store_era", Help: "Number of times that the store has come back from an older copy, as it states itself.",
+		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.storeEra) }},
 	{Name: "configuration_version", Help: "Version of the configuration in effect; 0 for none.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.configurationVersion) }},
 	{Name: "ready", Help: "1 while callers should come to this instance.",
@@ -86,6 +89,7 @@
 		confirmedAge:    ageOf(i.feed.ConfirmedAt(), now),
 		storeOutageAge:  ageOf(i.feed.StoreOutageAt(), now),
 		revision:        i.feed.Revision(),
+		storeEra:        i.feed.Era(),
 		ready:           i.ready(),
 		openRequests:    i.relay.Open(),
 		droppedLogLines: i.log.DroppedLines(),
