soak, KNOWN-RED: test that fails, configurations after the store has come back from an older copy

Change: each version has a route that only it has. Each instance is asked for the newest one four times a second: 3 s after the acknowledgement it has to know it, unless the instance, its way to the store or the store had a fault in the 5 s before, and one that has answered must not lose it again. The soak's store can come back from an older copy (revisions given out again, 410 for a watch from one that it does not have, lost writes repeated within 2 s in any order), as a kind of fault and in a test of its own. Listed until the fix.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -45,9 +45,11 @@
 	closing   atomic.Bool
 
 	mu            sync.Mutex
-	disturbances  map[string][]disturbance // faults of single instances, by front address
+	disturbances  map[string][]disturbance // faults of single instances by front address, and of their ways to the store by storeWay
 	partitions    []*partition
 	version       int
+	published     []publication
+	storeFaults   []*disturbance
 	revoked       map[string]time.Time
 	backends      map[string]*backend
 	lastBackendID int
@@ -70,8 +72,10 @@
 type disturbance struct{ from, until time.Time }
 
 // disturb records a fault of an instance that lasts until the returned function is called.
-func (c *cluster) disturb(i *instance) (end func()) {
-	from, address := time.Now(), i.ip+frontPort
+func (c *cluster) disturb(i *instance) (end func()) { return c.disturbAddress(i.ip + frontPort) }
+
+func (c *cluster) disturbAddress(address string) (end func()) {
+	from := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	index := len(c.disturbances[address])
@@ -113,6 +117,7 @@
 	c.storeHTTP = httptest.NewServer(c.store)
 	t.Cleanup(c.close)
 	c.publish()
+	c.addMarker()
 	for range 4 {
 		c.addBackend(true)
 	}
@@ -129,11 +134,12 @@
 	return c
 }
 
-// publish writes a new version of the configuration with the keys that are not revoked.
+// publish writes a new version of the configuration with the keys that are not revoked, and a route that only it has.
 func (c *cluster) publish() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version += 3
+	defer func() { c.published = append(c.published, publication{c.version, time.Now()}) }()
 	var keys []string
 	for _, key := range c.keys {
 		if c.revoked[key].IsZero() {
@@ -146,9 +152,12 @@
 			"timeoutMs": 5000, "targetLatencyMs": 1000, "gapTargetMs": 180, "maxAttempts": attempts,
 		}
 	}
+	marker := route(markerPrefix(c.version), "idempotent", "marker", 1)
+	marker["authExempt"] = true
 	c.store.put("op/config", map[string]any{
 		"version": c.version,
 		"routes": []any{
+			marker,
 			route("/letter/", "streaming", "llm", 1), route("/charge/", "non_idempotent", "plain", 1),
 			route("/lookup/", "idempotent", "plain", 2),
 		},
@@ -157,7 +166,7 @@
 				"slots": slots, "kvCapacity": 100_000, "kvTokenBytes": 1000, "linkMbps": 1000.0, "moves": true, "stride": 1,
 				"models": []any{map[string]any{"name": "m"}},
 			}},
-			map[string]any{"name": "plain"},
+			map[string]any{"name": "plain"}, map[string]any{"name": "marker"},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "acme", "apiKeys": keys}},
--- /dev/null
+++ b/internal/soak/config_test.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+)
+
+// configLimit is the users' bound for the time from the acknowledgement of a configuration until it is in force at each instance
+// that has been without a fault for contactLimit, as the store has.
+const configLimit = 3 * time.Second
+
+// publication is a version of the configuration and the time at which the store acknowledged it.
+type publication struct {
+	version int
+	at      time.Time
+}
+
+// markerPrefix is the path of the route that only one version of the configuration has.
+func markerPrefix(version int) string { return fmt.Sprintf("/marker-%d/", version) }
+
+// addMarker adds the backend server that answers on the routes by which versions are told apart.
+func (c *cluster) addMarker() {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Replica-Seal", "seal")
+	}))
+	c.t.Cleanup(server.Close)
+	c.store.put("servers/i-marker", map[string]any{
+		"service": "marker", "address": server.Listener.Addr().String(), "zone": "north-a", "slots": slots, "state": "ready",
+	})
+}
+
+// storeWay is the key of faults on the instance's way to the store.
+func (i *instance) storeWay() string { return i.storeProxy.address() }
+
+// disturbStore records a fault of the store that lasts until the returned function is called.
+func (c *cluster) disturbStore() (end func()) {
+	const open = time.Hour
+	fault := &disturbance{time.Now(), time.Now().Add(open)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeFaults = append(c.storeFaults, fault)
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		fault.until = time.Now()
+	}
+}
+
+// storeDisturbed reports whether the store had a fault within contactLimit before a time.
+func (c *cluster) storeDisturbed(at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, fault := range c.storeFaults {
+		if at.After(fault.from) && at.Before(fault.until.Add(contactLimit)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *cluster) newestPublication() publication {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.published[len(c.published)-1]
+}
+
+// probeConfiguration asks each instance for the route that only the newest configuration has, until ctx ends.
+func (c *cluster) probeConfiguration(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	interval := max(250*time.Millisecond, time.Duration(len(c.instances))*25*time.Millisecond)
+	for _, i := range c.instances {
+		group.Go(func() {
+			client := &http.Client{Timeout: time.Second, Transport: &http.Transport{}}
+			known, knownBy := 0, 0
+			for serial := 0; ctx.Err() == nil; serial++ {
+				time.Sleep(interval)
+				known, knownBy = c.probeOnce(client, i, serial, known, knownBy)
+			}
+		})
+	}
+}
+
+// probeOnce sends one probe. It takes and returns the newest version that a process of the instance has shown to know, and the
+// process.
+func (c *cluster) probeOnce(client *http.Client, i *instance, serial, known, knownBy int) (version, process int) {
+	newest, sentAt, pid := c.newestPublication(), time.Now(), i.pid()
+	req, err := http.NewRequest(http.MethodGet, "http://"+i.ip+frontPort+markerPrefix(newest.version)+"x", nil)
+	if err != nil {
+		c.recorder.reportViolation("probe of %s: %v", i.name, err)
+		return known, knownBy
+	}
+	req.Host = "soak.example"
+	req.Header.Set("X-Attempt-Id", fmt.Sprintf("probe-%s-%d", i.name, serial))
+	resp, err := client.Do(req)
+	if err != nil {
+		return known, knownBy
+	}
+	_ = resp.Body.Close()
+	if c.newestPublication() != newest || i.pid() != pid {
+		return known, knownBy
+	}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return newest.version, pid
+	case resp.StatusCode != http.StatusNotFound:
+	case known == newest.version && knownBy == pid:
+		c.recorder.reportViolation("%s knew version %d of the configuration and is behind it again", i.name, known)
+	case sentAt.Sub(newest.at) > configLimit && !c.disturbed(i.ip+frontPort, sentAt) && !c.disturbed(i.storeWay(), sentAt) &&
+		!c.storeDisturbed(sentAt):
+		c.recorder.reportViolation("version %d of the configuration is not in force at %s %v after it was published", newest.version,
+			i.name, sentAt.Sub(newest.at).Round(time.Millisecond))
+	}
+	return known, knownBy
+}
+
+// pid returns the ID of the instance's process, 0 for none.
+func (i *instance) pid() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.process == nil || i.process.Process == nil {
+		return 0
+	}
+	return i.process.Process.Pid
+}
+
+// returnFromCopy has the store go away for a moment and come back from a copy of some age. What was lost is written again within a
+// second or two, in any order.
+func (c *cluster) returnFromCopy(random *rand.Rand, age time.Duration) {
+	defer c.disturbStore()()
+	c.store.setStatus(http.StatusServiceUnavailable)
+	time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+	lost, returnedAt := c.store.rollBack(age), time.Now()
+	c.store.setStatus(0)
+	var group sync.WaitGroup
+	defer group.Wait()
+	for _, entry := range lost {
+		delay := time.Duration(100+random.IntN(1800)) * time.Millisecond
+		if entry.Deleted {
+			delay = entryLifetime // The entry lapses again.
+		}
+		group.Go(func() {
+			time.Sleep(delay)
+			c.store.writeAgain(entry, returnedAt)
+		})
+	}
+}
+
+// TestConfigurationLostWithOlderCopy guards against instances that keep to what the store held before it came back from an older
+// copy: the configurations that it acknowledges afterwards have revisions which were given out before.
+func TestConfigurationLostWithOlderCopy(t *testing.T) {
+	c, load, stop := startLoad(t, buildBinary(t), *countFlag)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { c.probeConfiguration(ctx) })
+	for range 6 {
+		c.publish()
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.returnFromCopy(rand.New(rand.NewPCG(1, 4)), time.Second)
+	c.publish()
+	time.Sleep(contactLimit + configLimit)
+	cancel()
+	group.Wait()
+	stop()
+	c.recorder.mu.Lock()
+	defer c.recorder.mu.Unlock()
+	for _, text := range c.recorder.violations {
+		t.Error(text)
+	}
+	t.Logf("%d requests", len(load.outcomes))
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -138,6 +138,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { load.run(ctx, rand.New(rand.NewPCG(seed, 2)), callInterval) })
+	group.Go(func() { c.probeConfiguration(ctx) })
 	injectFaults(t, c, random, faultKinds[:run.faultCount], *lengthFlag)
 	time.Sleep(settleTime)
 	measureStart := time.Now()
@@ -241,17 +242,23 @@
 	}},
 	{"reload", func(c *cluster, random *rand.Rand) { c.anyInstance(random).signal(syscall.SIGHUP) }},
 	{"store down", func(c *cluster, random *rand.Rand) {
+		defer c.disturbStore()()
 		c.store.setStatus(http.StatusServiceUnavailable)
 		time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
 		c.store.setStatus(0)
 	}},
 	{"store paused", func(c *cluster, random *rand.Rand) {
 		i := c.anyInstance(random)
+		defer c.disturbAddress(i.storeWay())()
 		i.storeProxy.impair(true, 0)
 		time.Sleep(time.Duration(random.IntN(5000)) * time.Millisecond)
 		i.storeProxy.impair(false, 0)
 	}},
-	{"store resets", func(c *cluster, random *rand.Rand) { c.anyInstance(random).storeProxy.resetAll() }},
+	{"store resets", func(c *cluster, random *rand.Rand) {
+		i := c.anyInstance(random)
+		defer c.disturbAddress(i.storeWay())()
+		i.storeProxy.resetAll()
+	}},
 	{"backend resets", func(c *cluster, random *rand.Rand) { c.anyBackend(random).proxy.resetAll() }},
 	{"backend slow", func(c *cluster, random *rand.Rand) {
 		b := c.anyBackend(random)
@@ -266,6 +273,7 @@
 	{"configuration", func(c *cluster, _ *rand.Rand) { c.publish() }},
 	{"store responses paused", func(c *cluster, random *rand.Rand) {
 		i := c.anyInstance(random)
+		defer c.disturbAddress(i.storeWay())()
 		i.storeProxy.pauseResponses(true)
 		time.Sleep(time.Duration(random.IntN(5000)) * time.Millisecond)
 		i.storeProxy.pauseResponses(false)
@@ -303,6 +311,9 @@
 		time.Sleep(contactLimit + time.Duration(random.IntN(6000))*time.Millisecond)
 		end()
 	}},
+	{"store returns from an older copy", func(c *cluster, random *rand.Rand) {
+		c.returnFromCopy(random, time.Duration(500+random.IntN(6000))*time.Millisecond)
+	}},
 }
 
 func (c *cluster) anyInstance(random *rand.Rand) *instance {
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -18,17 +19,19 @@
 	history  []item
 	changed  chan struct{}
 	status   int // HTTP status of every response while the store fails; 0 while it works
+	era      uint64
 }
 
 type item struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value,omitempty"`
-	Revision uint64 `json:"revision"`
-	Deleted  bool   `json:"deleted,omitempty"`
+	Key       string    `json:"key"`
+	Value     []byte    `json:"value,omitempty"`
+	Revision  uint64    `json:"revision"`
+	Deleted   bool      `json:"deleted,omitempty"`
+	WrittenAt time.Time `json:"-"`
 }
 
 func newStore() *store {
-	return &store{revision: 1, items: make(map[string]item), changed: make(chan struct{})}
+	return &store{revision: 1, era: 1, items: make(map[string]item), changed: make(chan struct{})}
 }
 
 // put writes a value, or deletes the key if the value is nil.
@@ -36,7 +39,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	entry := item{Key: key, Revision: s.revision, Deleted: value == nil}
+	entry := item{Key: key, Revision: s.revision, Deleted: value == nil, WrittenAt: time.Now()}
 	if value != nil {
 		entry.Value, _ = json.Marshal(value) // The values in this package can always be encoded.
 		s.items[key] = entry
@@ -48,6 +51,51 @@
 	s.changed = make(chan struct{})
 }
 
+// rollBack replaces the state by that of some time ago, as when the store comes back from an older copy: revisions are given out
+// again. It returns the last writes of the keys that have changed since.
+func (s *store) rollBack(age time.Duration) []item {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := time.Now().Add(-age)
+	// The first configuration stays.
+	kept := max(slices.IndexFunc(s.history, func(entry item) bool { return entry.WrittenAt.After(since) }), 1)
+	if last := s.history[len(s.history)-1]; !last.WrittenAt.After(since) {
+		kept = len(s.history)
+	}
+	lost := make(map[string]item)
+	for _, entry := range s.history[kept:] {
+		lost[entry.Key] = entry
+	}
+	s.history = slices.Clone(s.history[:kept])
+	s.revision = s.history[kept-1].Revision
+	s.era++
+	clear(s.items)
+	for _, entry := range s.history {
+		if s.items[entry.Key] = entry; entry.Deleted {
+			delete(s.items, entry.Key)
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return slices.SortedFunc(maps.Values(lost), func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+}
+
+// writeAgain writes what a roll back has lost, unless the key has been written since.
+func (s *store) writeAgain(lost item, rolledBackAt time.Time) {
+	s.mu.Lock()
+	written := slices.ContainsFunc(s.history, func(entry item) bool {
+		return entry.Key == lost.Key && entry.WrittenAt.After(rolledBackAt)
+	})
+	s.mu.Unlock()
+	switch {
+	case written:
+	case lost.Deleted:
+		s.put(lost.Key, nil)
+	default:
+		s.put(lost.Key, json.RawMessage(lost.Value))
+	}
+}
+
 // setStatus makes the store respond with an error status, or work normally if the status is 0.
 func (s *store) setStatus(status int) {
 	s.mu.Lock()
@@ -64,52 +112,63 @@
 		w.WriteHeader(status)
 		return
 	}
-	response := map[string]any{}
+	var answer storeAnswer
 	switch r.URL.Path {
 	case "/kv-range":
-		response["items"], response["currentRev"] = s.list(query.Get("prefix"))
-		response["truncated"] = false
+		answer = s.list(query.Get("prefix"))
 	case "/kv-watch":
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("waitMs"))
-		response["events"], response["currentRev"] = s.watch(r, after, time.Duration(wait)*time.Millisecond)
+		answer = s.watch(r, after, time.Duration(wait)*time.Millisecond)
 	}
-	_ = json.NewEncoder(w).Encode(response)
+	w.Header().Set("Store-Era", strconv.FormatUint(answer.era, 10))
+	if answer.gone {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+// storeAnswer is the answer to a range or a watch.
+type storeAnswer struct {
+	Items      []item `json:"items,omitempty"`
+	Events     []item `json:"events,omitempty"`
+	CurrentRev uint64 `json:"currentRev"`
+	era        uint64
+	gone       bool // the store does not have the revision after which to watch
 }
 
-func (s *store) list(prefix string) ([]item, uint64) {
+func (s *store) list(prefix string) storeAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := []item{}
+	answer := storeAnswer{CurrentRev: s.revision, era: s.era}
 	for key, entry := range s.items {
 		if strings.HasPrefix(key, prefix) {
-			items = append(items, entry)
+			answer.Items = append(answer.Items, entry)
 		}
 	}
-	return items, s.revision
+	return answer
 }
 
-func (s *store) watch(r *http.Request, after uint64, wait time.Duration) ([]item, uint64) {
+func (s *store) watch(r *http.Request, after uint64, wait time.Duration) storeAnswer {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		index := slices.IndexFunc(s.history, func(entry item) bool { return entry.Revision > after })
-		revision, changed := s.revision, s.changed
-		events := []item{}
-		if index >= 0 {
-			events = append(events, s.history[index:]...)
+		changed, answer := s.changed, storeAnswer{CurrentRev: s.revision, era: s.era, gone: after > s.revision}
+		if index := slices.IndexFunc(s.history, func(entry item) bool { return entry.Revision > after }); index >= 0 {
+			answer.Events = slices.Clone(s.history[index:])
 		}
 		s.mu.Unlock()
-		if len(events) > 0 {
-			return events, revision
+		if answer.gone || len(answer.Events) > 0 {
+			return answer
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return events, revision
+			return answer
 		case <-r.Context().Done():
-			return events, revision
+			return answer
 		}
 	}
 }
