feed, fleet, platform, serve: order the store's changes by era and revision

Cause: the store may come back from an older copy and give revisions out again. Everything was ordered by the revision alone: what the store held after its return was older in the eyes of each instance and dropped, also what it acknowledged then; once the revisions had passed the old ones, the watch went on behind what was dropped. Change: a position is an era and a revision. The configuration is ordered by its own version, which the copy cannot take back; instances exchange it in both directions with their pulls. Entries of backend servers from the copy do not take back that a server leaves, has left or started anew; one that is missing has two seconds. Why it works: the copy is followed at once, and what the copy has forgotten is decided by orders that it cannot rewind.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -52,17 +52,17 @@
 	followerWait = 1100 * time.Millisecond
 )
 
-// Source returns the changes after a revision. Without a change, Pull waits for the first one, up to PullWait at the
-// store and followerWait at an instance; if after is 0, it returns a snapshot as soon as there is one.
+// Source returns the changes after a cursor. Without a change, Pull waits for the first one, up to PullWait at the
+// store and followerWait at an instance; for the zero position, and for one of another era, it returns a snapshot as soon as there is one.
 type Source interface {
-	Pull(ctx context.Context, after uint64) (Batch, error)
+	Pull(ctx context.Context, cursor Cursor) (Batch, error)
 }
 
 // SourceFunc adapts a function to Source.
-type SourceFunc func(ctx context.Context, after uint64) (Batch, error)
+type SourceFunc func(ctx context.Context, cursor Cursor) (Batch, error)
 
 // Pull calls f.
-func (f SourceFunc) Pull(ctx context.Context, after uint64) (Batch, error) { return f(ctx, after) }
+func (f SourceFunc) Pull(ctx context.Context, cursor Cursor) (Batch, error) { return f(ctx, cursor) }
 
 // Upstream is a source with its name and kind.
 type Upstream struct {
@@ -95,7 +95,10 @@
 	// Clock is a clock that counts the time in which the process is suspended.
 	Clock func() time.Time
 	Log   logrus.FieldLogger
-	// OnChange is called with each set of changes, in order.
+	// Number returns the number that the publisher has assigned to a record, 0 for one without. A record never replaces one with
+	// a greater number, also if the store does not hold that any more. Nil stands for records without numbers.
+	Number func(record Record) uint64
+	// OnChange is called with each set of changes, those of the sources in order.
 	OnChange func(records []Record)
 	// OnPull is called after each pull with its result; it may be nil.
 	OnPull func(upstream Upstream, result PullResult)
@@ -113,13 +116,20 @@
 	// store is never marked.
 	failedInstances map[string]bool
 	currentSource   string
+	// lacking is the name of the source that lacked numbered records in its last response, and lackingAbove the greatest number
+	// that it had.
+	lacking      string
+	lackingAbove uint64
 }
 
 // New returns a feed with an empty replica.
 func New(options Options) *Feed {
+	if options.Number == nil {
+		options.Number = func(Record) uint64 { return 0 }
+	}
 	return &Feed{
 		options:         options,
-		replica:         newReplica(),
+		replica:         newReplica(options.Number),
 		updated:         make(chan struct{}),
 		backoffUntil:    make(map[string]time.Time),
 		failedInstances: make(map[string]bool),
@@ -151,7 +161,7 @@
 	upstreams := f.options.Upstreams()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.replica.revision > 0 && now.Sub(f.replica.confirmedAt) > staleAfter {
+	if f.replica.position.Revision > 0 && now.Sub(f.replica.confirmedAt) > staleAfter {
 		upstreams = storeFirst(upstreams)
 	}
 	available := func(u Upstream) bool { return !now.Before(f.backoffUntil[u.Name]) }
@@ -167,7 +177,7 @@
 	if f.currentSource != upstream.Name {
 		f.options.Log.WithFields(logrus.Fields{
 			logs.Event: "sourceChosen", logs.Source: upstream.Name, logs.Former: f.currentSource,
-			logs.Revision: f.replica.revision,
+			logs.Revision: f.replica.position.Revision,
 		}).Info("source of the configuration changed")
 		f.currentSource = upstream.Name
 	}
@@ -192,17 +202,17 @@
 }
 
 func (f *Feed) pull(ctx context.Context, upstream Upstream) {
-	after := f.Revision()
+	cursor := f.cursor(upstream)
 	timeout := PullTimeout
 	switch {
-	case upstream.DuringStart && after == 0:
+	case upstream.DuringStart && cursor.Revision == 0:
 		timeout = StartTimeout
-	case upstream.IsStore || after == 0:
+	case upstream.IsStore || cursor.Revision == 0:
 		timeout = bodyTimeout // The store's client bounds the time to the response header itself.
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	batch, err := upstream.Source.Pull(ctx, after)
+	batch, err := upstream.Source.Pull(ctx, cursor)
 	now := f.options.Clock()
 	if err != nil {
 		f.reportPull(upstream, PullFailed)
@@ -214,13 +224,14 @@
 		result = PullChanged
 		f.options.OnChange(changed)
 	}
-	// A source at a lower revision cannot confirm this replica, however recent its own confirmation is.
-	if age := now.Sub(batch.ConfirmedAt); age > staleAfter || batch.Revision < after {
+	f.noteLacking(upstream, batch)
+	// A source at an earlier position cannot confirm this replica, however recent its own confirmation is.
+	if age := now.Sub(batch.ConfirmedAt); age > staleAfter || batch.Compare(cursor.Position) < 0 {
 		result = PullStale
 		f.deferSource(upstream, now)
 		f.options.Log.WithFields(logrus.Fields{
 			logs.Event: "sourceStale", logs.Source: upstream.Name, logs.AgeMillis: age.Milliseconds(),
-			logs.Revision: batch.Revision, "ownRevision": after,
+			logs.Revision: batch.Revision, "ownRevision": cursor.Revision, "era": batch.Era, "ownEra": cursor.Era,
 		}).Warn("source of the configuration is not current")
 	} else {
 		f.clearFailures()
@@ -228,6 +239,44 @@
 	f.reportPull(upstream, result)
 }
 
+// cursor returns what a source is told about the replica.
+func (f *Feed) cursor(upstream Upstream) Cursor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cursor := Cursor{Position: f.replica.position, Number: f.replica.greatestNumber()}
+	if f.lacking == upstream.Name {
+		cursor.Offered = f.replica.numberedAbove(f.lackingAbove)
+	}
+	return cursor
+}
+
+// noteLacking records whether an instance lacks numbered records that this one holds. It gets them with the next pull.
+func (f *Feed) noteLacking(upstream Upstream, batch Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lacking = ""
+	if !upstream.IsStore && batch.Number < f.replica.greatestNumber() {
+		f.lacking, f.lackingAbove = upstream.Name, batch.Number
+	}
+}
+
+// Offer takes over the numbered records of a follower that are newer than the own ones. The store may have lost them.
+func (f *Feed) Offer(records []Record) {
+	f.mu.Lock()
+	newer := slices.DeleteFunc(slices.Clone(records), func(record Record) bool {
+		return f.options.Number(record) <= f.replica.numbers[record.Key] || !f.replica.put(record)
+	})
+	if len(newer) > 0 {
+		f.wakeFollowers()
+	}
+	f.mu.Unlock()
+	if len(newer) > 0 {
+		f.options.Log.WithFields(logrus.Fields{logs.Event: "recordsOffered", "records": len(newer)}).
+			Info("a follower holds newer records than the store")
+		f.options.OnChange(newer)
+	}
+}
+
 // clearFailures makes all instances eligible again after a source gave a current response.
 func (f *Feed) clearFailures() {
 	f.mu.Lock()
@@ -282,27 +331,24 @@
 func (f *Feed) applyBatch(batch Batch) []Record {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.noteEra(batch)
+	began := f.replica.beginsEra(batch) && batch.Snapshot
+	if began {
+		// Entries that the copy lacks may belong to backend servers that are alive and register again.
+		f.replica.storeOutageAt = f.options.Clock()
+	}
+	former := f.replica.position
 	confirmedAt, failing := f.replica.confirmedAt, f.replica.storeFailing()
 	changed := f.replica.apply(batch)
-	if len(changed) > 0 || f.replica.confirmedAt.After(confirmedAt) || f.replica.storeFailing() != failing {
-		f.wakeFollowers()
-	}
-	return changed
-}
-
-// noteEra records that the store has come back from an older copy. The lock must be held.
-func (f *Feed) noteEra(batch Batch) {
-	if batch.Era <= f.replica.era {
-		return
-	}
-	if f.replica.revision > 0 {
+	if began {
 		f.options.Log.WithFields(logrus.Fields{
-			logs.Event: "storeEraChanged", "era": batch.Era, "formerEra": f.replica.era,
-			logs.Revision: batch.Revision, "ownRevision": f.replica.revision, "snapshot": batch.Snapshot,
+			logs.Event: "storeEraChanged", "era": batch.Era, "formerEra": former.Era,
+			logs.Revision: batch.Revision, "formerRevision": former.Revision, "changes": len(changed), "number": f.replica.greatestNumber(),
 		}).Warn("the store has come back from an older copy")
 	}
-	f.replica.era = batch.Era
+	if began || len(changed) > 0 || f.replica.confirmedAt.After(confirmedAt) || f.replica.storeFailing() != failing {
+		f.wakeFollowers()
+	}
+	return changed
 }
 
 // wakeFollowers ends the waits of Serve. The lock must be held.
@@ -315,14 +361,14 @@
 func (f *Feed) Revision() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replica.revision
+	return f.replica.position.Revision
 }
 
-// Era returns the highest era of the store that a source has stated.
+// Era returns the era of the replica; see Position.
 func (f *Feed) Era() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replica.era
+	return f.replica.position.Era
 }
 
 // ConfirmedAt returns the last time at which the replica was known to be current.
@@ -347,14 +393,15 @@
 	return f.replica.storeOutageAt
 }
 
-// Serve returns the changes after a revision to a follower. It waits up to followerWait for a change or a newer
-// confirmation. It returns at once if the follower is at another revision, and as soon as there is a snapshot if
-// neither side has one yet.
-func (f *Feed) Serve(ctx context.Context, after uint64) Batch {
+// Serve returns the changes after a cursor to a follower. It waits up to followerWait for a change or a newer
+// confirmation. It returns at once if the follower is at another position or holds other numbered records, and as soon as there
+// is a snapshot if neither side has one yet.
+func (f *Feed) Serve(ctx context.Context, cursor Cursor) Batch {
+	f.Offer(cursor.Offered)
 	timer := time.NewTimer(followerWait)
 	defer timer.Stop()
-	batch, updated := f.changesSince(after)
-	if batch.Revision != after {
+	batch, updated := f.changesSince(cursor)
+	if batch.Position != cursor.Position || batch.Number != cursor.Number && len(cursor.Offered) == 0 {
 		return batch
 	}
 	select {
@@ -363,12 +410,12 @@
 	case <-timer.C:
 	case <-updated:
 	}
-	batch, _ = f.changesSince(after)
+	batch, _ = f.changesSince(cursor)
 	return batch
 }
 
-func (f *Feed) changesSince(after uint64) (Batch, <-chan struct{}) {
+func (f *Feed) changesSince(cursor Cursor) (Batch, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replica.changesSince(after), f.updated
+	return f.replica.changesSince(cursor), f.updated
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -21,7 +21,7 @@
 // TestSourceFails guards against an instance that stays with a source that returns errors, does not respond, is stale,
 // or is at a lower revision than the instance.
 func TestSourceFails(t *testing.T) {
-	unresponsive := func(ctx context.Context, _ uint64) (Batch, error) {
+	unresponsive := func(ctx context.Context, _ Cursor) (Batch, error) {
 		<-ctx.Done()
 		return Batch{}, ctx.Err()
 	}
@@ -29,22 +29,22 @@
 		name  string
 		first SourceFunc
 	}{
-		{"fails", func(context.Context, uint64) (Batch, error) { return Batch{}, errors.New("refused") }},
+		{"fails", func(context.Context, Cursor) (Batch, error) { return Batch{}, errors.New("refused") }},
 		{"silent", unresponsive},
-		{"behind", func(context.Context, uint64) (Batch, error) {
+		{"behind", func(context.Context, Cursor) (Batch, error) {
 			time.Sleep(PullWait)
-			return Batch{Revision: 1, ConfirmedAt: time.Now()}, nil
+			return Batch{Position: at(1), ConfirmedAt: time.Now()}, nil
 		}},
-		{"stale", func(context.Context, uint64) (Batch, error) {
-			return Batch{Snapshot: true, Revision: 1, ConfirmedAt: time.Now().Add(-time.Minute)}, nil
+		{"stale", func(context.Context, Cursor) (Batch, error) {
+			return Batch{Snapshot: true, Position: at(1), ConfirmedAt: time.Now().Add(-time.Minute)}, nil
 		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				good := SourceFunc(func(context.Context, uint64) (Batch, error) {
+				good := SourceFunc(func(context.Context, Cursor) (Batch, error) {
 					time.Sleep(PullWait)
-					return Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}, ConfirmedAt: time.Now().Add(-PullWait)}, nil
+					return Batch{Snapshot: true, Position: at(5), Records: []Record{record("a", 5)}, ConfirmedAt: time.Now().Add(-PullWait)}, nil
 				})
 				f := New(Options{
 					Upstreams: func() []Upstream {
@@ -52,7 +52,7 @@
 					},
 					Clock: time.Now, Log: discardLog(), OnChange: func([]Record) {},
 				})
-				f.applyBatch(Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}})
+				f.applyBatch(Batch{Snapshot: true, Position: at(5), Records: []Record{record("a", 5)}})
 				ctx, cancel := context.WithCancel(t.Context())
 				stopped := make(chan struct{})
 				defer func() {
@@ -86,13 +86,13 @@
 // sources of one were frozen, and a configuration took effect there 4.8 s late.
 func TestUnresponsiveSources(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		unresponsive := SourceFunc(func(ctx context.Context, _ uint64) (Batch, error) {
+		unresponsive := SourceFunc(func(ctx context.Context, _ Cursor) (Batch, error) {
 			<-ctx.Done()
 			return Batch{}, ctx.Err()
 		})
-		good := SourceFunc(func(context.Context, uint64) (Batch, error) {
+		good := SourceFunc(func(context.Context, Cursor) (Batch, error) {
 			time.Sleep(PullWait)
-			return Batch{Revision: 6, Records: []Record{record("a", 6)}, ConfirmedAt: time.Now().Add(-PullWait)}, nil
+			return Batch{Position: at(6), Records: []Record{record("a", 6)}, ConfirmedAt: time.Now().Add(-PullWait)}, nil
 		})
 		f := New(Options{
 			Upstreams: func() []Upstream {
@@ -103,7 +103,7 @@
 			},
 			Clock: time.Now, Log: discardLog(), OnChange: func([]Record) {},
 		})
-		f.applyBatch(Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}, ConfirmedAt: time.Now()})
+		f.applyBatch(Batch{Snapshot: true, Position: at(5), Records: []Record{record("a", 5)}, ConfirmedAt: time.Now()})
 		ctx, cancel := context.WithTimeout(t.Context(), 3*PullTimeout+PullWait+100*time.Millisecond)
 		defer cancel()
 		_ = f.Run(ctx)
@@ -118,17 +118,17 @@
 func TestStaleReplicaTriesStoreFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		confirmedAt := time.Now().Add(-staleAfter + followerWait/2)
-		parent := SourceFunc(func(context.Context, uint64) (Batch, error) {
+		parent := SourceFunc(func(context.Context, Cursor) (Batch, error) {
 			time.Sleep(followerWait)
-			return Batch{Revision: 5, ConfirmedAt: confirmedAt}, nil
+			return Batch{Position: at(5), ConfirmedAt: confirmedAt}, nil
 		})
-		unresponsive := SourceFunc(func(ctx context.Context, _ uint64) (Batch, error) {
+		unresponsive := SourceFunc(func(ctx context.Context, _ Cursor) (Batch, error) {
 			<-ctx.Done()
 			return Batch{}, ctx.Err()
 		})
-		store := SourceFunc(func(context.Context, uint64) (Batch, error) {
+		store := SourceFunc(func(context.Context, Cursor) (Batch, error) {
 			time.Sleep(time.Millisecond)
-			return Batch{Revision: 6, Records: []Record{record("a", 6)}, ConfirmedAt: time.Now()}, nil
+			return Batch{Position: at(6), Records: []Record{record("a", 6)}, ConfirmedAt: time.Now()}, nil
 		})
 		f := New(Options{
 			Upstreams: func() []Upstream {
@@ -139,7 +139,7 @@
 			},
 			Clock: time.Now, Log: discardLog(), OnChange: func([]Record) {},
 		})
-		f.applyBatch(Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}, ConfirmedAt: confirmedAt})
+		f.applyBatch(Batch{Snapshot: true, Position: at(5), Records: []Record{record("a", 5)}, ConfirmedAt: confirmedAt})
 		ctx, cancel := context.WithTimeout(t.Context(), followerWait+100*time.Millisecond)
 		defer cancel()
 		_ = f.Run(ctx)
@@ -154,18 +154,18 @@
 func TestStoreRetriedAfterBackoff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		lost := true
-		store := SourceFunc(func(context.Context, uint64) (Batch, error) {
+		store := SourceFunc(func(context.Context, Cursor) (Batch, error) {
 			if lost {
 				lost = false
 				return Batch{}, errors.New("connection reset")
 			}
 			time.Sleep(time.Millisecond)
-			return Batch{Revision: 6, Records: []Record{record("a", 6)}, ConfirmedAt: time.Now()}, nil
+			return Batch{Position: at(6), Records: []Record{record("a", 6)}, ConfirmedAt: time.Now()}, nil
 		})
 		confirmedAt := time.Now().Add(-staleAfter) // The followers are stale.
-		follower := SourceFunc(func(context.Context, uint64) (Batch, error) {
+		follower := SourceFunc(func(context.Context, Cursor) (Batch, error) {
 			time.Sleep(followerWait)
-			return Batch{Revision: 5, ConfirmedAt: confirmedAt}, nil
+			return Batch{Position: at(5), ConfirmedAt: confirmedAt}, nil
 		})
 		f := New(Options{
 			Upstreams: func() []Upstream {
@@ -177,7 +177,7 @@
 			},
 			Clock: time.Now, Log: discardLog(), OnChange: func([]Record) {},
 		})
-		f.applyBatch(Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}, ConfirmedAt: confirmedAt})
+		f.applyBatch(Batch{Snapshot: true, Position: at(5), Records: []Record{record("a", 5)}, ConfirmedAt: confirmedAt})
 		ctx, cancel := context.WithTimeout(t.Context(), sourceBackoff+followerWait+100*time.Millisecond)
 		defer cancel()
 		_ = f.Run(ctx)
@@ -191,15 +191,15 @@
 func TestServe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := New(Options{Clock: time.Now, Log: discardLog(), OnChange: func([]Record) {}})
-		f.applyBatch(Batch{Snapshot: true, Revision: 3, Records: []Record{record("a", 3)}})
+		f.applyBatch(Batch{Snapshot: true, Position: at(3), Records: []Record{record("a", 3)}})
 		began := time.Now()
-		if batch := f.Serve(t.Context(), 3); len(batch.Records) != 0 || time.Since(began) >= PullTimeout {
+		if batch := f.Serve(t.Context(), Cursor{Position: at(3)}); len(batch.Records) != 0 || time.Since(began) >= PullTimeout {
 			t.Errorf("%d records after %v, want none within %v", len(batch.Records), time.Since(began), PullTimeout)
 		}
 		response := make(chan Batch, 1)
-		go func() { response <- f.Serve(t.Context(), 3) }()
+		go func() { response <- f.Serve(t.Context(), Cursor{Position: at(3)}) }()
 		synctest.Wait()
-		f.applyBatch(Batch{Revision: 4, Records: []Record{record("b", 4)}})
+		f.applyBatch(Batch{Position: at(4), Records: []Record{record("b", 4)}})
 		synctest.Wait()
 		select {
 		case batch := <-response:
@@ -209,7 +209,7 @@
 		default:
 			t.Error("a waiting follower does not get a change at once")
 		}
-		if batch := f.Serve(t.Context(), 0); !batch.Snapshot || len(batch.Records) != 2 {
+		if batch := f.Serve(t.Context(), Cursor{Position: at(0)}); !batch.Snapshot || len(batch.Records) != 2 {
 			t.Errorf("the first response holds %d records, snapshot %v; want both and true", len(batch.Records), batch.Snapshot)
 		}
 	})
@@ -219,9 +219,9 @@
 func TestUpstreamsMayCallFeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var f *Feed
-		source := SourceFunc(func(context.Context, uint64) (Batch, error) {
+		source := SourceFunc(func(context.Context, Cursor) (Batch, error) {
 			time.Sleep(PullWait)
-			return Batch{Snapshot: true, Revision: 2, ConfirmedAt: time.Now()}, nil
+			return Batch{Snapshot: true, Position: at(2), ConfirmedAt: time.Now()}, nil
 		})
 		f = New(Options{
 			Upstreams: func() []Upstream {
@@ -247,9 +247,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := New(Options{Clock: time.Now, Log: discardLog(), OnChange: func([]Record) {}})
 		response := make(chan Batch, 1)
-		go func() { response <- f.Serve(t.Context(), 0) }()
+		go func() { response <- f.Serve(t.Context(), Cursor{Position: at(0)}) }()
 		time.Sleep(50 * time.Millisecond)
-		f.applyBatch(Batch{Snapshot: true, Revision: 3, Records: []Record{record("a", 3)}})
+		f.applyBatch(Batch{Snapshot: true, Position: at(3), Records: []Record{record("a", 3)}})
 		synctest.Wait()
 		select {
 		case batch := <-response:
@@ -273,7 +273,7 @@
 	for _, test := range tests {
 		now := testTime
 		f := New(Options{Clock: func() time.Time { return now }, Log: discardLog(), OnChange: func([]Record) {}})
-		f.applyBatch(Batch{Snapshot: true, Revision: 3, ConfirmedAt: now})
+		f.applyBatch(Batch{Snapshot: true, Position: at(3), ConfirmedAt: now})
 		now = now.Add(test.sinceConfirmed)
 		f.handleFailure(Upstream{Name: "store", IsStore: true}, errors.New("silent"), now)
 		if got := !f.StoreOutageAt().IsZero(); got != test.want {
@@ -290,13 +290,13 @@
 			f := New(Options{
 				Upstreams: func() []Upstream { return nil }, Clock: time.Now, Log: discardLog(), OnChange: func([]Record) {},
 			})
-			f.applyBatch(Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}, ConfirmedAt: time.Now()})
+			f.applyBatch(Batch{Snapshot: true, Position: at(5), Records: []Record{record("a", 5)}, ConfirmedAt: time.Now()})
 			return f
 		}
 		reader, follower := newFeed(), newFeed()
 		time.Sleep(100 * time.Millisecond)
 		answered := make(chan Batch, 1)
-		go func() { answered <- reader.Serve(t.Context(), 5) }()
+		go func() { answered <- reader.Serve(t.Context(), Cursor{Position: at(5)}) }()
 		synctest.Wait()
 		reader.handleFailure(Upstream{Name: "peer"}, errors.New("refused"), time.Now())
 		synctest.Wait()
@@ -313,8 +313,8 @@
 			t.Errorf("store failing: reader %t, follower %t, want both", reader.StoreFailing(), follower.StoreFailing())
 		}
 		time.Sleep(100 * time.Millisecond)
-		reader.applyBatch(Batch{Revision: 5, ConfirmedAt: time.Now()})
-		follower.applyBatch(reader.Serve(t.Context(), 4))
+		reader.applyBatch(Batch{Position: at(5), ConfirmedAt: time.Now()})
+		follower.applyBatch(reader.Serve(t.Context(), Cursor{Position: at(4)}))
 		if reader.StoreFailing() || follower.StoreFailing() {
 			t.Errorf("after a confirmation, store failing: reader %t, follower %t", reader.StoreFailing(), follower.StoreFailing())
 		}
@@ -332,19 +332,19 @@
 		batch Batch
 		want  time.Time
 	}{
-		{"from the store", Batch{Revision: 6, ConfirmedAt: start.Add(5 * time.Second)}, outage},
-		{"from a current instance", Batch{Revision: 6, FromInstance: true, ConfirmedAt: start.Add(5 * time.Second)}, time.Time{}},
+		{"from the store", Batch{Position: at(6), ConfirmedAt: start.Add(5 * time.Second)}, outage},
+		{"from a current instance", Batch{Position: at(6), FromInstance: true, ConfirmedAt: start.Add(5 * time.Second)}, time.Time{}},
 		{"from an instance that saw an outage", Batch{
-			Revision: 6, FromInstance: true, ConfirmedAt: start.Add(5 * time.Second), StoreOutageAt: start.Add(3 * time.Second),
+			Position: at(6), FromInstance: true, ConfirmedAt: start.Add(5 * time.Second), StoreOutageAt: start.Add(3 * time.Second),
 		}, start.Add(3 * time.Second)},
-		{"from an instance that is as stale", Batch{Revision: 6, FromInstance: true, ConfirmedAt: start}, outage},
+		{"from an instance that is as stale", Batch{Position: at(6), FromInstance: true, ConfirmedAt: start}, outage},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			f := New(Options{
 				Upstreams: func() []Upstream { return nil }, Clock: time.Now, Log: discardLog(), OnChange: func([]Record) {},
 			})
-			f.applyBatch(Batch{Snapshot: true, Revision: 5, Records: []Record{record("a", 5)}, ConfirmedAt: start})
+			f.applyBatch(Batch{Snapshot: true, Position: at(5), Records: []Record{record("a", 5)}, ConfirmedAt: start})
 			f.handleFailure(Upstream{Name: "store", IsStore: true}, errors.New("timeout"), outage)
 			if !f.StoreOutageAt().Equal(outage) {
 				t.Fatalf("outage at %v after the failure, want %v", f.StoreOutageAt(), outage)
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"bytes"
 	"slices"
 	"time"
 )
@@ -20,16 +21,20 @@
 	Value    []byte
 	Revision uint64
 	Deleted  bool
+	// Restored is true for a change that is due to the store's return from an older copy: it may only be unknown to the copy.
+	Restored bool
 }
 
 // Batch is a response of a source.
 type Batch struct {
 	// Records are the changes after the requested revision, or all records if Snapshot is true.
 	Records []Record
-	// Era is the number of times that the store has come back from an older copy, as it states in its responses.
-	Era      uint64
-	Revision uint64
+	// Position is that of the source. Its era is the number of times that the store has come back from an older copy, as it states
+	// in its responses.
+	Position
 	Snapshot bool
+	// Number is the greatest number of the source's numbered records; 0 for a response of the store.
+	Number uint64
 	// ConfirmedAt is the last time at which the source's state was known to be current.
 	ConfirmedAt time.Time
 	// FromInstance is true for a response of another instance.
@@ -43,9 +48,11 @@
 // replica is a local copy of the published records. It has no lock and no clock.
 type replica struct {
 	records map[string]Record
-	// era is the highest one that a source has stated.
-	era      uint64
-	revision uint64
+	// position is that of the newest batch. All records are of its era.
+	position Position
+	// numbers holds the numbers of numbered records, as number returns them; see Options.Number.
+	numbers map[string]uint64
+	number  func(record Record) uint64
 	// history holds the latest changes in the order in which they were applied; historyBase is the revision before the
 	// first one.
 	history     []Record
@@ -58,8 +65,10 @@
 	storeFailedAt time.Time
 }
 
-func newReplica() *replica {
-	return &replica{records: make(map[string]Record), tombstones: make(map[string]uint64)}
+func newReplica(number func(record Record) uint64) *replica {
+	return &replica{
+		records: make(map[string]Record), tombstones: make(map[string]uint64), numbers: make(map[string]uint64), number: number,
+	}
 }
 
 // storeFailing reports whether a call to the store has failed since the last confirmation.
@@ -75,23 +84,51 @@
 	if batch.StoreFailedAt.After(r.storeFailedAt) {
 		r.storeFailedAt = batch.StoreFailedAt
 	}
-	if batch.Revision < r.revision {
+	if batch.Compare(r.position) < 0 || r.beginsEra(batch) && !batch.Snapshot {
 		return nil
 	}
 	var changed []Record
-	if batch.Snapshot {
-		changed = r.removeMissing(batch)
+	switch {
+	case r.beginsEra(batch):
+		changed = r.beginEra(batch)
+	case batch.Snapshot:
+		changed = append(r.removeMissing(batch), r.putAll(batch.Records)...)
+	default:
+		changed = r.putAll(batch.Records)
+	}
+	r.position = batch.Position
+	if batch.ConfirmedAt.After(r.confirmedAt) {
+		r.confirmedAt = batch.ConfirmedAt
+	}
+	r.appendHistory(changed, batch.Snapshot)
+	return changed
+}
+
+// beginsEra reports whether the store has come back from an older copy since the newest batch.
+func (r *replica) beginsEra(batch Batch) bool {
+	return r.position.Revision > 0 && batch.Era > r.position.Era
+}
+
+// beginEra replaces the records by those of an older copy. Revisions of the two eras cannot be compared, but numbers can: a
+// numbered record stays until one with a greater number is written.
+func (r *replica) beginEra(batch Batch) []Record {
+	former := r.records
+	r.records, r.tombstones = make(map[string]Record, len(batch.Records)), make(map[string]uint64)
+	for key := range r.numbers {
+		r.records[key] = Record{Key: key, Value: former[key].Value}
 	}
+	var changed []Record
 	for _, record := range batch.Records {
-		if r.put(record) {
+		if r.put(record) && (former[record.Key].Key == "" || !bytes.Equal(former[record.Key].Value, record.Value)) {
+			record.Restored = true
 			changed = append(changed, record)
 		}
 	}
-	r.revision = batch.Revision
-	if batch.ConfirmedAt.After(r.confirmedAt) {
-		r.confirmedAt = batch.ConfirmedAt
+	for key := range former {
+		if _, ok := r.records[key]; !ok {
+			changed = append(changed, Record{Key: key, Revision: batch.Revision, Deleted: true, Restored: true})
+		}
 	}
-	r.appendHistory(changed, batch.Snapshot)
 	return changed
 }
 
@@ -103,23 +140,44 @@
 	}
 	var removed []Record
 	for key, record := range r.records {
-		if !present[key] && record.Revision <= batch.Revision {
-			removal := Record{Key: key, Revision: batch.Revision, Deleted: true}
-			r.put(removal)
+		removal := Record{Key: key, Revision: batch.Revision, Deleted: true}
+		if !present[key] && record.Revision <= batch.Revision && r.put(removal) {
 			removed = append(removed, removal)
 		}
 	}
 	return removed
 }
 
-// put applies one record and reports whether it changed anything.
+// putAll applies records and returns those that changed anything.
+func (r *replica) putAll(records []Record) []Record {
+	var changed []Record
+	for _, record := range records {
+		if r.put(record) {
+			changed = append(changed, record)
+		}
+	}
+	return changed
+}
+
+// put applies one record and reports whether it changed anything. Numbers go before revisions.
 func (r *replica) put(record Record) bool {
 	known, ok := r.records[record.Key]
-	if ok && known.Revision >= record.Revision || r.tombstones[record.Key] >= record.Revision {
+	number := r.number(record)
+	newer := number > r.numbers[record.Key]
+	if !newer && (ok && known.Revision >= record.Revision || r.tombstones[record.Key] >= record.Revision) {
+		return false
+	}
+	if number < r.numbers[record.Key] {
+		known.Revision = record.Revision
+		r.records[record.Key] = known
 		return false
 	}
 	if !record.Deleted {
 		delete(r.tombstones, record.Key)
+		if newer {
+			r.numbers[record.Key] = number
+		}
+		record.Revision = max(record.Revision, known.Revision)
 		r.records[record.Key] = record
 		return true
 	}
@@ -131,11 +189,31 @@
 	return ok
 }
 
+// greatestNumber returns the greatest number of the numbered records.
+func (r *replica) greatestNumber() uint64 {
+	greatest := uint64(0)
+	for _, number := range r.numbers {
+		greatest = max(greatest, number)
+	}
+	return greatest
+}
+
+// numberedAbove returns the numbered records with a number greater than the given one.
+func (r *replica) numberedAbove(number uint64) []Record {
+	var records []Record
+	for key, own := range r.numbers {
+		if own > number {
+			records = append(records, r.records[key])
+		}
+	}
+	return records
+}
+
 // appendHistory keeps changes for followers. The order of the changes in a snapshot is unknown, so after one the
 // history restarts empty.
 func (r *replica) appendHistory(changed []Record, snapshot bool) {
 	if snapshot {
-		r.history, r.historyBase = nil, r.revision
+		r.history, r.historyBase = nil, r.position.Revision
 		return
 	}
 	r.history = append(r.history, changed...)
@@ -145,18 +223,19 @@
 	}
 }
 
-// changesSince returns the changes after a revision, or a snapshot if the history does not reach back so far.
-func (r *replica) changesSince(revision uint64) Batch {
+// changesSince returns the changes after a follower's cursor, or a snapshot if the history does not reach back so far.
+func (r *replica) changesSince(cursor Cursor) Batch {
 	batch := Batch{
-		Era: r.era, Revision: r.revision, ConfirmedAt: r.confirmedAt,
+		Position: r.position, Number: r.greatestNumber(), ConfirmedAt: r.confirmedAt,
 		StoreOutageAt: r.storeOutageAt, StoreFailedAt: r.storeFailedAt,
 	}
-	if revision >= r.historyBase && revision > 0 {
+	if cursor.Era == r.position.Era && cursor.Revision >= r.historyBase && cursor.Revision > 0 {
 		for _, record := range r.history {
-			if record.Revision > revision {
+			if record.Revision > cursor.Revision {
 				batch.Records = append(batch.Records, record)
 			}
 		}
+		batch.Records = append(batch.Records, r.numberedAbove(cursor.Number)...)
 		return batch
 	}
 	batch.Snapshot = true
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,6 +67,16 @@
 	reregisterUntil time.Time
 }
 
+// knownBetter reports whether more is known of a backend server than a new entry says: a later start, that it leaves, or, if the
+// entry comes from an older copy of the store, that it has left. A start does not take back that it leaves.
+func (b *trackedBackend) knownBetter(entry route.Backend, restored bool, now time.Time) bool {
+	if b == nil || b.backend.StartedAtMillis != entry.StartedAtMillis {
+		return b != nil && entry.StartedAtMillis != 0 && entry.StartedAtMillis < b.backend.StartedAtMillis
+	}
+	left := !b.goneAt.IsZero() && !now.Before(b.reregisterUntil)
+	return b.backend.Leaving && !entry.Leaving || restored && left
+}
+
 func (b *trackedBackend) accepting(now time.Time) bool {
 	return !b.backend.Leaving && (b.goneAt.IsZero() || now.Before(b.reregisterUntil))
 }
@@ -115,6 +125,9 @@
 func (f *Fleet) Apply(records []feed.Record, storeOutageAt time.Time) {
 	now := f.options.Clock()
 	f.mu.Lock()
+	if slices.ContainsFunc(records, func(record feed.Record) bool { return record.Restored }) {
+		f.revision = 0 // The store has come back from an older copy and gives revisions out again.
+	}
 	for _, record := range records {
 		f.revision = max(f.revision, record.Revision)
 		f.applyConfiguration(record)
@@ -154,6 +167,12 @@
 		return
 	}
 	previous := f.backends[backend.ID]
+	if err == nil && !record.Deleted && previous.knownBetter(backend, record.Restored, now) {
+		f.options.Log.WithFields(logrus.Fields{
+			logs.Event: "backendEntryOutdated", logs.Backend: backend.ID, logs.Revision: record.Revision, "restored": record.Restored,
+		}).Info("entry of a backend server is older than what is known and is ignored")
+		return
+	}
 	log := f.options.Log.WithFields(logrus.Fields{logs.Backend: backend.ID, logs.Revision: record.Revision})
 	switch {
 	case err != nil:
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -13,7 +13,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/route"
 )
 
-// fakeDecoder decodes the value of a record: "ready", "leaving" or "reborn" (a new start) for a backend server, and the
+// fakeDecoder decodes the value of a record: "ready", "leaving", "reborn" (a new start) or "first start, leaving" for a backend server, and the
 // version of a catalogue under the key "catalogue". Any other value is an invalid entry.
 type fakeDecoder struct{}
 
@@ -38,6 +38,8 @@
 		backend.Leaving = true
 	case "reborn":
 		backend.StartedAtMillis = 2
+	case "first start, leaving":
+		backend.StartedAtMillis, backend.Leaving = 1, true
 	default:
 		return backend, true, errors.New("damaged")
 	}
@@ -60,6 +62,48 @@
 	return f
 }
 
+// TestEntriesOfOlderCopy guards against work for a backend server that has left or is leaving, because the store has come back from an
+// older copy that lists it as ready, and against dropping one that is alive and missing in the copy.
+func TestEntriesOfOlderCopy(t *testing.T) {
+	restored := func(value string) feed.Record {
+		return feed.Record{Key: "e1", Value: []byte(value), Revision: 2, Restored: true}
+	}
+	gone := feed.Record{Key: "e1", Revision: 9, Deleted: true}
+	tests := []struct {
+		name      string
+		before    []feed.Record
+		after     []feed.Record
+		want      bool
+		wantLater bool // three seconds later
+	}{
+		{"ready", []feed.Record{put("ready", 5)}, []feed.Record{restored("ready")}, true, true},
+		{"leaving, ready in the copy", []feed.Record{put("leaving", 5)}, []feed.Record{restored("ready")}, false, false},
+		{"leaving, ready again in the same era", []feed.Record{put("leaving", 5), put("ready", 6)}, nil, false, false},
+		{"leaving, then started anew", []feed.Record{put("leaving", 5)}, []feed.Record{put("reborn", 3)}, true, true},
+		{"gone, ready in the copy", []feed.Record{put("ready", 5), gone}, []feed.Record{restored("ready")}, false, false},
+		{"gone, registered again after the return", []feed.Record{put("ready", 5), gone}, []feed.Record{restored("ready"), put("ready", 3)}, true, true},
+		{"a later start than in the copy", []feed.Record{put("reborn", 5)}, []feed.Record{restored("first start, leaving")}, true, true},
+		{"missing in the copy", []feed.Record{put("ready", 5)}, []feed.Record{{Key: "e1", Revision: 2, Deleted: true, Restored: true}}, true, false},
+		{"missing in the copy, then registered again", []feed.Record{put("ready", 5)},
+			[]feed.Record{{Key: "e1", Revision: 2, Deleted: true, Restored: true}, put("ready", 3)}, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			f := newTestFleet(&now)
+			f.Apply(test.before, time.Time{})
+			f.Apply(test.after, now)
+			if got := f.Accepting("e1"); got != test.want {
+				t.Errorf("accepting %v, want %v", got, test.want)
+			}
+			now = now.Add(3 * time.Second)
+			if got := f.Accepting("e1"); got != test.wantLater {
+				t.Errorf("accepting %v three seconds later, want %v", got, test.wantLater)
+			}
+		})
+	}
+}
+
 // TestAccepting guards against new work for a backend server that leaves, is gone or reports that it leaves, and
 // against dropping one whose entry only expired during a store outage.
 func TestAccepting(t *testing.T) {
--- a/internal/serve/adapters.go
+++ b/internal/serve/adapters.go
@@ -15,6 +15,8 @@
 	// Store is the source of the published records.
 	Store   feed.Source
 	Decoder fleet.Decoder
+	// Number returns the number that the publisher has assigned to a record; see feed.Options.
+	Number  func(record feed.Record) uint64
 	Ingress Ingress
 	// NewBackends returns the adapter to the backend servers. Its control calls use connections of the dial function, and
 	// it passes what their responses say about later requests to hear.
--- a/internal/serve/enginecheck_test.go
+++ b/internal/serve/enginecheck_test.go
@@ -84,13 +84,13 @@
 		Helpers: func(string) []reach.Helper { return nil }, Clock: clock.Now, Results: metric.NewConnections(metric.New()), Log: log,
 	})
 	served := false
-	store := feed.SourceFunc(func(ctx context.Context, _ uint64) (feed.Batch, error) {
+	store := feed.SourceFunc(func(ctx context.Context, _ feed.Cursor) (feed.Batch, error) {
 		if served {
 			<-ctx.Done()
 			return feed.Batch{}, ctx.Err()
 		}
 		served = true
-		return feed.Batch{Snapshot: true, Revision: 2, Records: records, ConfirmedAt: confirmedAt}, nil
+		return feed.Batch{Snapshot: true, Position: feed.Position{Revision: 2}, Records: records, ConfirmedAt: confirmedAt}, nil
 	})
 	i.feed = feed.New(feed.Options{
 		Upstreams: func() []feed.Upstream { return []feed.Upstream{{Name: "peer", Source: store}} },
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -194,6 +194,7 @@
 		Upstreams: i.upstreams,
 		Clock:     clock.Now,
 		Log:       i.log,
+		Number:    i.adapters.Number,
 		OnChange:  func(records []feed.Record) { i.fleet.Apply(records, i.feed.StoreOutageAt()) },
 		OnPull:    newPullCounter(i.metrics),
 	})
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -101,24 +101,30 @@
 func (i *Instance) addressSource(name, address string) feed.Upstream {
 	return feed.Upstream{
 		Name: name,
-		Source: feed.SourceFunc(func(ctx context.Context, after uint64) (feed.Batch, error) {
-			return pull(ctx, i.network, address, after)
+		Source: feed.SourceFunc(func(ctx context.Context, cursor feed.Cursor) (feed.Batch, error) {
+			return pull(ctx, i.network, address, cursor)
 		}),
 	}
 }
 
 // pull requests records from another instance. The ages in the response are counted from the time at which the request
 // was sent plus the time for which it was held, so that a response delayed in the network does not look recent.
-func pull(ctx context.Context, network *peer.Network, address string, after uint64) (feed.Batch, error) {
+func pull(ctx context.Context, network *peer.Network, address string, cursor feed.Cursor) (feed.Batch, error) {
 	requestedAt := clock.Now()
 	conn := network.Conn(address)
 	defer conn.Close()
-	resp, err := peerpb.NewDRPCRecordsClient(conn).Pull(ctx, &peerpb.PullRequest{After: after})
+	req := &peerpb.PullRequest{
+		After: cursor.Revision, Era: cursor.Era, Number: cursor.Number, Offered: messagesOf(cursor.Offered),
+	}
+	resp, err := peerpb.NewDRPCRecordsClient(conn).Pull(ctx, req)
 	if err != nil {
 		return feed.Batch{}, err
 	}
 	respondedAt := requestedAt.Add(time.Duration(resp.GetHeldMicro()) * time.Microsecond)
-	batch := feed.Batch{Revision: resp.GetRevision(), Snapshot: resp.GetSnapshot(), FromInstance: true}
+	batch := feed.Batch{
+		Position: feed.Position{Era: resp.GetEra(), Revision: resp.GetRevision()},
+		Number:   resp.GetNumber(), Snapshot: resp.GetSnapshot(), FromInstance: true,
+	}
 	if age := resp.GetConfirmedAgeMicro(); age >= 0 {
 		batch.ConfirmedAt = respondedAt.Add(-time.Duration(age) * time.Microsecond)
 	}
@@ -132,12 +138,28 @@
 	if err != nil {
 		return feed.Batch{}, err
 	}
+	batch.Records = recordsOf(records)
+	return batch, nil
+}
+
+func recordsOf(messages []*peerpb.PublishedRecord) []feed.Record {
+	records := make([]feed.Record, 0, len(messages))
+	for _, message := range messages {
+		records = append(records, feed.Record{
+			Key: message.GetKey(), Value: message.GetValue(), Revision: message.GetRevision(), Deleted: message.GetDeleted(),
+		})
+	}
+	return records
+}
+
+func messagesOf(records []feed.Record) []*peerpb.PublishedRecord {
+	messages := make([]*peerpb.PublishedRecord, 0, len(records))
 	for _, record := range records {
-		batch.Records = append(batch.Records, feed.Record{
-			Key: record.GetKey(), Value: record.GetValue(), Revision: record.GetRevision(), Deleted: record.GetDeleted(),
+		messages = append(messages, &peerpb.PublishedRecord{
+			Key: record.Key, Value: record.Value, Revision: record.Revision, Deleted: record.Deleted,
 		})
 	}
-	return batch, nil
+	return messages
 }
 
 // errStarting is returned to followers while the instance pulls from the seeds.
@@ -149,34 +171,40 @@
 	starting func() bool
 
 	mu sync.Mutex
-	// compressed caches the compressed records of the batch from compressedAfter to compressedRevision, which is sent to
-	// each follower.
-	compressed                          []byte
-	compressedAfter, compressedRevision uint64
+	// compressed caches the compressed records of the batch compressedBatch, which is sent to each follower.
+	compressed      []byte
+	compressedBatch batchKey
+}
+
+// batchKey identifies the records of a batch for a follower.
+type batchKey struct {
+	after, current         feed.Position
+	followerNumber, number uint64
+}
+
+func newBatchKey(cursor feed.Cursor, batch feed.Batch) batchKey {
+	return batchKey{after: cursor.Position, current: batch.Position, followerNumber: cursor.Number, number: batch.Number}
 }
 
 // addRecords adds the records of a batch to a response, compressed if they are large.
-func (s *recordServer) addRecords(resp *peerpb.PullResponse, batch feed.Batch, after uint64) error {
+func (s *recordServer) addRecords(resp *peerpb.PullResponse, batch feed.Batch, key batchKey) error {
 	size := 0
-	records := make([]*peerpb.PublishedRecord, 0, len(batch.Records))
 	for _, record := range batch.Records {
 		size += len(record.Value)
-		records = append(records, &peerpb.PublishedRecord{
-			Key: record.Key, Value: record.Value, Revision: record.Revision, Deleted: record.Deleted,
-		})
 	}
+	records := messagesOf(batch.Records)
 	if size < compressMinBytes {
 		resp.Records = records
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.compressed == nil || s.compressedAfter != after || s.compressedRevision != batch.Revision {
+	if s.compressed == nil || s.compressedBatch != key {
 		compressed, err := compressRecords(records)
 		if err != nil {
 			return err
 		}
-		s.compressed, s.compressedAfter, s.compressedRevision = compressed, after, batch.Revision
+		s.compressed, s.compressedBatch = compressed, key
 	}
 	resp.Packed = s.compressed
 	return nil
@@ -188,10 +216,15 @@
 		return nil, errStarting
 	}
 	receivedAt := clock.Now()
-	batch := s.feed.Serve(ctx, req.GetAfter())
+	cursor := feed.Cursor{
+		Position: feed.Position{Era: req.GetEra(), Revision: req.GetAfter()}, Number: req.GetNumber(), Offered: recordsOf(req.GetOffered()),
+	}
+	batch := s.feed.Serve(ctx, cursor)
 	now := clock.Now()
 	resp := &peerpb.PullResponse{
 		Revision:          batch.Revision,
+		Era:               batch.Era,
+		Number:            batch.Number,
 		Snapshot:          batch.Snapshot,
 		HeldMicro:         now.Sub(receivedAt).Microseconds(),
 		ConfirmedAgeMicro: ageMicro(batch.ConfirmedAt, now),
@@ -199,7 +232,7 @@
 
 		StoreFailedAgeMicro: ageMicro(batch.StoreFailedAt, now),
 	}
-	return resp, s.addRecords(resp, batch, req.GetAfter())
+	return resp, s.addRecords(resp, batch, newBatchKey(cursor, batch))
 }
 
 func ageMicro(at, now time.Time) int64 {
--- a/internal/serve/records_test.go
+++ b/internal/serve/records_test.go
@@ -14,7 +14,7 @@
 // which requested another one.
 func TestCompressedRecords(t *testing.T) {
 	batch := func(entries int, revision uint64) feed.Batch {
-		b := feed.Batch{Revision: revision}
+		b := feed.Batch{Position: feed.Position{Revision: revision}}
 		for i := range entries {
 			value := fmt.Sprintf(`{"service":"llm","address":"10.0.%d.%d:8187","zone":"a","slots":24,"state":"ready","sequence":%d}`,
 				i/250, i%250, i)
@@ -32,7 +32,7 @@
 	for i, test := range tests {
 		b := batch(test.entries, test.revision)
 		resp := new(peerpb.PullResponse)
-		if err := server.addRecords(resp, b, test.after); err != nil {
+		if err := server.addRecords(resp, b, newBatchKey(feed.Cursor{Position: feed.Position{Revision: test.after}}, b)); err != nil {
 			t.Fatal(err)
 		}
 		if packed := len(resp.GetPacked()) > 0; packed != test.wantPacked {
@@ -87,7 +87,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		batch.Revision++
-		if err := server.addRecords(new(peerpb.PullResponse), batch, 0); err != nil {
+		if err := server.addRecords(new(peerpb.PullResponse), batch, newBatchKey(feed.Cursor{}, batch)); err != nil {
 			b.Fatal(err)
 		}
 	}
