relay: no run is moved to an engine that has said that it leaves

Cause: the home of a pool orders moves, and the engine may have told only another instance that it leaves, which carries the move out. That one asked for back-offs and limits before the copy, and not for this. Evidence: TestMoveTargetLeaving, red before this change: one request and one last copy at the target. Measured: the test passes; tests of relay pass.

--- a/internal/relay/backoff_test.go
+++ b/internal/relay/backoff_test.go
@@ -154,3 +154,24 @@
 			target.requestCount(), resumedAt.Sub(backoffEnds))
 	}
 }
+
+// TestMoveTargetLeaving guards against a run that is moved to an engine which has said to this instance that it leaves. The home of the
+// pool that orders the move may be another instance, which the engine has not told.
+func TestMoveTargetLeaving(t *testing.T) {
+	var bed *testBed
+	source := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		writeEvent(w, 1)
+		bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+		time.Sleep(300 * time.Millisecond)
+		writeEvent(w, 2)
+	})
+	target := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, 2) })
+	bed = newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, target)
+	bed.fleet.ApplySignal("b1", fleet.Signal{Leaving: true}, fleet.SourceRequest)
+	copies := 0
+	bed.copier.onLast = func() { copies++ }
+	if status, body := bed.post(t, "key"); status != http.StatusOK || target.requestCount() != 0 || copies != 0 {
+		t.Errorf("status %d, %q, %d requests and %d last copies at the target; want a whole answer of the source", status, body,
+			target.requestCount(), copies)
+	}
+}
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -173,6 +173,11 @@
 		log.WithField(logs.Event, "moveFailed").Info("the target wants no requests at present")
 		return nil
 	}
+	if fleet.SaysLeaving(target.ID) {
+		m.count(metric.MoveNotCopied)
+		log.WithField(logs.Event, "moveFailed").Info("the target says that it leaves")
+		return nil
+	}
 	if x.relay.options.Limits.Exhausted(target.ID) {
 		m.count(metric.MoveNotCopied)
 		log.WithField(logs.Event, "moveFailed").Info("the limit of the target is used up")
