fleet: what a server has said of its leaving outlives its entry

Cause: the word was forgotten 15 s after the server's entry had been removed. A server that leaves may serve on for longer, and an entry may come back: after an outage of the store, or from an older copy. Evidence: TestSignaledLeaving, case 'removed, forgotten and back', red before this change: the server takes work again. Change: the word is kept with the start of the server that said it, for ten minutes after its entry is gone. A new start is not bound by it. Measured: the test passes; tests of fleet, relay and serve pass.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -90,10 +90,10 @@
 	catalogue       *route.Catalogue
 	revision        uint64
 	backends        map[string]*trackedBackend
-	reportedLeaving map[string]time.Time // backend servers that reported that they leave
-	suspendedUntil  map[string]time.Time // backend servers that did not answer, and until when they get no new work
-	backoffUntil    map[string]time.Time // backend servers that want no requests from this instance, and until when
-	signaledLeaving map[string]bool      // backend servers that said in a response that they leave
+	reportedLeaving map[string]time.Time    // backend servers that reported that they leave
+	suspendedUntil  map[string]time.Time    // backend servers that did not answer, and until when they get no new work
+	backoffUntil    map[string]time.Time    // backend servers that want no requests from this instance, and until when
+	signaledLeaving map[string]leavingStart // backend servers that said in a response that they leave
 	manifest        *spec.Manifest
 	callbacks       []func()
 }
@@ -107,7 +107,7 @@
 		reportedLeaving: make(map[string]time.Time),
 		suspendedUntil:  make(map[string]time.Time),
 		backoffUntil:    make(map[string]time.Time),
-		signaledLeaving: make(map[string]bool),
+		signaledLeaving: make(map[string]leavingStart),
 	}
 	for region, dataCentres := range options.Regions {
 		for _, dataCentre := range dataCentres {
@@ -195,7 +195,7 @@
 			delete(f.suspendedUntil, backend.ID)
 		}
 		if previous != nil && previous.backend.StartedAtMillis != backend.StartedAtMillis {
-			f.forgetSignals(backend.ID)
+			delete(f.backoffUntil, backend.ID)
 		}
 		if previous == nil || previous.backend.Leaving != backend.Leaving {
 			log.WithFields(logrus.Fields{
@@ -230,9 +230,9 @@
 			delete(f.backends, id)
 			delete(f.reportedLeaving, id)
 			delete(f.suspendedUntil, id)
-			f.forgetSignals(id)
 		}
 	}
+	f.evictSignals(now)
 }
 
 // MarkLeaving records that a backend server itself reported that it leaves.
@@ -309,7 +309,7 @@
 // accepts reports whether a backend server takes new work. The lock must be held.
 func (f *Fleet) accepts(id string, tracked *trackedBackend, now time.Time) bool {
 	_, leaving := f.reportedLeaving[id]
-	return !leaving && !f.signaledLeaving[id] && !now.Before(f.suspendedUntil[id]) && tracked.accepting(now)
+	return !leaving && !f.saysLeaving(id, tracked) && !now.Before(f.suspendedUntil[id]) && tracked.accepting(now)
 }
 
 func (f *Fleet) notify() {
--- a/internal/fleet/signal.go
+++ b/internal/fleet/signal.go
@@ -18,6 +18,15 @@
 	Backoff time.Duration
 }
 
+// leavingRetention is the time for which it is remembered that a backend server said that it leaves, after its entry was removed.
+const leavingRetention = 10 * time.Minute
+
+// leavingStart is a start of a backend server that said in a response that it leaves.
+type leavingStart struct {
+	startedAtMillis int64
+	at              time.Time
+}
+
 //go:generate go tool enumer -type=Source -trimprefix=Source -transform=title-lower -output=source_enumer.go
 
 // Source tells where a signal was received.
@@ -44,12 +53,13 @@
 		return false
 	}
 	f.mu.Lock()
-	_, known := f.backends[id]
-	newLeaving := known && s.Leaving && !f.signaledLeaving[id]
+	now := f.options.Clock()
+	tracked, known := f.backends[id]
+	newLeaving := known && s.Leaving && !f.saysLeaving(id, tracked)
 	if newLeaving {
-		f.signaledLeaving[id] = true
+		f.signaledLeaving[id] = leavingStart{tracked.backend.StartedAtMillis, now}
 	}
-	until := f.options.Clock().Add(s.Backoff)
+	until := now.Add(s.Backoff)
 	newBackoff = known && s.Backoff > 0 && until.After(f.backoffUntil[id])
 	if newBackoff {
 		f.backoffUntil[id] = until
@@ -72,13 +82,28 @@
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	tracked, ok := f.backends[id]
-	return ok && (tracked.backend.Leaving || f.signaledLeaving[id])
+	return ok && (tracked.backend.Leaving || f.saysLeaving(id, tracked))
+}
+
+// saysLeaving reports whether this start of a backend server said in a response that it leaves. The lock must be held.
+func (f *Fleet) saysLeaving(id string, tracked *trackedBackend) bool {
+	said, ok := f.signaledLeaving[id]
+	return ok && said.startedAtMillis == tracked.backend.StartedAtMillis
 }
 
-// forgetSignals forgets what a backend server has said. The lock must be held.
-func (f *Fleet) forgetSignals(id string) {
-	delete(f.backoffUntil, id)
-	delete(f.signaledLeaving, id)
+// evictSignals forgets what backend servers have said that are not listed any more. An entry may come back, so it is kept for longer than
+// the entry. The lock must be held.
+func (f *Fleet) evictSignals(now time.Time) {
+	for id, until := range f.backoffUntil {
+		if f.backends[id] == nil && !now.Before(until) {
+			delete(f.backoffUntil, id)
+		}
+	}
+	for id, said := range f.signaledLeaving {
+		if f.backends[id] == nil && now.Sub(said.at) > leavingRetention {
+			delete(f.signaledLeaving, id)
+		}
+	}
 }
 
 // BackoffUntil returns the time until which a backend server wants no requests from this instance, and false if it takes them.
--- a/internal/fleet/signal_test.go
+++ b/internal/fleet/signal_test.go
@@ -55,12 +55,16 @@
 	tests := []struct {
 		name string
 		then []feed.Record
-		want bool
+		// later holds records that are applied after the server has been forgotten, if it was removed.
+		later []feed.Record
+		want  bool
 	}{
-		{"still listed", nil, false},
-		{"listed again", []feed.Record{put("ready", 3)}, false},
-		{"removed and back", []feed.Record{{Key: "e1", Revision: 3, Deleted: true}, put("ready", 4)}, false},
-		{"new start", []feed.Record{put("reborn", 3)}, true},
+		{"still listed", nil, nil, false},
+		{"listed again", []feed.Record{put("ready", 3)}, nil, false},
+		{"removed and back", []feed.Record{{Key: "e1", Revision: 3, Deleted: true}, put("ready", 4)}, nil, false},
+		{"new start", []feed.Record{put("reborn", 3)}, nil, true},
+		{"removed, forgotten and back", []feed.Record{{Key: "e1", Revision: 3, Deleted: true}}, []feed.Record{put("ready", 4)}, false},
+		{"removed, forgotten and a new start", []feed.Record{{Key: "e1", Revision: 3, Deleted: true}}, []feed.Record{put("reborn", 4)}, true},
 	}
 	for _, test := range tests {
 		now := time.Unix(1000, 0)
@@ -74,6 +78,9 @@
 			t.Errorf("%s: %d notifications, want 1", test.name, notified)
 		}
 		f.Apply(test.then, time.Time{})
+		now = now.Add(goneRetention + time.Second)
+		f.Apply([]feed.Record{{Key: "other", Revision: 3}}, time.Time{})
+		f.Apply(test.later, time.Time{})
 		if f.Accepting("e1") != test.want {
 			t.Errorf("%s: accepting %t, want %t", test.name, f.Accepting("e1"), test.want)
 		}
