relay, logs: log the identity of requests that broke off

Change: a digest of method, host, path with query, caller and body, computed when it is first logged.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -67,6 +67,8 @@
 	Late = "late"
 	// Parts holds the IDs of the parts of a prompt that other requests may have too.
 	Parts = "parts"
+	// Identity is equal for equal requests of one caller.
+	Identity = "identity"
 	// WeightsVersion is the version of an engine's weights.
 	WeightsVersion = "weightsVersion"
 	// PerSecond is a limit of requests per second.
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -302,6 +302,9 @@
 		fields[logs.Status] = a.resp.StatusCode
 	}
 	x.addPromptFields(fields, a.weightsVersion)
+	if a.err != nil && !a.notRun {
+		fields[logs.Identity] = x.identity()
+	}
 	log := x.log.WithFields(fields)
 	if a.err != nil {
 		log = log.WithError(a.err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -135,6 +135,8 @@
 	deadline  time.Time
 	body      Body
 	log       logrus.FieldLogger
+	// requestIdentity caches identity; empty until then.
+	requestIdentity string
 	// run holds the attempts to run a generation.
 	run runAttempts
 	// denied names the backend servers whose limits did not permit the request, and permitAt is the earliest time at which
