soak, KNOWN-RED: test that fails, one request crashes backend servers in turn

Change: a body may crash the backend server that begins to run a request with it, replicas and engines; the same request comes again at any instance, as a lookup, a charge or a generation whose parts sound ones have. A kind of fault, and a test of its own. Listed until the fix.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -171,7 +172,11 @@
 		}
 		defer b.exitPlain()
 	}
-	state, ok := b.startOrResume(id, r)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	state, ok := b.startOrResume(id, r, string(body))
 	if !ok {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -184,6 +189,9 @@
 		} else {
 			time.Sleep(brittleServiceTime)
 		}
+		if state.crashes != nil {
+			b.crashUnder(w, state.crashes)
+		}
 		fmt.Fprintf(w, "answer to %s", id)
 		return
 	}
@@ -192,7 +200,7 @@
 
 // startOrResume starts a request, or resumes one that was moved. It returns false if the request cannot be resumed: the
 // handle of its copy is unknown or another backend server still runs it.
-func (b *backend) startOrResume(id string, r *http.Request) (*requestState, bool) {
+func (b *backend) startOrResume(id string, r *http.Request, body string) (*requestState, bool) {
 	b.recorder.mu.Lock()
 	defer b.recorder.mu.Unlock()
 	state := b.recorder.requests[id]
@@ -206,12 +214,13 @@
 		state.generatedEvents, state.runningOn = lastEventID, b
 		return state, true
 	}
+	crashes := b.recorder.recordCrashPart(id, r.Header.Get("X-Prompt-Prefix"), body)
 	if state == nil {
 		state = &requestState{id: id, handles: make(map[string]bool), startedAt: time.Now(),
 			account: r.Header.Get("X-Tenant")}
 		_, outputTokens, _ := strings.Cut(r.Header.Get("X-Token-Count"), ",")
 		state.totalEvents, _ = strconv.Atoi(outputTokens)
-		state.crashes = b.recorder.recordCrashPart(id, r.Header.Get("X-Prompt-Prefix"))
+		state.crashes = crashes
 		b.recorder.requests[id] = state
 	}
 	state.starts++
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -28,6 +29,7 @@
 	id       string
 	kind     requestKind
 	parts    string // shared parts of the prompt, as the header lists them
+	body     string // empty for one of its own
 	key      string
 	sentAt   time.Time
 	status   int // 0 if no response arrived
@@ -36,6 +38,9 @@
 	endedAt  time.Time
 }
 
+// marks lists what tells whether the request crashes backend servers.
+func (o outcome) marks() string { return o.parts + "," + o.body }
+
 // loadGenerator sends requests as many concurrent callers and checks the responses.
 type loadGenerator struct {
 	cluster *cluster
@@ -65,7 +70,7 @@
 		kind, key := requestKind(random.IntN(3)), g.cluster.keys[random.IntN(len(g.cluster.keys))]
 		events, first := 20+random.IntN(250), random.IntN(len(g.cluster.instances))
 		parts := fmt.Sprintf("%s,b%d:400", firstPart, random.IntN(soundParts))
-		group.Go(func() { g.sendRequest(kind, key, parts, events, first) })
+		group.Go(func() { g.sendRequest(kind, key, parts, "", events, first) })
 	}
 }
 
@@ -102,10 +107,10 @@
 	return response.Addresses[0], true
 }
 
-func (g *loadGenerator) sendRequest(kind requestKind, key, parts string, events, first int) {
+func (g *loadGenerator) sendRequest(kind requestKind, key, parts, body string, events, first int) {
 	g.mu.Lock()
 	g.lastSerial++
-	o := outcome{id: fmt.Sprintf("%x-%06d", g.cluster.seed, g.lastSerial), kind: kind, key: key, parts: parts}
+	o := outcome{id: fmt.Sprintf("%x-%06d", g.cluster.seed, g.lastSerial), kind: kind, key: key, parts: parts, body: body}
 	g.mu.Unlock()
 	address, ok := g.resolve(first)
 	if !ok {
@@ -128,7 +133,7 @@
 		method = http.MethodGet
 	}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+paths[o.kind],
-		strings.NewReader("body of "+o.id))
+		strings.NewReader(cmp.Or(o.body, "body of "+o.id)))
 	if err != nil {
 		return
 	}
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -5,21 +5,23 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 )
 
-// The users' bounds for a part of prompts under which engines crash: from crashGrace after the crash number crashLimit, at most
-// crashSlack more requests with the part, of instances without a fault of their own; and from soundGrace after that crash,
-// sound requests begin half as often as before at least.
+// The users' bounds for a part of prompts under which engines crash, and for a request that crashes each backend server which runs it:
+// from crashGrace after the crash number crashLimit or requestCrashLimit, at most crashSlack more requests, of instances without a
+// fault of their own; and from soundGrace after that crash, sound requests begin half as often as before at least.
 const (
-	crashLimit = 5
-	crashGrace = 4 * time.Second
-	crashSlack = 3
-	soundGrace = 8 * time.Second
-	soundShare = 0.5
+	crashLimit        = 5
+	requestCrashLimit = 3
+	crashGrace        = 4 * time.Second
+	crashSlack        = 3
+	soundGrace        = 8 * time.Second
+	soundShare        = 0.5
 )
 
 const (
@@ -35,24 +37,25 @@
 	entryLifetime = 3 * time.Second
 )
 
-// crashPart is a part of prompts that crashes each engine which begins to answer one.
+// crashPart is a part of prompts, or the body of a request, that crashes each backend server which begins to answer one.
 type crashPart struct {
 	id       string
+	limit    int // the number of crashes from which few more requests may arrive
 	crashes  []time.Time
 	arrivals []arrival
 }
 
-// addCrashPart makes a part crash engines from now on.
-func (r *recorder) addCrashPart(id string) {
+// addCrashPart makes a part, or a body, crash backend servers from now on.
+func (r *recorder) addCrashPart(id string, limit int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashParts[id] = &crashPart{id: id}
+	r.crashParts[id] = &crashPart{id: id, limit: limit}
 }
 
-// recordCrashPart records the arrival of a request at an engine and returns the part of its prompt that crashes engines, or
-// nil. The lock must be held.
-func (r *recorder) recordCrashPart(request, prefix string) *crashPart {
-	for part := range strings.SplitSeq(prefix, ",") {
+// recordCrashPart records the arrival of a request at a backend server and returns the part of its prompt that crashes engines, or its
+// body if that crashes backend servers, or nil. The lock must be held.
+func (r *recorder) recordCrashPart(request, prefix, body string) *crashPart {
+	for part := range strings.SplitSeq(prefix+","+body, ",") {
 		id, _, _ := strings.Cut(part, ":")
 		if p := r.crashParts[id]; p != nil {
 			p.arrivals = append(p.arrivals, arrival{request, time.Now()})
@@ -62,10 +65,12 @@
 	return nil
 }
 
-// crashUnder ends the engine within the first event of an answer.
+// crashUnder ends the backend server when it begins to answer: an engine within the first event.
 func (b *backend) crashUnder(w http.ResponseWriter, part *crashPart) {
-	fmt.Fprint(w, "id: 1\nda")
-	_ = http.NewResponseController(w).Flush()
+	if b.isEngine {
+		fmt.Fprint(w, "id: 1\nda")
+		_ = http.NewResponseController(w).Flush()
+	}
 	b.recorder.mu.Lock()
 	part.crashes = append(part.crashes, time.Now())
 	b.recorder.mu.Unlock()
@@ -107,7 +112,24 @@
 			parts += fmt.Sprintf(",b%d:400", random.IntN(soundParts))
 		}
 		key, first := g.cluster.keys[random.IntN(len(g.cluster.keys))], random.IntN(len(g.cluster.instances))
-		group.Go(func() { g.sendRequest(kindStream, key, parts, 50, first) })
+		group.Go(func() { g.sendRequest(kindStream, key, parts, "", 50, first) })
+	}
+}
+
+// sendSame sends one request again and again, at any instance, until ctx ends. Its body crashes backend servers.
+func (g *loadGenerator) sendSame(ctx context.Context, random *rand.Rand, kind requestKind, body string, interval time.Duration) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	key := g.cluster.keys[random.IntN(len(g.cluster.keys))]
+	parts := fmt.Sprintf("%s,b%d:400", firstPart, random.IntN(soundParts))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(interval):
+		}
+		first := random.IntN(len(g.cluster.instances))
+		group.Go(func() { g.sendRequest(kind, key, parts, body, 50, first) })
 	}
 }
 
@@ -118,30 +140,32 @@
 		outcomes[o.id] = o
 	}
 	for id, part := range c.recorder.crashParts {
-		if len(part.crashes) < crashLimit {
-			t.Logf("part %s crashed %d engines", id, len(part.crashes))
+		if len(part.crashes) < part.limit {
+			t.Logf("%s crashed %d backend servers", id, len(part.crashes))
 			continue
 		}
-		from, more := part.crashes[crashLimit-1].Add(crashGrace), 0
+		from, more := part.crashes[part.limit-1].Add(crashGrace), 0
 		for _, a := range part.arrivals {
 			if a.at.After(from) && !c.disturbed(outcomes[a.request].address, a.at) {
 				more++
 			}
 		}
-		t.Logf("part %s crashed %d engines; %d requests reached one %v after the crash number %d", id, len(part.crashes), more,
-			crashGrace, crashLimit)
+		t.Logf("%s crashed %d backend servers; %d requests reached one %v after the crash number %d", id, len(part.crashes), more,
+			crashGrace, part.limit)
 		if more > crashSlack {
-			t.Errorf("%d requests with part %s reached engines %v after it had crashed %d, want at most %d", more, id, crashGrace,
-				crashLimit, crashSlack)
+			t.Errorf("%d requests with %s reached backend servers %v after it had crashed %d, want at most %d", more, id, crashGrace,
+				part.limit, crashSlack)
 		}
 	}
 }
 
-// soundShareServed returns the share of sound generations sent in a span that were served whole.
-func soundShareServed(load *loadGenerator, parts map[string]*crashPart, from, until time.Time) (share float64, sent int) {
+// soundShareServed returns the share of sound requests of the kinds sent in a span that were served whole.
+func soundShareServed(
+	load *loadGenerator, parts map[string]*crashPart, from, until time.Time, kinds ...requestKind,
+) (share float64, sent int) {
 	served := 0
 	for _, o := range load.outcomes {
-		if o.kind != kindStream || o.sentAt.Before(from) || o.sentAt.After(until) || hasCrashPart(o.parts, parts) {
+		if !slices.Contains(kinds, o.kind) || o.sentAt.Before(from) || o.sentAt.After(until) || hasCrashPart(o.marks(), parts) {
 			continue
 		}
 		sent++
@@ -175,7 +199,7 @@
 	began := time.Now()
 	time.Sleep(2 * time.Second)
 	crashing := time.Now()
-	c.recorder.addCrashPart("bad")
+	c.recorder.addCrashPart("bad", crashLimit)
 	group.Go(func() { load.sendCrashing(ctx, rand.New(rand.NewPCG(1, 3)), "bad", 300*time.Millisecond) })
 	time.Sleep(crashLimit*time.Second/2 + soundGrace + 4*time.Second)
 	stop()
@@ -190,10 +214,55 @@
 	if len(c.recorder.crashParts["bad"].crashes) == 0 {
 		t.Error("no engine crashed")
 	}
-	before, _ := soundShareServed(load, c.recorder.crashParts, began, crashing.Add(-time.Second))
-	after, sent := soundShareServed(load, c.recorder.crashParts, ended.Add(-4*time.Second), ended)
+	before, _ := soundShareServed(load, c.recorder.crashParts, began, crashing.Add(-time.Second), kindStream)
+	after, sent := soundShareServed(load, c.recorder.crashParts, ended.Add(-4*time.Second), ended, kindStream)
 	t.Logf("sound generations served whole: %.3f before, %.3f of %d in the last 4 s", before, after, sent)
 	if after < soundShare*before || sent == 0 {
 		t.Errorf("%.3f of the sound generations were served, %.3f before", after, before)
 	}
 }
+
+// TestRequestCrashesBackendServersInTurn guards against one request that ends each backend server which runs it, sent again and again
+// at any instance, and against sound requests that are refused because they ran on such a server.
+func TestRequestCrashesBackendServersInTurn(t *testing.T) {
+	tests := []struct {
+		name  string
+		kind  requestKind
+		sound []requestKind // of the same service
+	}{
+		{"lookup", kindLookup, []requestKind{kindLookup, kindCharge}},
+		{"charge", kindCharge, []requestKind{kindLookup, kindCharge}},
+		{"generation", kindStream, []requestKind{kindStream}},
+	}
+	binary := buildBinary(t)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			began := time.Now()
+			c, load, stop := startLoad(t, binary, *countFlag)
+			time.Sleep(time.Second)
+			crashing := time.Now()
+			body := "crash-" + test.name
+			c.recorder.addCrashPart(body, requestCrashLimit)
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second+soundGrace+4*time.Second)
+			defer cancel()
+			load.sendSame(ctx, rand.New(rand.NewPCG(1, 3)), test.kind, body, 300*time.Millisecond)
+			ended := time.Now()
+			stop()
+			c.recorder.mu.Lock()
+			defer c.recorder.mu.Unlock()
+			checkCrashParts(t, c, load)
+			for _, text := range c.recorder.violations {
+				t.Error(text)
+			}
+			if len(c.recorder.crashParts[body].crashes) == 0 {
+				t.Error("no backend server crashed")
+			}
+			before, _ := soundShareServed(load, c.recorder.crashParts, began, crashing.Add(-500*time.Millisecond), test.sound...)
+			after, sent := soundShareServed(load, c.recorder.crashParts, ended.Add(-4*time.Second), ended, test.sound...)
+			t.Logf("sound requests served whole: %.3f before, %.3f of %d in the last 4 s", before, after, sent)
+			if after < soundShare*before || sent == 0 {
+				t.Errorf("%.3f of the sound requests were served, %.3f before", after, before)
+			}
+		})
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -291,7 +291,7 @@
 	}},
 	{"prompts crash engines", func(c *cluster, random *rand.Rand) {
 		part := fmt.Sprintf("bad%x", random.Uint32())
-		c.recorder.addCrashPart(part)
+		c.recorder.addCrashPart(part, crashLimit)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1000+random.IntN(12000))*time.Millisecond)
 		defer cancel()
 		c.load.sendCrashing(ctx, random, part, time.Duration(200+random.IntN(800))*time.Millisecond)
@@ -311,6 +311,13 @@
 		time.Sleep(contactLimit + time.Duration(random.IntN(6000))*time.Millisecond)
 		end()
 	}},
+	{"a request crashes backend servers", func(c *cluster, random *rand.Rand) {
+		body := fmt.Sprintf("crash-%x", random.Uint32())
+		c.recorder.addCrashPart(body, requestCrashLimit)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1000+random.IntN(12000))*time.Millisecond)
+		defer cancel()
+		c.load.sendSame(ctx, random, requestKind(random.IntN(3)), body, time.Duration(200+random.IntN(800))*time.Millisecond)
+	}},
 	{"store returns from an older copy", func(c *cluster, random *rand.Rand) {
 		c.returnFromCopy(random, time.Duration(500+random.IntN(6000))*time.Millisecond)
 	}},
@@ -379,7 +386,7 @@
 			late++
 		}
 		c.checkRevoked(t, o, state)
-		if o.sentAt.After(measureStart) && c.revoked[o.key].IsZero() && !hasCrashPart(o.parts, c.recorder.crashParts) {
+		if o.sentAt.After(measureStart) && c.revoked[o.key].IsZero() && !hasCrashPart(o.marks(), c.recorder.crashParts) {
 			sent++
 			if o.status == http.StatusOK && o.complete {
 				served++
