hazard, relay, serve: keep requests that crash backend servers off the others

Cause: each arrival of the same request is a new one to the system, at each instance; only parts of prompts were compared. An arrival of a lookup was repeated after a crash and ended a second replica. The same identity at all instances rules out repeats of one arrival as the only cause; 60 requests a second rule out load. Change: an identity (method, host, path, caller, body, size and shared parts of a prompt) takes the place of a part in a second guard of package hazard. Another judgement: the company of a whole request may never come again, so the crashes since its last answer count. Whether a replica has ended is found by a connection, shared by all requests that broke off there, before a request is repeated; one that is in two crashes is not repeated. Its caller gets 502 when it ran, 503 with a delay when it did not. Why it works: all instances have the crashes within milliseconds; an answer clears at once, so accidents do not add up; what is in no crash costs nothing. TestResumableProperty wanted a stream to go on after any three breaks; with engines that have ended it has to stop after two now, and goes on as before where they live.

--- a/internal/hazard/crash.go
+++ b/internal/hazard/crash.go
@@ -117,6 +117,15 @@
 	return parts
 }
 
+// suspects reports whether a part is one of the candidates.
+func (c *Crash) suspects(part string) bool {
+	from := c.writing
+	if len(from) == 0 {
+		from = c.waiting
+	}
+	return from.has(part) && !c.cleared.has(part)
+}
+
 // concerns reports whether an answer on a version of the weights says something about the crash.
 func (c *Crash) concerns(version string) bool {
 	return c.version == "" || version == "" || c.version == version
--- a/internal/hazard/doc.go
+++ b/internal/hazard/doc.go
@@ -1,4 +1,4 @@
-// Package hazard keeps prompts that crash engines from ending one engine after the other.
+// Package hazard keeps requests that crash backend servers from ending one server after the other.
 //
 // A part of a prompt may crash each engine that begins to answer it. Such requests come at any instance, no two alike, and
 // share their caller and their other parts with sound ones. So the evidence is kept by part, and by all instances together:
@@ -11,6 +11,11 @@
 //   - A request with a part that is left of so many crashes beside others is an experiment. It may show that the part is
 //     sound, so one at a time runs, by a permit of the part's home. So may one request, long after the last crash.
 //
+// A whole request may do the same: it comes again with the same method, path, caller and body. Another guard holds its identity in the
+// place of parts. Identities differ in what their company tells: requests that ran beside the cause may never come again, so that no
+// answer clears them. Table.CheckRequest counts the crashes of an identity since it was last answered instead: from minCrashes on it
+// is refused, and is an experiment while another one was there each time. Nothing is remembered of requests that are in no crash.
+//
 // Crashes only grow by merging: parts are added and cleared, never taken back. Any order of messages gives the same table.
 // An instance that starts asks another one for its table. Tables are bounded: the oldest crashes and clearings yield.
 //
@@ -25,5 +30,5 @@
 //	// After the first events of the answer:
 //	guard.Begun(parts, version)
 //	// If the engine breaks off before:
-//	guard.Broke(backend, parts, version, writing)
+//	guard.Broke(hazard.NewReport(backend, startedAtMillis, version, writing, parts))
 package hazard
--- a/internal/hazard/guard.go
+++ b/internal/hazard/guard.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 
 	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
@@ -28,6 +29,12 @@
 	noHomeDelay = time.Second
 )
 
+// Client calls the peer service of another instance.
+type Client interface {
+	Exchange(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error)
+	Experiment(ctx context.Context, req *peerpb.ExperimentRequest) (*peerpb.ExperimentResponse, error)
+}
+
 // Options configures a Guard. All fields are required.
 type Options struct {
 	// Self is the name of this instance.
@@ -36,8 +43,13 @@
 	Homes func(part string) []pond.Instance
 	// Peers returns the instances that share their crashes.
 	Peers func() []pond.Instance
-	// Connect returns a drpc connection to a peer address.
+	// Connect returns a drpc connection to a peer address, and Client the client of the peer service on it.
 	Connect func(peerAddress string) drpc.Conn
+	Client  func(conn drpc.Conn) Client
+	// Judge decides about a request by the crashes that are known.
+	Judge Judge
+	// RemembersSound is true if parts that were found sound are not suspected in later crashes. It is false for what hardly comes twice.
+	RemembersSound bool
 	// Ended reports whether an engine that broke a request off has ended. It may take some time.
 	Ended func(ctx context.Context, engine string) bool
 	// Clock includes the time for which the machine was suspended.
@@ -57,7 +69,9 @@
 }
 
 // NewGuard returns a guard that knows no crash.
-func NewGuard(options Options) *Guard { return &Guard{options: options, table: NewTable()} }
+func NewGuard(options Options) *Guard {
+	return &Guard{options: options, table: NewTable(options.RemembersSound)}
+}
 
 // Admission is the decision about one generation.
 type Admission struct {
@@ -94,7 +108,7 @@
 func (g *Guard) Check(parts []string) Decision {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Check(parts, g.options.Clock())
+	return g.options.Judge(g.table, parts, g.options.Clock())
 }
 
 // Sound reports whether answers with each of the parts have begun.
@@ -123,18 +137,29 @@
 
 // Broke records that an engine broke off a request that it had hardly begun to answer, if the engine has ended.
 func (g *Guard) Broke(r Report) {
-	if len(r.parts) == 0 || g.options.Disabled {
-		return
-	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), experimentTime)
 		defer cancel()
-		if g.options.Ended(ctx, r.engine.id) {
-			g.record(r)
-		}
+		g.Settle(ctx, r)
 	}()
 }
 
+// Settle records the same as Broke and returns when it is known here whether the engine has ended.
+func (g *Guard) Settle(ctx context.Context, r Report) (ended bool) {
+	if len(r.parts) == 0 || g.options.Disabled || !g.options.Ended(ctx, r.engine.id) {
+		return false
+	}
+	g.record(r)
+	return true
+}
+
+// Suspected reports whether one more crash would keep a part off engines.
+func (g *Guard) Suspected(part string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.table.suspectedIn(part)) >= minCrashes-1
+}
+
 func (g *Guard) record(r Report) {
 	g.mu.Lock()
 	now := g.options.Clock()
@@ -147,8 +172,8 @@
 	g.options.Log.WithFields(logrus.Fields{
 		logs.Event: "engineCrashed", logs.Backend: r.engine.id, logs.Parts: r.parts, logs.WeightsVersion: r.version,
 		"writing": r.writing, "candidates": candidates,
-	}).Warn("an engine ended when it began to answer a request")
-	g.push(messages)
+	}).Warn("a backend server ended when it began to answer a request")
+	go g.push(messages)
 }
 
 // Run exchanges crashes with the other instances in turn until ctx ends. An instance that starts asks several at once, because
--- a/internal/hazard/guard_test.go
+++ b/internal/hazard/guard_test.go
@@ -77,6 +77,8 @@
 		Homes:   n.homes,
 		Peers:   n.Instances,
 		Connect: n.connect,
+		Client:  func(conn drpc.Conn) Client { return peerpb.NewDRPCHazardsClient(conn) },
+		Judge:   (*Table).Check, RemembersSound: true,
 		Ended: func(_ context.Context, engine string) bool {
 			n.fleet.mu.Lock()
 			defer n.fleet.mu.Unlock()
--- a/internal/hazard/peers.go
+++ b/internal/hazard/peers.go
@@ -28,7 +28,10 @@
 	maxHomes = 2
 )
 
-var _ peerpb.DRPCHazardsServer = (*Server)(nil)
+var (
+	_ peerpb.DRPCHazardsServer        = (*Server)(nil)
+	_ peerpb.DRPCRequestHazardsServer = (*Server)(nil)
+)
 
 // Server answers the calls of other instances.
 type Server struct{ guard *Guard }
@@ -36,7 +39,7 @@
 // NewServer returns the peer service of a guard.
 func NewServer(guard *Guard) *Server { return &Server{guard: guard} }
 
-// Exchange implements peerpb.DRPCHazardsServer.
+// Exchange implements peerpb.DRPCHazardsServer and peerpb.DRPCRequestHazardsServer.
 func (s *Server) Exchange(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
 	merged := s.guard.merge(req.GetCrashes())
 	if req.GetAll() {
@@ -45,7 +48,7 @@
 	return &peerpb.ExchangeResponse{Crashes: merged}, nil
 }
 
-// Experiment implements peerpb.DRPCHazardsServer.
+// Experiment implements peerpb.DRPCHazardsServer and peerpb.DRPCRequestHazardsServer.
 func (s *Server) Experiment(_ context.Context, req *peerpb.ExperimentRequest) (*peerpb.ExperimentResponse, error) {
 	permitted, retryAt := s.guard.experiment(req.GetParts())
 	resp := &peerpb.ExperimentResponse{Permitted: permitted}
@@ -85,7 +88,7 @@
 	defer cancel()
 	conn := g.options.Connect(home.PeerAddress())
 	defer conn.Close()
-	return peerpb.NewDRPCHazardsClient(conn).Experiment(ctx, &peerpb.ExperimentRequest{Parts: parts})
+	return g.options.Client(conn).Experiment(ctx, &peerpb.ExperimentRequest{Parts: parts})
 }
 
 // push tells all instances about crashes. What they have cleared meanwhile is told to all again.
@@ -128,7 +131,7 @@
 	defer cancel()
 	conn := g.options.Connect(address)
 	defer conn.Close()
-	resp, err := peerpb.NewDRPCHazardsClient(conn).Exchange(ctx, &peerpb.ExchangeRequest{Crashes: crashes, All: all})
+	resp, err := g.options.Client(conn).Exchange(ctx, &peerpb.ExchangeRequest{Crashes: crashes, All: all})
 	if err != nil {
 		return err
 	}
--- a/internal/hazard/table.go
+++ b/internal/hazard/table.go
@@ -29,6 +29,9 @@
 	// experimentTime bounds the time of an experiment until its answer begins or its engine ends.
 	experimentTime = 3 * time.Second
 
+	// maxExperiments bounds the experiments with a whole request under which backend servers crash.
+	maxExperiments = 2
+
 	// maxRefusalDelay bounds the time after which a refused caller may return. Until then, the part may have been found sound.
 	maxRefusalDelay = 30 * time.Second
 )
@@ -71,19 +74,25 @@
 // Table holds what one instance knows about crashes and sound parts. It is not safe for concurrent use.
 type Table struct {
 	crashes map[engineStart]*Crash
-	// sound holds when an answer with a part began last, by version of the weights and with the version "" for any.
+	// sound holds when an answer with a part began last, by version of the weights and with the version "" for any; nil if that is
+	// not remembered.
 	sound *lru.Cache[soundKey, time.Time]
 	// experiments holds until when an experiment with a part may run, by permits of this instance.
 	experiments map[string]time.Time
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
+// NewTable returns an empty table. remembersSound is true if sound parts are not suspected in later crashes.
+func NewTable(remembersSound bool) *Table {
+	t := &Table{crashes: make(map[engineStart]*Crash), experiments: make(map[string]time.Time)}
+	if !remembersSound {
+		return t
+	}
 	sound, err := lru.New[soundKey, time.Time](maxSound)
 	if err != nil {
 		panic(err) // Only for a size that is not positive.
 	}
-	return &Table{crashes: make(map[engineStart]*Crash), sound: sound, experiments: make(map[string]time.Time)}
+	t.sound = sound
+	return t
 }
 
 // Record adds a report and returns the crash, and whether the table has changed.
@@ -108,7 +117,7 @@
 	return known, changed
 }
 
-// evict drops the crashes that are forgotten and, if there are too many, the oldest one.
+// evict drops the crashes that are forgotten and, if there are too many, the one that was used least recently.
 func (t *Table) evict(now time.Time) {
 	var oldest *Crash
 	for engine, c := range t.crashes {
@@ -116,7 +125,7 @@
 			delete(t.crashes, engine)
 			continue
 		}
-		if oldest == nil || c.at.Before(oldest.at) {
+		if oldest == nil || c.usedAt.Before(oldest.usedAt) {
 			oldest = c
 		}
 	}
@@ -128,12 +137,7 @@
 // Clear records that an answer to a prompt with the parts has begun, on a version of the weights. It returns the crashes in
 // which that clears a part.
 func (t *Table) Clear(parts []string, version string, now time.Time) []*Crash {
-	for _, part := range parts {
-		t.sound.Add(soundKey{part, ""}, now)
-		if version != "" {
-			t.sound.Add(soundKey{part, version}, now)
-		}
-	}
+	t.rememberSound(parts, version, now)
 	var changed []*Crash
 	for _, c := range t.crashes {
 		for _, part := range parts {
@@ -148,7 +152,22 @@
 	return changed
 }
 
+func (t *Table) rememberSound(parts []string, version string, now time.Time) {
+	if t.sound == nil {
+		return
+	}
+	for _, part := range parts {
+		t.sound.Add(soundKey{part, ""}, now)
+		if version != "" {
+			t.sound.Add(soundKey{part, version}, now)
+		}
+	}
+}
+
 func (t *Table) isSound(part, version string, now time.Time) bool {
+	if t.sound == nil {
+		return false
+	}
 	at, ok := t.sound.Peek(soundKey{part, version})
 	return ok && now.Sub(at) <= retention
 }
@@ -163,6 +182,14 @@
 	return true
 }
 
+// Judge decides about a request.
+type Judge func(t *Table, parts []string, now time.Time) Decision
+
+var (
+	_ Judge = (*Table).Check
+	_ Judge = (*Table).CheckRequest
+)
+
 // Check decides about a request whose prompt has the parts.
 func (t *Table) Check(parts []string, now time.Time) Decision {
 	if len(t.crashes) == 0 || len(parts) == 0 {
@@ -196,6 +223,47 @@
 	return t.suspect(own, certain, uncertain, convictions, now)
 }
 
+// CheckRequest decides about a request with one identity that other requests hardly have. Those that ran beside it in a crash may
+// never come again and so never be cleared, so what counts is the number of crashes since it was last answered. If another request
+// ran beside it in each of them, either may be the cause, and one at a time runs as an experiment, maxExperiments times.
+func (t *Table) CheckRequest(identity []string, now time.Time) Decision {
+	if len(t.crashes) == 0 || len(identity) != 1 {
+		return Decision{}
+	}
+	crashes := t.suspectedIn(identity[0])
+	if len(crashes) < minCrashes {
+		return Decision{}
+	}
+	if len(crashes) < minCrashes+maxExperiments && companyIn(crashes) {
+		return Decision{verdict: VerdictExperiment, parts: identity, crashes: len(crashes), retryAt: now.Add(experimentTime)}
+	}
+	d := t.refuse(crashes, now)
+	d.parts = identity
+	return d
+}
+
+// suspectedIn returns the crashes that a part may have caused.
+func (t *Table) suspectedIn(part string) []*Crash {
+	var crashes []*Crash
+	for _, c := range t.crashes {
+		if c.suspects(part) {
+			crashes = append(crashes, c)
+		}
+	}
+	return crashes
+}
+
+// companyIn reports whether the crashes have more than one candidate in common.
+func companyIn(crashes []*Crash) bool {
+	common := 0
+	for _, part := range crashes[0].candidates() {
+		if !slices.ContainsFunc(crashes[1:], func(c *Crash) bool { return !c.suspects(part) }) {
+			common++
+		}
+	}
+	return common > 1
+}
+
 // refuse decides about a request that has the cause of several crashes.
 func (t *Table) refuse(certain []*Crash, now time.Time) Decision {
 	d := Decision{verdict: VerdictRefuse, crashes: len(certain)}
--- a/internal/hazard/table_test.go
+++ b/internal/hazard/table_test.go
@@ -99,7 +99,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			table := NewTable()
+			table := NewTable(true)
 			test.prepare(table)
 			d := table.Check(test.parts, start)
 			if d.Verdict() != test.wantVerdict || !slices.Equal(d.Parts(), test.wantParts) {
@@ -112,7 +112,7 @@
 // TestForgetting guards against a part that is refused for ever, and against one that crashes engines again and again
 // because it is forgotten while requests with it come.
 func TestForgetting(t *testing.T) {
-	table := NewTable()
+	table := NewTable(true)
 	for i := range minCrashes {
 		crashWith(table, i, "", "bad")
 	}
@@ -140,7 +140,7 @@
 
 // TestExperimentOneAtATime guards against several experiments with a part at once, and one that never ends.
 func TestExperimentOneAtATime(t *testing.T) {
-	table := NewTable()
+	table := NewTable(true)
 	if ok, _ := table.Experiment([]string{"a", "b"}, start); !ok {
 		t.Fatal("the first experiment is not permitted")
 	}
@@ -158,7 +158,7 @@
 
 // TestTableBounds guards against a table that a caller fills who sends no two prompts alike.
 func TestTableBounds(t *testing.T) {
-	table := NewTable()
+	table := NewTable(true)
 	for i := range 10 * maxCrashes {
 		var parts []string
 		for j := range 10 * maxParts {
@@ -191,7 +191,7 @@
 			c.clear(rapid.SliceOfN(rapid.SampledFrom(names), 0, 2).Draw(t, fmt.Sprint("cleared", i)))
 			reports = append(reports, c)
 		}
-		tables := []*Table{NewTable(), NewTable()}
+		tables := []*Table{NewTable(true), NewTable(true)}
 		for _, table := range tables {
 			order := rapid.Permutation(append(slices.Clone(reports), reports...)).Draw(t, "order")
 			for _, c := range order {
@@ -211,7 +211,7 @@
 // a sound request that is refused and a cause that goes on.
 func TestOnlyTheCauseIsRefused(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table, now := NewTable(), start
+		table, now := NewTable(true), start
 		sound := []string{"a", "b", "c", "d", "e", "f"}
 		crashes, engine := 0, 0
 		for i := range rapid.IntRange(20, 200).Draw(t, "requests") {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -67,11 +67,14 @@
 func (x *exchange) forward(ctx context.Context) {
 	var tried []string
 	var last *attempt
-	runs := 0
+	runs, unsafe := 0, false
 	for attemptNumber := 1; attemptNumber <= maxAttempts; attemptNumber++ {
 		if !x.keyStillValid() {
 			break
 		}
+		if unsafe = !x.admitRequest(ctx); unsafe {
+			break
+		}
 		backend, ok := x.nextReplica(ctx, tried, runs)
 		if !ok {
 			break
@@ -82,6 +85,9 @@
 		}
 		tried = append(tried, backend.ID)
 		a := x.tryReplica(ctx, backend, attemptNumber, runs)
+		if a.err == nil {
+			x.recordAnswered(a.weightsVersion)
+		}
 		if a.ok() {
 			a.onBroken = func() { x.relay.replicas.suspect(backend.ID, time.Now()) }
 			x.writeResponse(a)
@@ -93,12 +99,17 @@
 		if !a.notRun {
 			runs++
 			last = preferred(last, &a)
+			x.settleBreak(ctx, backend, a)
 		}
 		x.unreached = errors.Is(a.err, reach.ErrIsolated)
 		if ctx.Err() != nil || x.unreached || !x.canRetry(a, runs) {
 			break
 		}
 	}
+	if unsafe && runs == 0 {
+		x.refuseUnsafe()
+		return
+	}
 	x.respondFailure(ctx, last, runs)
 }
 
@@ -118,7 +129,7 @@
 	if a.notRun {
 		return true
 	}
-	return x.route.Kind == route.KindIdempotent && runs < x.route.MaxAttempts
+	return x.route.Kind == route.KindIdempotent && runs < x.route.MaxAttempts && !x.suspected()
 }
 
 // respondFailure responds after the last attempt has failed.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -61,7 +61,7 @@
 		return
 	}
 	if !x.admitPrompt(ctx) {
-		x.refusePrompt()
+		x.refuseUnsafe()
 		return
 	}
 	run, respond := x.startRun(ctx)
@@ -82,7 +82,7 @@
 
 // mayRunAgain reports whether another engine may run the generation after one that may have run it.
 func (x *exchange) mayRunAgain(ctx context.Context) bool {
-	safe := !x.run.crashed || x.relay.options.Hazards.Sound(x.sharedParts())
+	safe := !x.run.crashed || x.relay.options.Hazards.Sound(x.sharedParts()) && !x.suspected()
 	return ctx.Err() == nil && x.body.Replayable() && x.run.sent < maxAttempts && x.run.runs < x.maxRuns() && safe
 }
 
@@ -139,7 +139,7 @@
 		placement.Done(pond.PlacementEnd{BackendFailed: !a.notRun || r.options.Blames(backend.Address)}, time.Now())
 		x.logAttempt(name, x.run.sent, a)
 		if a.err != nil && !a.notRun && ctx.Err() == nil && mayBeCrash(a.err) {
-			x.recordBreak(backend, a, false)
+			x.recordBreak(ctx, backend, a, false)
 		}
 		if a.leaving {
 			r.options.Fleet.MarkLeaving(name)
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -27,6 +27,9 @@
 // admitPrompt reports whether the generation may be sent to an engine. It is called again directly before the send, because
 // the request may have waited.
 func (x *exchange) admitPrompt(ctx context.Context) bool {
+	if !x.admitRequest(ctx) {
+		return false
+	}
 	if x.run.experiment {
 		return true
 	}
@@ -47,19 +50,19 @@
 	return false
 }
 
-// refusePrompt refuses a generation that has not run.
-func (x *exchange) refusePrompt() {
+// refuseUnsafe refuses a request that has not run, because backend servers crashed under it or under a part of its prompt.
+func (x *exchange) refuseUnsafe() {
 	x.refuse(pond.ReasonUnsafePrompt, max(x.permitAt.Sub(x.relay.options.Clock()), shortRetryDelay),
-		"engines crashed under a part of the prompt")
+		"backend servers crashed under the request or a part of its prompt")
 }
 
 // givePromptUp responds to a generation that is not admitted any more.
 func (x *exchange) givePromptUp() {
 	if x.run.runs == 0 {
-		x.refusePrompt()
+		x.refuseUnsafe()
 		return
 	}
-	x.fail(http.StatusBadGateway, pond.ReasonUnsafePrompt, "engines crashed under a part of the prompt")
+	x.fail(http.StatusBadGateway, pond.ReasonUnsafePrompt, "backend servers crashed under the request or a part of its prompt")
 }
 
 // mayBeCrash reports whether an error of an answer may come from the end of its engine. Answers that are spoiled, or that this
@@ -70,18 +73,20 @@
 
 // recordBreak records that an engine broke off a generation that it had hardly begun to answer. writing is true if the head
 // of the answer had come. An engine that is known to leave ends for that reason.
-func (x *exchange) recordBreak(backend route.Backend, a attempt, writing bool) {
+func (x *exchange) recordBreak(ctx context.Context, backend route.Backend, a attempt, writing bool) {
 	if _, leaving := x.relay.options.Fleet.LeavingSince(backend.ID); leaving {
 		return
 	}
 	x.run.crashed = true
 	x.relay.options.Hazards.Broke(
 		hazard.NewReport(backend.ID, backend.StartedAtMillis, a.weightsVersion, writing, x.sharedParts()))
+	x.recordRequestBreak(ctx, backend, a, writing, x.maxRuns() > 1)
 }
 
 // recordBegun records that an engine answers the prompt without harm.
 func (s *stream) recordBegun() {
 	s.x.relay.options.Hazards.Begun(s.x.sharedParts(), s.attempt.weightsVersion)
+	s.x.recordAnswered(s.attempt.weightsVersion)
 }
 
 // hardlyBegun reports whether the current engine has sent fewer events than show that the prompt does no harm.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,6 +61,8 @@
 	Budget  *RetryBudget
 	Limits  *quota.Gate
 	Hazards *hazard.Guard
+	// Requests is the guard against whole requests that crash backend servers; its parts are identities.
+	Requests *hazard.Guard
 	// Instances returns the number of instances in the fleet.
 	Instances func() int
 	// Instance is the name of this instance, and DataCentre its data centre.
@@ -143,6 +145,8 @@
 	// one of them may.
 	denied   []string
 	permitAt time.Time
+	// experiment is true if a request without a stream is permitted to show whether it crashes backend servers.
+	experiment bool
 	// unreached is true if the last attempt failed because no backend server can be reached.
 	unreached bool
 	// stream is the response stream of a generation; nil without one.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -164,13 +164,15 @@
 	})
 }
 
-// newTestGuard returns a guard of the only instance, for which every engine that breaks a request off has ended.
-func newTestGuard() *hazard.Guard {
+// newTestGuard returns a guard of the only instance, for which every backend server that breaks a request off has ended.
+func newTestGuard(judge hazard.Judge) *hazard.Guard { return newTestGuardOf(judge, true) }
+
+func newTestGuardOf(judge hazard.Judge, ended bool) *hazard.Guard {
 	self := pond.NewInstance(pond.InstanceRef{ID: "self"}, pond.InstanceLive, "", "", "north-a", "north")
 	return hazard.NewGuard(hazard.Options{
 		Self: "self", Homes: func(string) []pond.Instance { return []pond.Instance{self} },
-		Peers: func() []pond.Instance { return nil }, Ended: func(context.Context, string) bool { return true },
-		Clock: time.Now, Log: quietLog(),
+		Peers: func() []pond.Instance { return nil }, Ended: func(context.Context, string) bool { return ended },
+		Clock: time.Now, Log: quietLog(), Judge: judge, RemembersSound: true,
 	})
 }
 
@@ -206,7 +208,8 @@
 		Blames:    func(string) bool { return true },
 		Budget:    NewRetryBudget(0.2, 50, 10*time.Second),
 		Limits:    newTestGate(),
-		Hazards:   newTestGuard(),
+		Hazards:   newTestGuard((*hazard.Table).Check),
+		Requests:  newTestGuard((*hazard.Table).CheckRequest),
 		Instances: func() int { return 1 }, DataCentre: "north-a", KeyLease: func() time.Duration { return 5 * time.Second },
 		ConfirmedAt: func() time.Time { return bed.confirmedAt }, Clock: time.Now,
 		Metrics: metric.NewRequests(metric.New()), Traffic: metric.NewTraffic(metric.New()), Log: quietLog(),
@@ -359,6 +362,7 @@
 type fakePlacer struct {
 	moves    chan pond.Move
 	spread   bool
+	next     int // number of the backend server for the next generations
 	urgent   bool
 	placed   int
 	mu       sync.Mutex
@@ -379,7 +383,7 @@
 	if p.spread {
 		return fmt.Sprint("b", p.placed-1), ""
 	}
-	return "b0", ""
+	return fmt.Sprint("b", p.next), ""
 }
 
 func (p *fakePlacer) Progress(int, time.Time) {}
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/dragonflypond/dragonflypond/internal/feed"
+	"github.com/dragonflypond/dragonflypond/internal/hazard"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -153,7 +154,7 @@
 }
 
 // TestResumableProperty guards against events that are lost, repeated or out of order in any sequence of breaks, moves
-// and restarts.
+// and restarts, and against a stream that goes on although two engines in a row have ended when they had hardly begun it.
 func TestResumableProperty(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		moveAt := rapid.IntRange(0, 2).Draw(rt, "event after which the first engine is left by a move; 0 for no move")
@@ -162,6 +163,7 @@
 			maxBreaks = 2 // The target of the move gets a second request, because the fake placer ignores Avoid.
 		}
 		breaks := rapid.SliceOfN(rapid.IntRange(0, 3), 0, maxBreaks).Draw(rt, "events before each break")
+		ended := rapid.Bool().Draw(rt, "engines that break off have ended")
 		position := rapid.IntRange(0, streamEvents-1).Draw(rt, "caller's position")
 		var backends []*fakeBackend
 		for _, events := range breaks {
@@ -184,6 +186,7 @@
 		}
 		bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, backends...)
 		bed.placer.spread = true
+		bed.relay.options.Requests = newTestGuardOf((*hazard.Table).CheckRequest, ended)
 		bed.setResumable(5*time.Second, 4)
 		bed.copier.onLast = func() { close(stopped) }
 		if moveAt > 0 {
@@ -197,12 +200,42 @@
 			caller = strconv.Itoa(position)
 		}
 		status, body := bed.postAt(t, "key", caller)
+		if ended && endedInARow(breaks, moveAt, streamEvents-position) >= 2 {
+			if status == http.StatusOK {
+				rt.Fatalf("response %d %q after two engines have ended in a row", status, body)
+			}
+			return
+		}
 		if want := eventsFrom(position + 1); status != http.StatusOK || body != want {
 			rt.Fatalf("response %d %q, want %q", status, body, want)
 		}
 	})
 }
 
+// endedInARow returns the greatest number of engines that have broken off since one has begun to answer. breaks holds the events before
+// each break, left those that the caller lacks. The target of a move gets a second request.
+func endedInARow(breaks []int, moveAt, left int) int {
+	greatest, suspects := 0, make(map[int]bool)
+	left -= min(moveAt, left)
+	visit := func(engine int) {
+		events := min(breaks[engine], left)
+		left -= events
+		if events >= begunEvents {
+			clear(suspects)
+			return
+		}
+		suspects[engine] = true
+		greatest = max(greatest, len(suspects))
+	}
+	for engine := range breaks {
+		if engine == 0 && moveAt > 0 {
+			visit(engine)
+		}
+		visit(engine)
+	}
+	return greatest
+}
+
 func init() {
 	for name, value := range map[string]string{"rapid.seed": "19", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -131,7 +131,7 @@
 		}
 		end.BackendFailed = ctx.Err() == nil && !callerLeft
 		if end.BackendFailed && s.hardlyBegun() && mayBeCrash(err) {
-			s.x.recordBreak(s.currentBackend(), s.attempt, true)
+			s.x.recordBreak(ctx, s.currentBackend(), s.attempt, true)
 		}
 		if end.BackendFailed && s.restart(ctx, err) {
 			continue
--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
@@ -39,6 +40,9 @@
 	maxEndedAttempts = 4
 	endedRetryDelay  = 200 * time.Millisecond
 
+	// maxEndedTime bounds all questions to a backend server that may have ended.
+	maxEndedTime = 3 * time.Second
+
 	// maxSuspects bounds the failed engines that wait for their first question. More are ignored until they fail again.
 	maxSuspects = 256
 )
@@ -61,6 +65,8 @@
 	mu     sync.Mutex
 	asking map[string]bool // suspects that are being asked
 	group  sync.WaitGroup
+	// endings holds the questions whether backend servers have ended.
+	endings singleflight.Group
 }
 
 func newEngineChecker(instance *Instance) *engineChecker {
@@ -128,15 +134,33 @@
 	return err
 }
 
-// ended reports whether an engine that broke a request off has ended: it does not answer any more. If that is not known after
-// some questions, it is taken for alive. When several engines end at once, an instance doubts its own way to them for a moment.
+// ended reports whether a backend server that broke a request off has ended: it does not answer any more. If that is not known after
+// some questions, it is taken for alive. When several end at once, an instance doubts its own way to them for a moment. All requests that
+// a backend server broke off share the questions.
 func (c *engineChecker) ended(ctx context.Context, id string) bool {
+	result := c.endings.DoChan(id, func() (any, error) { return c.askEnded(id), nil })
+	select {
+	case <-ctx.Done():
+		return false
+	case r := <-result:
+		ended, ok := r.Val.(bool)
+		return ok && ended
+	}
+}
+
+func (c *engineChecker) askEnded(id string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), maxEndedTime)
+	defer cancel()
 	backend, ok := c.instance.fleet.Backend(id)
 	if !ok {
 		return true
 	}
+	ask := c.ask
+	if c.instance.slots(id) > 0 {
+		ask = c.connect
+	}
 	for attempt := 1; ; attempt++ {
-		err := c.ask(ctx, backend)
+		err := ask(ctx, backend)
 		if !errors.Is(err, errUnknown) {
 			return err != nil
 		}
@@ -147,6 +171,21 @@
 	}
 }
 
+// connect connects to a replica, which reports nothing about itself. It takes no place there, and a limit does not count it. It returns
+// errUnknown if the failure may be this instance's own.
+func (c *engineChecker) connect(ctx context.Context, backend route.Backend) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	conn, err := c.instance.dialer.DialContext(ctx, "tcp", backend.Address)
+	if err == nil {
+		return conn.Close()
+	}
+	if !c.blames(backend.Address) {
+		return errors.Wrap(errUnknown, err.Error())
+	}
+	return err
+}
+
 // Cancel does nothing: an engine ends a generation by itself when the connection is closed.
 func (*engineChecker) Cancel(context.Context, string, string) error { return errNoLoadReport }
 
--- a/internal/serve/enginecheck_test.go
+++ b/internal/serve/enginecheck_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -267,3 +268,23 @@
 		}
 	})
 }
+
+// TestReplicaEnded guards against a replica that is taken for ended because it broke a request off, and against one that has ended and is
+// taken for alive because it cannot be asked for its state.
+func TestReplicaEnded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	checker := newEngineChecker(newCheckedInstance(&scriptedEngines{}, clock.Now()))
+	replica := route.Backend{ID: "r1", Address: listener.Addr().String()}
+	if err := checker.connect(t.Context(), replica); err != nil {
+		t.Errorf("a replica that accepts connections has ended: %v", err)
+	}
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := checker.connect(t.Context(), replica); err == nil || errors.Is(err, errUnknown) {
+		t.Errorf("a replica that refuses connections: %v, want another error than errUnknown", err)
+	}
+}
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -73,11 +73,13 @@
 	checker *engineChecker
 	limits  *quota.Gate
 	hazards *hazard.Guard
-	relay   *relay.Relay
-	metrics *metric.Metrics
-	traffic *metric.Traffic
-	peers   *peer.Server
-	front   *frontServer
+	// requestHazards is the guard against whole requests that crash backend servers.
+	requestHazards *hazard.Guard
+	relay          *relay.Relay
+	metrics        *metric.Metrics
+	traffic        *metric.Traffic
+	peers          *peer.Server
+	front          *frontServer
 
 	startedAt time.Time
 	// firstSeedIndex is the index of the seed that is tried first.
@@ -252,16 +254,14 @@
 		BalanceRegions:  !i.flags.disabled.Has(pond.MechanismRegionBalance),
 		Disabled:        i.flags.disabled,
 	})
-	i.hazards = hazard.NewGuard(hazard.Options{
-		Self:    pond.InstanceID(i.settings.Instance),
-		Homes:   func(part string) []pond.Instance { return member.Rank(i.members, "hazard/"+part) },
-		Peers:   i.livePeers,
-		Connect: i.network.Conn,
-		Ended:   i.checker.ended,
-		Clock:   clock.Now,
-		Log:     i.log,
-
-		Disabled: i.flags.disabled.Has(pond.MechanismHazards),
+	i.hazards = i.newGuard("hazard/", hazard.Options{
+		Client:         func(conn drpc.Conn) hazard.Client { return peerpb.NewDRPCHazardsClient(conn) },
+		Judge:          (*hazard.Table).Check,
+		RemembersSound: true,
+	})
+	i.requestHazards = i.newGuard("request/", hazard.Options{
+		Client: func(conn drpc.Conn) hazard.Client { return peerpb.NewDRPCRequestHazardsClient(conn) },
+		Judge:  (*hazard.Table).CheckRequest,
 	})
 	i.fleet.OnChange(i.placer.Refresh)
 	i.relay = relay.New(relay.Options{
@@ -273,6 +273,7 @@
 		Blames:      i.dialer.Blames,
 		Limits:      i.limits,
 		Hazards:     i.hazards,
+		Requests:    i.requestHazards,
 		Budget:      relay.NewRetryBudget(i.settings.RetryRatio, i.settings.RetrySlack, i.settings.RetryWindow),
 		Instances:   func() int { return len(i.members.Instances()) },
 		Instance:    i.settings.Instance,
@@ -287,6 +288,19 @@
 	})
 }
 
+// newGuard returns a guard with the options of this instance. The homes of experiments are ranked by rankKey and the part.
+func (i *Instance) newGuard(rankKey string, options hazard.Options) *hazard.Guard {
+	options.Self = pond.InstanceID(i.settings.Instance)
+	options.Homes = func(part string) []pond.Instance { return member.Rank(i.members, rankKey+part) }
+	options.Peers = i.livePeers
+	options.Connect = i.network.Conn
+	options.Ended = i.checker.ended
+	options.Clock = clock.Now
+	options.Log = i.log
+	options.Disabled = i.flags.disabled.Has(pond.MechanismHazards)
+	return hazard.NewGuard(options)
+}
+
 // limitHomes ranks the instances that may count the requests to a backend server. Those in its region come first, so that
 // a region that loses the others goes on.
 func (i *Instance) limitHomes(backend string) []pond.Instance {
@@ -359,6 +373,9 @@
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterLimits(mux, quota.NewServer(i.limits)) },
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterTunnels(mux, i.tunnels) },
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterHazards(mux, hazard.NewServer(i.hazards)) },
+		func(mux drpc.Mux) error {
+			return peerpb.DRPCRegisterRequestHazards(mux, hazard.NewServer(i.requestHazards))
+		},
 		i.members.Register,
 		func(mux drpc.Mux) error { return peerpb.DRPCRegisterScheduling(mux, i.placer) },
 		func(mux drpc.Mux) error {
@@ -404,6 +421,7 @@
 	group.Go(func() error { return i.placer.Run(ctx) })
 	group.Go(func() error { return i.checker.run(ctx) })
 	group.Go(func() error { return i.hazards.Run(ctx) })
+	group.Go(func() error { return i.requestHazards.Run(ctx) })
 	group.Go(func() error { return i.peers.Serve(ctx, i.sockets.peer) })
 	group.Go(i.front.acceptLoop)
 	for _, server := range i.auxServers() {
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -25,6 +25,7 @@
 	reservedTokens, usableTokens   int
 	droppedLogLines                int64
 	engineCrashes, unreached       int
+	requestCrashes                 int
 	carriedTunnels                 int
 	sentBytes, receivedBytes       uint64
 }
@@ -63,6 +64,8 @@
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.usableTokens) }},
 	{Name: "engine_crashes", Help: "Crashes of engines under requests that this instance remembers.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.engineCrashes) }},
+	{Name: "request_crashes", Help: "Crashes of backend servers under whole requests that this instance remembers.",
+		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.requestCrashes) }},
 	{Name: "backends_unreached", Help: "Backend servers at which connections of this instance failed since one was reached.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.unreached) }},
 	{Name: "tunnels_carried", Help: "Connections to backend servers that this instance carries for others.",
@@ -94,6 +97,7 @@
 		openRequests:    i.relay.Open(),
 		droppedLogLines: i.log.DroppedLines(),
 		engineCrashes:   i.hazards.Crashes(),
+		requestCrashes:  i.requestHazards.Crashes(),
 		unreached:       i.dialer.Unreached(),
 		carriedTunnels:  i.tunnels.Carried(),
 		sentBytes:       members.SentBytes,
--- a/pkg/pond/refusal.go
+++ b/pkg/pond/refusal.go
@@ -36,7 +36,7 @@
 	ReasonExecutorGone
 	ReasonTableFull
 	ReasonCanceled
-	// ReasonUnsafePrompt is a prompt with a part under which engines have crashed.
+	// ReasonUnsafePrompt is a prompt with a part, or a whole request, under which backend servers have crashed.
 	ReasonUnsafePrompt
 )
 
