hazard: a request that was at three servers which ended may run once more after ten seconds

Cause: a request that many callers of one account send alike, such as a lookup without a body, is refused for ten minutes if three servers end in a row for another reason and it was alone there. At most one more server ends by it in ten minutes.

--- a/internal/hazard/table.go
+++ b/internal/hazard/table.go
@@ -29,6 +29,10 @@
 	// experimentTime bounds the time of an experiment until its answer begins or its engine ends.
 	experimentTime = 3 * time.Second
 
+	// firstRequestDelay is the time after the third crash from which the same request may run once more. A sound one that was at three
+	// servers which ended in a row is answered then; another crash makes the next delay experimentDelay.
+	firstRequestDelay = 10 * time.Second
+
 	// maxExperiments bounds the experiments with a whole request under which backend servers crash.
 	maxExperiments = 2
 
@@ -218,7 +222,7 @@
 		}
 	}
 	if len(certain) >= minCrashes {
-		return t.refuse(certain, now)
+		return t.refuse(certain, experimentDelay<<min(len(certain)-minCrashes, maxDoublings), now)
 	}
 	return t.suspect(own, certain, uncertain, convictions, now)
 }
@@ -237,7 +241,11 @@
 	if len(crashes) < minCrashes+maxExperiments && companyIn(crashes) {
 		return Decision{verdict: VerdictExperiment, parts: identity, crashes: len(crashes), retryAt: now.Add(experimentTime)}
 	}
-	d := t.refuse(crashes, now)
+	delay := firstRequestDelay
+	if more := len(crashes) - minCrashes; more > 0 {
+		delay = experimentDelay << min(more-1, maxDoublings)
+	}
+	d := t.refuse(crashes, delay, now)
 	d.parts = identity
 	return d
 }
@@ -264,8 +272,8 @@
 	return common > 1
 }
 
-// refuse decides about a request that has the cause of several crashes.
-func (t *Table) refuse(certain []*Crash, now time.Time) Decision {
+// refuse decides about a request that has the cause of several crashes. From a delay after the last one, it is an experiment.
+func (t *Table) refuse(certain []*Crash, delay time.Duration, now time.Time) Decision {
 	d := Decision{verdict: VerdictRefuse, crashes: len(certain)}
 	suspects, last := partSet{}, time.Time{}
 	for _, c := range certain {
@@ -276,7 +284,7 @@
 		c.usedAt = now
 	}
 	d.parts = suspects.sorted()
-	experimentAt := last.Add(experimentDelay << min(len(certain)-minCrashes, maxDoublings))
+	experimentAt := last.Add(delay)
 	if !now.Before(experimentAt) {
 		d.verdict = VerdictExperiment
 	}
