feed: two silent sources do not delay a configuration beyond its bound

Cause: an instance whose parent and next source go silent at once waits 1.5 s for each. The store went first only from a confirmation 2.2 s old on, which it is not if both went silent just after one. Evidence: TestTwoSilentSources, red before this change: 3.07 s, 3 s allowed. Change: once an instance has failed, the store goes first from 1.2 s on, so that no second timeout fits in. Measured: 1.57 s in that test. Tests of feed and serve pass.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -30,6 +30,10 @@
 	// confirmation by the store is PullWait old when it arrives, and the next one comes PullWait later.
 	staleAfter = 2200 * time.Millisecond
 
+	// hurryAfter is the age of the last confirmation from which the store is tried before other instances once one has failed. Another
+	// silent instance takes PullTimeout, and a configuration has to be in effect after 3 s.
+	hurryAfter = 1200 * time.Millisecond
+
 	// sourceBackoff is the time for which a source is skipped after it failed or was stale.
 	sourceBackoff = 1500 * time.Millisecond
 
@@ -161,7 +165,8 @@
 	upstreams := f.options.Upstreams()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.replica.position.Revision > 0 && now.Sub(f.replica.confirmedAt) > staleAfter {
+	age := now.Sub(f.replica.confirmedAt)
+	if f.replica.position.Revision > 0 && (age > staleAfter || age > hurryAfter && f.instanceFailed()) {
 		upstreams = storeFirst(upstreams)
 	}
 	available := func(u Upstream) bool { return !now.Before(f.backoffUntil[u.Name]) }
@@ -184,6 +189,16 @@
 	return upstream, true
 }
 
+// instanceFailed reports whether an instance failed since a source last gave a current response. The lock must be held.
+func (f *Feed) instanceFailed() bool {
+	for _, failed := range f.failedInstances {
+		if failed {
+			return true
+		}
+	}
+	return false
+}
+
 // storeFirst moves the store before the instances. A stale replica has no time to try more instances: with a third of
 // them frozen, one stale and two unresponsive sources took 4.7 s, and a configuration has to be in effect after 4 s.
 func storeFirst(upstreams []Upstream) []Upstream {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -149,6 +149,40 @@
 	})
 }
 
+// TestTwoSilentSources guards against a configuration that takes effect late because two instances that this one follows have gone silent at
+// once: each takes a whole timeout, and the users allow 3 s.
+func TestTwoSilentSources(t *testing.T) {
+	const limit = 3 * time.Second
+	for _, age := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			silent := SourceFunc(func(ctx context.Context, _ Cursor) (Batch, error) {
+				<-ctx.Done()
+				return Batch{}, ctx.Err()
+			})
+			store := SourceFunc(func(context.Context, Cursor) (Batch, error) {
+				time.Sleep(70 * time.Millisecond) // From another region.
+				return Batch{Position: at(6), Records: []Record{record("a", 6)}, ConfirmedAt: time.Now()}, nil
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*limit)
+			defer cancel()
+			f := New(Options{
+				Upstreams: func() []Upstream {
+					return []Upstream{
+						{Name: "parent", Source: silent}, {Name: "first", Source: silent}, {Name: "store", Source: store, IsStore: true},
+					}
+				},
+				Clock: time.Now, Log: discardLog(), OnChange: func([]Record) { cancel() },
+			})
+			f.applyBatch(Batch{Snapshot: true, Position: at(5), Records: []Record{record("a", 5)}, ConfirmedAt: began.Add(-age)})
+			_ = f.Run(ctx)
+			if took := time.Since(began); took >= limit {
+				t.Errorf("confirmed %v before both sources went silent: a change is known %v later, want %v", age, took, limit)
+			}
+		})
+	}
+}
+
 // TestStoreRetriedAfterBackoff guards against an instance that tries all its followers after one failed call to the
 // store and gets no changes meanwhile, because each of them holds the request up to followerWait.
 func TestStoreRetriedAfterBackoff(t *testing.T) {
