soak: count the calls to the store around its return from an older copy

Change: the test logs the calls in the second before and in the 8 s after. The copy is 2 s old now, so that it lacks the versions before.

--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -164,9 +164,14 @@
 		c.publish()
 		time.Sleep(200 * time.Millisecond)
 	}
-	c.returnFromCopy(rand.New(rand.NewPCG(1, 4)), time.Second)
+	calm := c.store.callCount()
+	time.Sleep(time.Second)
+	calm = c.store.callCount() - calm
+	c.returnFromCopy(rand.New(rand.NewPCG(1, 4)), 2*time.Second)
+	returned := c.store.callCount()
 	c.publish()
 	time.Sleep(contactLimit + configLimit)
+	returned = c.store.callCount() - returned
 	cancel()
 	group.Wait()
 	stop()
@@ -175,5 +180,6 @@
 	for _, text := range c.recorder.violations {
 		t.Error(text)
 	}
-	t.Logf("%d requests", len(load.outcomes))
+	t.Logf("%d requests; %d calls to the store in the second before, %d in the %v after its return", len(load.outcomes), calm, returned,
+		contactLimit+configLimit)
 }
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -20,6 +20,7 @@
 	changed  chan struct{}
 	status   int // HTTP status of every response while the store fails; 0 while it works
 	era      uint64
+	calls    int
 }
 
 type item struct {
@@ -96,6 +97,13 @@
 	}
 }
 
+// callCount returns the number of calls so far.
+func (s *store) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // setStatus makes the store respond with an error status, or work normally if the status is 0.
 func (s *store) setStatus(status int) {
 	s.mu.Lock()
@@ -107,6 +115,7 @@
 	query := r.URL.Query()
 	s.mu.Lock()
 	status := s.status
+	s.calls++
 	s.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
