serve, peerpb: a follower of a former release is held as before

Cause: a follower that knows no eras states none. Change: a pull says whether its sender orders by era. One that does not is served by revisions, as in its own release.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -386,6 +386,13 @@
 	return f.replica.position.Era
 }
 
+// Number returns the greatest number of the numbered records; see Options.Number.
+func (f *Feed) Number() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.greatestNumber()
+}
+
 // ConfirmedAt returns the last time at which the replica was known to be current.
 func (f *Feed) ConfirmedAt() time.Time {
 	f.mu.Lock()
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -115,6 +115,7 @@
 	defer conn.Close()
 	req := &peerpb.PullRequest{
 		After: cursor.Revision, Era: cursor.Era, Number: cursor.Number, Offered: messagesOf(cursor.Offered),
+		OrdersByEra: true,
 	}
 	resp, err := peerpb.NewDRPCRecordsClient(conn).Pull(ctx, req)
 	if err != nil {
@@ -219,6 +220,10 @@
 	cursor := feed.Cursor{
 		Position: feed.Position{Era: req.GetEra(), Revision: req.GetAfter()}, Number: req.GetNumber(), Offered: recordsOf(req.GetOffered()),
 	}
+	if !req.GetOrdersByEra() {
+		// A follower of a former release would get a snapshot without end.
+		cursor.Era, cursor.Number = s.feed.Era(), s.feed.Number()
+	}
 	batch := s.feed.Serve(ctx, cursor)
 	now := clock.Now()
 	resp := &peerpb.PullResponse{
--- a/internal/serve/records_test.go
+++ b/internal/serve/records_test.go
@@ -1,10 +1,15 @@
 package serve
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 )
@@ -62,6 +67,37 @@
 	}
 }
 
+// TestFollowerOfFormerRelease guards against snapshots without end to a follower that knows no eras: it is held as before.
+func TestFollowerOfFormerRelease(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	synctest.Test(t, func(t *testing.T) {
+		store := feed.SourceFunc(func(ctx context.Context, cursor feed.Cursor) (feed.Batch, error) {
+			if cursor.Revision > 0 {
+				<-ctx.Done()
+				return feed.Batch{}, ctx.Err()
+			}
+			return feed.Batch{Snapshot: true, Position: feed.Position{Era: 2, Revision: 7}, ConfirmedAt: time.Now()}, nil
+		})
+		f := feed.New(feed.Options{
+			Upstreams: func() []feed.Upstream { return []feed.Upstream{{Name: "store", Source: store}} },
+			Clock:     time.Now, Log: log, OnChange: func([]feed.Record) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = f.Run(ctx) }()
+		synctest.Wait()
+		server := &recordServer{feed: f, starting: func() bool { return false }}
+		for _, ordersByEra := range []bool{false, true} {
+			began := time.Now()
+			resp, err := server.Pull(t.Context(), &peerpb.PullRequest{After: 7, OrdersByEra: ordersByEra})
+			if err != nil || resp.GetSnapshot() != ordersByEra || (time.Since(began) > 0) == ordersByEra {
+				t.Errorf("by era %v: snapshot %v after %v, error %v", ordersByEra, resp.GetSnapshot(), time.Since(began), err)
+			}
+		}
+	})
+}
+
 // TestNoFollowersDuringStart guards against a cycle of followers: an instance that has just started pulls from a seed,
 // and the seed ranks it first in its region and pulls from it.
 func TestNoFollowersDuringStart(t *testing.T) {
