fleet: a server that has left and is listed by an older copy is held, not ignored

One of a server that had been removed and was alive again was ignored, and such an entry is not written a second time: the server was never used again. Change: it gets no work for 4 s, in which the entry of one that is gone expires; the view is told when that ends. Measured: TestHeldServerIsUsedAgain; before, the server did not accept after the hold.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,10 @@
 	// reregisterWindow is the time after a store outage within which live backend servers register again.
 	reregisterWindow = 2 * time.Second
 
+	// restoredHold is the time for which a backend server that has left gets no work although an older copy of the store lists it. If it
+	// is gone, its entry expires meanwhile: after three heartbeats of 1.2 s.
+	restoredHold = 4 * time.Second
+
 	// goneRetention is the time for which a backend server is kept after its entry was removed. Copies of its runs live
 	// 5 s.
 	goneRetention = 15 * time.Second
@@ -65,20 +69,26 @@
 	// reregisterUntil is the time until which a backend server whose entry may only have expired still gets new work;
 	// zero if the entry did not expire.
 	reregisterUntil time.Time
+	// heldUntil is the time until which a backend server gets no work although it is listed; see restoredHold.
+	heldUntil time.Time
 }
 
-// knownBetter reports whether more is known of a backend server than a new entry says: a later start, that it leaves, or, if the
-// entry comes from an older copy of the store, that it has left. A start does not take back that it leaves.
-func (b *trackedBackend) knownBetter(entry route.Backend, restored bool, now time.Time) bool {
+// knownBetter reports whether more is known of a backend server than a new entry says: a later start, or that it leaves, which a start does
+// not take back.
+func (b *trackedBackend) knownBetter(entry route.Backend) bool {
 	if b == nil || b.backend.StartedAtMillis != entry.StartedAtMillis {
 		return b != nil && entry.StartedAtMillis != 0 && entry.StartedAtMillis < b.backend.StartedAtMillis
 	}
-	left := !b.goneAt.IsZero() && !now.Before(b.reregisterUntil)
-	return b.backend.Leaving && !entry.Leaving || restored && left
+	return b.backend.Leaving && !entry.Leaving
+}
+
+// left reports whether this start of a backend server is known to have left.
+func (b *trackedBackend) left(startedAtMillis int64, now time.Time) bool {
+	return b != nil && b.backend.StartedAtMillis == startedAtMillis && !b.goneAt.IsZero() && !now.Before(b.reregisterUntil)
 }
 
 func (b *trackedBackend) accepting(now time.Time) bool {
-	return !b.backend.Leaving && (b.goneAt.IsZero() || now.Before(b.reregisterUntil))
+	return !b.backend.Leaving && !now.Before(b.heldUntil) && (b.goneAt.IsZero() || now.Before(b.reregisterUntil))
 }
 
 // Fleet holds the configuration and the backend servers as one instance knows them. It is safe for concurrent use.
@@ -167,9 +177,9 @@
 		return
 	}
 	previous := f.backends[backend.ID]
-	if err == nil && !record.Deleted && previous.knownBetter(backend, record.Restored, now) {
+	if err == nil && !record.Deleted && previous.knownBetter(backend) {
 		f.options.Log.WithFields(logrus.Fields{
-			logs.Event: "backendEntryOutdated", logs.Backend: backend.ID, logs.Revision: record.Revision, "restored": record.Restored,
+			logs.Event: "backendEntryOutdated", logs.Backend: backend.ID, logs.Revision: record.Revision,
 		}).Info("entry of a backend server is older than what is known and is ignored")
 		return
 	}
@@ -203,6 +213,11 @@
 			}).Info("backend server listed")
 		}
 		updated := &trackedBackend{backend: backend}
+		if record.Restored && previous.left(backend.StartedAtMillis, now) {
+			updated.heldUntil = now.Add(restoredHold)
+			log.WithField(logs.Event, "backendHeld").Info("a backend server that has left is listed by an older copy of the store")
+			time.AfterFunc(restoredHold, func() { f.Apply(nil, time.Time{}) })
+		}
 		if backend.Leaving {
 			updated.leavingAt = now
 			if previous != nil && previous.backend.StartedAtMillis == backend.StartedAtMillis && !previous.leavingAt.IsZero() {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -81,6 +82,7 @@
 		{"leaving, ready again in the same era", []feed.Record{put("leaving", 5), put("ready", 6)}, nil, false, false},
 		{"leaving, then started anew", []feed.Record{put("leaving", 5)}, []feed.Record{put("reborn", 3)}, true, true},
 		{"gone, ready in the copy", []feed.Record{put("ready", 5), gone}, []feed.Record{restored("ready")}, false, false},
+		{"gone, ready in the copy until the entry expires", []feed.Record{put("ready", 5), gone}, []feed.Record{restored("ready"), gone}, false, false},
 		{"gone, registered again after the return", []feed.Record{put("ready", 5), gone}, []feed.Record{restored("ready"), put("ready", 3)}, true, true},
 		{"a later start than in the copy", []feed.Record{put("reborn", 5)}, []feed.Record{restored("first start, leaving")}, true, true},
 		{"missing in the copy", []feed.Record{put("ready", 5)}, []feed.Record{{Key: "e1", Revision: 2, Deleted: true, Restored: true}}, true, false},
@@ -104,6 +106,25 @@
 	}
 }
 
+// TestHeldServerIsUsedAgain guards against a backend server that is alive and never used again, because it was listed anew before the
+// older copy of the store was read: its entry is not written again.
+func TestHeldServerIsUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		now := time.Now()
+		f := newTestFleet(&now)
+		f.Apply([]feed.Record{put("ready", 5), {Key: "e1", Revision: 9, Deleted: true}}, time.Time{})
+		f.Apply([]feed.Record{{Key: "e1", Value: []byte("ready"), Revision: 3, Restored: true}}, now)
+		changes := 0
+		f.OnChange(func() { changes++ })
+		time.Sleep(restoredHold)
+		now = time.Now()
+		synctest.Wait()
+		if !f.Accepting("e1") || changes != 1 {
+			t.Errorf("accepting %v after the hold, %d changes told; want true and one", f.Accepting("e1"), changes)
+		}
+	})
+}
+
 // TestAccepting guards against new work for a backend server that leaves, is gone or reports that it leaves, and
 // against dropping one whose entry only expired during a store outage.
 func TestAccepting(t *testing.T) {
