relay, fleet: one admission for prompts and whole requests; a test reads its counter atomically

Cause: the second guard repeated the admission of the first one; the race detector found the counter of TestHeldServerIsUsedAgain. Change: one function for both guards. The event of a refusal is requestRefused now, like promptRefused. Logic as before.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,11 +54,15 @@
 }
 
 func newTestFleet(now *time.Time) *Fleet {
+	return newTestFleetWithClock(func() time.Time { return *now })
+}
+
+func newTestFleetWithClock(clock func() time.Time) *Fleet {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f := New(Options{
 		Decoder: fakeDecoder{}, Regions: map[string][]string{"north": {"north-a"}},
-		Clock: func() time.Time { return *now }, Log: log,
+		Clock: clock, Log: log,
 	})
 	f.Apply([]feed.Record{{Key: "catalogue", Value: []byte{1}, Revision: 1}}, time.Time{})
 	return f
@@ -110,17 +115,15 @@
 // older copy of the store was read: its entry is not written again.
 func TestHeldServerIsUsedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		now := time.Now()
-		f := newTestFleet(&now)
+		f := newTestFleetWithClock(time.Now)
+		var changes atomic.Int32
+		f.OnChange(func() { changes.Add(1) })
 		f.Apply([]feed.Record{put("ready", 5), {Key: "e1", Revision: 9, Deleted: true}}, time.Time{})
-		f.Apply([]feed.Record{{Key: "e1", Value: []byte("ready"), Revision: 3, Restored: true}}, now)
-		changes := 0
-		f.OnChange(func() { changes++ })
-		time.Sleep(restoredHold)
-		now = time.Now()
+		f.Apply([]feed.Record{{Key: "e1", Value: []byte("ready"), Revision: 3, Restored: true}}, time.Now())
+		time.Sleep(restoredHold + time.Millisecond)
 		synctest.Wait()
-		if !f.Accepting("e1") || changes != 1 {
-			t.Errorf("accepting %v after the hold, %d changes told; want true and one", f.Accepting("e1"), changes)
+		if !f.Accepting("e1") || changes.Load() != 3 {
+			t.Errorf("accepting %v after the hold, %d changes told; want true and three", f.Accepting("e1"), changes.Load())
 		}
 	})
 }
--- a/internal/relay/identity.go
+++ b/internal/relay/identity.go
@@ -9,10 +9,7 @@
 	"fmt"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/dragonflypond/dragonflypond/internal/hazard"
-	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 )
 
@@ -55,21 +52,9 @@
 	if x.experiment || guard.Crashes() == 0 {
 		return true
 	}
-	admission := guard.Admit(ctx, []string{x.identity()})
-	if admission.Admitted() && !admission.Experiment() {
-		return true
-	}
-	fields := logrus.Fields{logs.Event: "requestUnsafe", logs.Identity: x.identity(), "crashes": admission.Crashes()}
-	if admission.Admitted() {
-		x.experiment = true
-		fields[logs.Event] = "requestExperiment"
-		x.log.WithFields(fields).Warn("a request is admitted to show whether it crashes backend servers")
-		return true
-	}
-	x.permitAt = admission.RetryAt()
-	fields["experiment"] = admission.Experiment()
-	x.log.WithFields(fields).Info("backend servers have crashed under the same request")
-	return false
+	admitted, experiment := x.admit(ctx, guard, []string{x.identity()}, "request")
+	x.experiment = experiment
+	return admitted
 }
 
 // suspected reports whether one more crash would have the request refused. It is not repeated then, so that a request that is sound fails
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -33,21 +33,27 @@
 	if x.run.experiment {
 		return true
 	}
-	admission := x.relay.options.Hazards.Admit(ctx, x.sharedParts())
+	admitted, experiment := x.admit(ctx, x.relay.options.Hazards, x.sharedParts(), "prompt")
+	x.run.experiment = experiment
+	return admitted
+}
+
+// admit asks a guard whether a request with the parts may run, and whether it does as an experiment. what names the request in the log.
+func (x *exchange) admit(ctx context.Context, guard *hazard.Guard, parts []string, what string) (admitted, experiment bool) {
+	admission := guard.Admit(ctx, parts)
 	if admission.Admitted() && !admission.Experiment() {
-		return true
+		return true, false
 	}
-	fields := logrus.Fields{logs.Event: "promptRefused", logs.Parts: admission.Parts(), "crashes": admission.Crashes()}
+	log := x.log.WithFields(logrus.Fields{
+		logs.Parts: admission.Parts(), "crashes": admission.Crashes(), "experiment": admission.Experiment(),
+	})
 	if admission.Admitted() {
-		x.run.experiment = true
-		fields[logs.Event] = "promptExperiment"
-		x.log.WithFields(fields).Warn("a prompt is admitted to show whether its parts crash engines")
-		return true
+		log.WithField(logs.Event, what+"Experiment").Warn("a request is admitted to show whether it crashes backend servers")
+		return true, true
 	}
 	x.permitAt = admission.RetryAt()
-	fields["experiment"] = admission.Experiment()
-	x.log.WithFields(fields).Info("a prompt has parts under which engines have crashed")
-	return false
+	log.WithField(logs.Event, what+"Refused").Info("backend servers have crashed under the request or a part of its prompt")
+	return false, false
 }
 
 // refuseUnsafe refuses a request that has not run, because backend servers crashed under it or under a part of its prompt.
