platform, feed: a configuration that cannot be used has no number

Cause: the number was read from the version alone. A record with a great version and content that cannot be decoded would have kept out all later configurations. Change: what cannot be decoded has no number. The copy keeps the last one that can, also for instances that start, and the record is still reported as rejected.

--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -51,6 +51,12 @@
 			{Snapshot: true, Position: inEra(2, 6), Records: []Record{numbered(3, 2)}},
 			{Position: inEra(2, 7), Records: []Record{numbered(6, 7)}},
 		}, []string{"n6"}, []string{"n"}, inEra(2, 7)},
+		{"one that cannot be read", []Batch{{Position: inEra(1, 10), Records: []Record{{Key: "n", Revision: 10}}}},
+			[]string{"a", "b", "n5"}, []string{"n"}, inEra(1, 10)},
+		{"a greater number after one that cannot be read", []Batch{
+			{Position: inEra(1, 10), Records: []Record{{Key: "n", Revision: 10}}},
+			{Position: inEra(1, 11), Records: []Record{numbered(6, 11)}},
+		}, []string{"a", "b", "n6"}, []string{"n"}, inEra(1, 11)},
 		{"changes without a snapshot", []Batch{{Position: inEra(2, 10), Records: []Record{record("c", 10)}}},
 			[]string{"a", "b", "n5"}, nil, inEra(1, 9)},
 		{"an earlier era after the later one", []Batch{
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -170,7 +170,7 @@
 	if number < r.numbers[record.Key] {
 		known.Revision = record.Revision
 		r.records[record.Key] = known
-		return false
+		return number == 0 && !record.Deleted // It cannot be read, which its user reports.
 	}
 	if !record.Deleted {
 		delete(r.tombstones, record.Key)
