--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -2,10 +2,10 @@
 //
 // A run starts instances, stand-ins for the platform's store, engines and service replicas, and a load generator. It
 // injects faults from outside, chosen by a seed: processes are killed, stopped, paused and told to reload; connections
-// go through proxies that delay, reset or pause them, in one or both directions; the store fails; backend servers crash
-// or leave with and without notice, name limits, ask for back-offs or are brittle; prompts crash engines; instances are cut off from all
-// backend servers; keys are revoked. During and after the faults the run checks what callers and
-// backend servers observe.
+// go through proxies that delay, reset or pause them, in one or both directions; the store fails or comes back from an older
+// copy; backend servers crash or leave with and without notice, name limits, ask for back-offs or are brittle; prompts and whole requests
+// crash backend servers; instances are cut off from all backend servers; configurations change and keys are revoked. During and after
+// the faults the run checks what callers and backend servers observe, and asks each instance for the newest configuration.
 //
 // # Usage
 //
