feed, fleet: what was removed since the store's return is gone, not doubtful

Cause: with a new era, each removal within two seconds counted as doubtful, because the entry might be unknown to the copy only. A replica that had left after the store's return got four requests from four instances up to 3.9 s after it had begun to leave. Change: the copy had everything up to the highest revision that it still holds unchanged. What is missing of that has been removed since and is gone; only what was written after the copy was made has two seconds. The era counts no more as an outage of the store for other removals.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -347,10 +347,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	began := f.replica.beginsEra(batch) && batch.Snapshot
-	if began {
-		// Entries that the copy lacks may belong to backend servers that are alive and register again.
-		f.replica.storeOutageAt = f.options.Clock()
-	}
 	former := f.replica.position
 	confirmedAt, failing := f.replica.confirmedAt, f.replica.storeFailing()
 	changed := f.replica.apply(batch)
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -21,7 +21,8 @@
 	Value    []byte
 	Revision uint64
 	Deleted  bool
-	// Restored is true for a change that is due to the store's return from an older copy: it may only be unknown to the copy.
+	// Restored is true for a change that may be due to the store's return from an older copy only: a value that has been replaced or
+	// removed since the copy was made, or a removal of one that was written since.
 	Restored bool
 }
 
@@ -110,7 +111,8 @@
 }
 
 // beginEra replaces the records by those of an older copy. Revisions of the two eras cannot be compared, but numbers can: a
-// numbered record stays until one with a greater number is written.
+// numbered record stays until one with a greater number is written. The copy had all records up to the revision of each that it
+// still holds unchanged, so what is missing of those has been removed since.
 func (r *replica) beginEra(batch Batch) []Record {
 	former := r.records
 	r.records, r.tombstones = make(map[string]Record, len(batch.Records)), make(map[string]uint64)
@@ -118,15 +120,20 @@
 		r.records[key] = Record{Key: key, Value: former[key].Value}
 	}
 	var changed []Record
+	copiedUntil := uint64(0)
 	for _, record := range batch.Records {
+		if former[record.Key].Revision == record.Revision && bytes.Equal(former[record.Key].Value, record.Value) {
+			copiedUntil = max(copiedUntil, record.Revision)
+		}
 		if r.put(record) && (former[record.Key].Key == "" || !bytes.Equal(former[record.Key].Value, record.Value)) {
 			record.Restored = true
 			changed = append(changed, record)
 		}
 	}
-	for key := range former {
+	for key, record := range former {
 		if _, ok := r.records[key]; !ok {
-			changed = append(changed, Record{Key: key, Revision: batch.Revision, Deleted: true, Restored: true})
+			removal := Record{Key: key, Revision: batch.Revision, Deleted: true, Restored: record.Revision > copiedUntil}
+			changed = append(changed, removal)
 		}
 	}
 	return changed
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -193,7 +193,10 @@
 			return
 		}
 		reregisterUntil := time.Time{}
-		if !storeOutageAt.IsZero() && now.Sub(storeOutageAt) < reregisterWindow {
+		switch {
+		case record.Restored:
+			reregisterUntil = now.Add(reregisterWindow)
+		case !storeOutageAt.IsZero() && now.Sub(storeOutageAt) < reregisterWindow:
 			reregisterUntil = storeOutageAt.Add(reregisterWindow)
 		}
 		f.markGone(previous, now, reregisterUntil)
