--- a/internal/quota/brittle_test.go
+++ b/internal/quota/brittle_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -312,28 +313,29 @@
 // TestNewServerOfBrittleService guards against a server that crashes as soon as it has replaced one that did, because nobody has an answer of
 // it yet. Found by the soak.
 func TestNewServerOfBrittleService(t *testing.T) {
-	now := start
+	var sinceStart atomic.Int64 // The gate reads the clock on goroutines of its own.
+	now := func() time.Time { return start.Add(time.Duration(sinceStart.Load())) }
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	self := pond.NewInstance(pond.InstanceRef{ID: "self"}, pond.InstanceLive, "", "", "north-a", "north")
 	gate := NewGate(Options{
 		Self: "self", Homes: func(string) []pond.Instance { return []pond.Instance{self} }, Peers: func() []pond.Instance { return nil },
 		Known: func(string) bool { return true }, Slots: func(string) int { return 1 }, Service: func(backend string) string { return backend[:1] },
-		Clock: func() time.Time { return now }, Log: log,
+		Clock: now, Log: log,
 	})
 	enter := func(backend string) bool {
-		now = now.Add(settleTime)
+		sinceStart.Add(int64(settleTime))
 		return gate.Enter(t.Context(), backend, time.Second).Granted()
 	}
-	gate.Observe("a1", NoLimit().WithBrittle(true), now)
+	gate.Observe("a1", NoLimit().WithBrittle(true), now())
 	if first, second, third := enter("a2"), enter("a2"), enter("a2"); first || !second || third {
 		t.Errorf("a new server of the service: %t at once, %t after a moment, %t beyond its room", first, second, third)
 	}
 	if first, second := enter("b1"), enter("b1"); !first || !second {
 		t.Errorf("a server of another service: %t, %t", first, second)
 	}
-	now = now.Add(time.Second)
-	gate.Observe("a2", NoLimit(), now)
+	sinceStart.Add(int64(time.Second))
+	gate.Observe("a2", NoLimit(), now())
 	if first, second := enter("a2"), enter("a2"); !first || !second {
 		t.Errorf("the new server after it has answered: %t, %t", first, second)
 	}
