fleet, reach, logs: log the start and the address of a backend server

Change: both fields in backendListed, which comes again when the entry returns or one of them changes; the start in backendSignaledLeaving; a line tunnelDeclined. No decision changes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -210,9 +210,11 @@
 		if previous != nil && previous.backend.StartedAtMillis != backend.StartedAtMillis {
 			delete(f.backoffUntil, backend.ID)
 		}
-		if previous == nil || previous.backend.Leaving != backend.Leaving {
+		if previous == nil || !previous.goneAt.IsZero() || previous.backend.Leaving != backend.Leaving ||
+			previous.backend.StartedAtMillis != backend.StartedAtMillis || previous.backend.Address != backend.Address {
 			log.WithFields(logrus.Fields{
-				logs.Event: "backendListed", logs.Service: backend.Service, "leaving": backend.Leaving,
+				logs.Event: "backendListed", logs.Service: backend.Service, logs.Address: backend.Address, "leaving": backend.Leaving,
+				logs.StartedAtMillis: backend.StartedAtMillis,
 			}).Info("backend server listed")
 		}
 		updated := &trackedBackend{backend: backend}
--- a/internal/fleet/signal.go
+++ b/internal/fleet/signal.go
@@ -71,7 +71,8 @@
 			Info("a backend server wants no requests from this instance for a while")
 	}
 	if newLeaving {
-		log.WithField(logs.Event, "backendSignaledLeaving").Info("a backend server says that it leaves and gets no new requests")
+		log.WithFields(logrus.Fields{logs.Event: "backendSignaledLeaving", logs.StartedAtMillis: tracked.backend.StartedAtMillis}).
+			Info("a backend server says that it leaves and gets no new requests")
 		f.notify()
 	}
 	return newBackoff
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -29,6 +29,9 @@
 	Request = "request"
 	// Backend is the ID of a backend server.
 	Backend = "backend"
+	// Address is IP:PORT of a backend server, and StartedAtMillis the Unix time of its start in milliseconds.
+	Address         = "address"
+	StartedAtMillis = "startedAtMillis"
 	// Source and Target are the backend servers between which a generation moves. Source is also the store or the instance
 	// from which an instance gets its configuration.
 	Source = "source"
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
+	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 )
 
@@ -77,6 +79,9 @@
 		return stream.Send(refusal(unableError{error: errors.New("too many connections are carried")}))
 	}
 	if backend, leaves := s.options.Leaves(first.GetAddress()); leaves && first.GetNewRequest() {
+		s.dialer.options.Log.WithFields(logrus.Fields{
+			logs.Event: "tunnelDeclined", logs.Backend: backend, logs.Address: first.GetAddress(),
+		}).Info("a connection of another instance is declined because the backend server leaves")
 		return stream.Send(&peerpb.TunnelDown{Error: "the backend server takes no new requests", Declined: true, Leaving: backend})
 	}
 	conn, err := s.dial(stream.Context(), first.GetAddress())
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -93,7 +93,7 @@
 	}
 	d.count(ResultTunnelFailed)
 	d.options.Log.WithError(failure).WithFields(logrus.Fields{
-		logs.Event: "tunnelFailed", "address": address, "asked": len(queue.asked), "sure": sure,
+		logs.Event: "tunnelFailed", logs.Address: address, "asked": len(queue.asked), "sure": sure,
 	}).Info("no other instance connects to a backend server")
 	isolated := false
 	d.update(func(t *Table, now time.Time) {
