soak: run processes of a former release beside those of this one

Change: -soak.former COMMIT builds that commit from the repository's history in a temporary directory; -soak.mix says which processes are of it: all (a control), those of every second instance, the first or the second process of each. A commit that the history does not hold is an error that names it. Violations of DRAIN and of the configuration name the release of the process. A new kind of fault stops the processes of instances in turn, some of them, or several at once.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -72,6 +72,7 @@
 	crash         func(*backend) // ends the process of the backend server
 	disturbed     func(address string, at time.Time) bool
 	storeReturned func(at time.Time) bool // whether the store has come back from an older copy lately
+	releaseAt     func(ip string) string
 	// plainRunning counts the requests of a replica of the plain service that run, and shortages holds those that it had no room for
 	// in the last second. Both and crashed are protected by recorder.mu.
 	plainRunning int
@@ -140,7 +141,8 @@
 		w.Header().Set("Server-Leaving", "1")
 	}
 	if !told.IsZero() && time.Since(told) > drainLimit && r.Header.Get("Kv-From") == "" {
-		b.recorder.reportViolation("request %s reached %s from %s later than %v after it had told it that it leaves", id, b.id, client, drainLimit)
+		b.recorder.reportViolation("request %s reached %s from %s%s later than %v after it had told it that it leaves", id, b.id, client, b.releaseAt(client),
+			drainLimit)
 	}
 	if limit != nil {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(limit.perSecond, 'f', 1, 64))
@@ -148,7 +150,7 @@
 	// An instance that has just started and met only the copy cannot know it, and has done nothing before that binds it.
 	knewNothing := b.disturbed(client+frontPort, time.Now()) && b.storeReturned(time.Now())
 	if pastDrain && !knewNothing {
-		b.recorder.reportViolation("request %s reached %s later than %v after it began to leave", id, b.id, drainLimit)
+		b.recorder.reportViolation("request %s reached %s from %s%s later than %v after it began to leave", id, b.id, client, b.releaseAt(client), drainLimit)
 	}
 	if r.Header.Get("X-Credential") != "" {
 		b.recorder.reportViolation("request %s: the API key was forwarded to backend server %s", id, b.id)
--- a/internal/soak/backoff_test.go
+++ b/internal/soak/backoff_test.go
@@ -96,10 +96,10 @@
 		{"one replica and one engine", func(_ bool, index int) bool { return index == 0 }, true},
 		{"all replicas", func(isEngine bool, _ int) bool { return !isEngine }, false},
 	}
-	binary := buildBinary(t)
+	programs := buildReleases(t)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c, load, stop := startLoad(t, binary, *countFlag)
+			c, load, stop := startLoad(t, programs, *countFlag)
 			index := make(map[bool]int)
 			began := time.Now()
 			for _, b := range c.allBackends() {
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -193,8 +193,8 @@
 }
 
 // startLoad starts a cluster that is ready and callers who send requests until stop is called.
-func startLoad(t *testing.T, binary string, instances int) (c *cluster, load *loadGenerator, stop func()) {
-	c = newCluster(t, binary, 0, instances)
+func startLoad(t *testing.T, programs releases, instances int) (c *cluster, load *loadGenerator, stop func()) {
+	c = newCluster(t, programs, 0, instances)
 	if !c.waitReady(10 * time.Second) {
 		t.Fatal("not every instance is ready within 10 s")
 	}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -35,7 +35,7 @@
 type cluster struct {
 	t         *testing.T
 	seed      uint64
-	binary    string
+	releases  releases
 	store     *store
 	storeHTTP *httptest.Server
 	recorder  *recorder
@@ -59,6 +59,7 @@
 // instance is one instance of the system. Its process is restarted whenever it ends.
 type instance struct {
 	name         string
+	number       int
 	ip           string
 	settingsPath string
 	storeProxy   *proxy
@@ -66,6 +67,7 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
+	release string        // of the process
 	stopped chan struct{} // closed when supervise returns
 }
 
@@ -109,9 +111,9 @@
 	return fmt.Sprintf("127.%d.%d", firstNet+pid%netCount, pid/netCount%256)
 }
 
-func newCluster(t *testing.T, binary string, seed uint64, instances int) *cluster {
+func newCluster(t *testing.T, programs releases, seed uint64, instances int) *cluster {
 	c := &cluster{
-		t: t, seed: seed, binary: binary, store: newStore(), recorder: newRecorder(),
+		t: t, seed: seed, releases: programs, store: newStore(), recorder: newRecorder(),
 		keys: []string{"key-0", "key-1", "key-2", "key-3"}, revoked: make(map[string]time.Time),
 		backends: make(map[string]*backend), disturbances: make(map[string][]disturbance),
 	}
@@ -200,7 +202,7 @@
 		return
 	}
 	b.findByAddress, b.crash, b.disturbed = c.backendByAddress, c.crashBackend, c.disturbed
-	b.storeReturned = c.storeReturned
+	b.storeReturned, b.releaseAt = c.storeReturned, c.releaseAt
 	b.proxy.cutOff(c.partitionOf)
 	c.mu.Lock()
 	c.backends[id] = b
@@ -245,7 +247,7 @@
 }
 
 func (c *cluster) addInstance(number int) {
-	i := &instance{name: fmt.Sprintf("instance-%d", number), ip: fmt.Sprintf("%s.%d", subnet(), firstHostNumber+number)}
+	i := &instance{name: fmt.Sprintf("instance-%d", number), number: number, ip: fmt.Sprintf("%s.%d", subnet(), firstHostNumber+number)}
 	var err error
 	if i.storeProxy, err = newProxy("127.0.0.1:0", strings.TrimPrefix(c.storeHTTP.URL, "http://")); err != nil {
 		c.t.Fatal(err)
@@ -293,8 +295,9 @@
 // Only this function starts processes, so that overlapping faults leave no process behind.
 func (c *cluster) supervise(i *instance) {
 	defer close(i.stopped)
-	for {
-		command := exec.Command(c.binary, "instance", "-metrics-port", "0", "-backend-source-ip", i.ip)
+	for start := 0; ; start++ {
+		binary, release := c.releases.binary(i.number, start)
+		command := exec.Command(binary, "instance", "-metrics-port", "0", "-backend-source-ip", i.ip)
 		command.Env = append(os.Environ(), "DRAGONFLYPOND_CONFIG="+i.settingsPath,
 			"DRAGONFLYPOND_SECRET=secret of the soak's cluster")
 		command.Stdout, command.Stderr = i.log, i.log
@@ -304,7 +307,7 @@
 			return
 		}
 		err := command.Start()
-		i.process = command
+		i.process, i.release = command, release
 		i.mu.Unlock()
 		if err != nil {
 			c.recorder.reportViolation("start the process of %s: %v", i.name, err)
@@ -315,6 +318,26 @@
 	}
 }
 
+// currentRelease returns the release of the instance's process.
+func (i *instance) currentRelease() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.release
+}
+
+// releaseAt returns the release of the process with an IP address, in words for a violation; empty if the run has one release only.
+func (c *cluster) releaseAt(ip string) string {
+	if c.releases.former == "" {
+		return ""
+	}
+	for _, i := range c.instances {
+		if i.ip == ip {
+			return " (release " + i.currentRelease() + ")"
+		}
+	}
+	return ""
+}
+
 // signal sends a signal to the current process of the instance.
 func (i *instance) signal(s syscall.Signal) {
 	i.mu.Lock()
--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -113,11 +113,11 @@
 		return newest.version, pid
 	case resp.StatusCode != http.StatusNotFound:
 	case known == newest.version && knownBy == pid:
-		c.recorder.reportViolation("%s knew version %d of the configuration and is behind it again", i.name, known)
+		c.recorder.reportViolation("%s%s knew version %d of the configuration and is behind it again", i.name, c.releaseAt(i.ip), known)
 	case sentAt.Sub(newest.at) > configLimit && !c.disturbed(i.ip+frontPort, sentAt) && !c.disturbed(i.storeWay(), sentAt) &&
 		!c.storeDisturbed(sentAt):
-		c.recorder.reportViolation("version %d of the configuration is not in force at %s %v after it was published", newest.version,
-			i.name, sentAt.Sub(newest.at).Round(time.Millisecond))
+		c.recorder.reportViolation("version %d of the configuration is not in force at %s%s %v after it was published", newest.version,
+			i.name, c.releaseAt(i.ip), sentAt.Sub(newest.at).Round(time.Millisecond))
 	}
 	return known, knownBy
 }
@@ -169,7 +169,7 @@
 // TestConfigurationLostWithOlderCopy guards against instances that keep to what the store held before it came back from an older
 // copy: the configurations that it acknowledges afterwards have revisions which were given out before.
 func TestConfigurationLostWithOlderCopy(t *testing.T) {
-	c, load, stop := startLoad(t, buildBinary(t), *countFlag)
+	c, load, stop := startLoad(t, buildReleases(t), *countFlag)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { c.probeConfiguration(ctx) })
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -188,7 +188,7 @@
 // TestPromptPartCrashesEnginesInTurn guards against requests that end one engine after the other, at any instance, and against
 // sound requests that are refused because they share a part or a caller with them.
 func TestPromptPartCrashesEnginesInTurn(t *testing.T) {
-	c := newCluster(t, buildBinary(t), 0, *countFlag)
+	c := newCluster(t, buildReleases(t), 0, *countFlag)
 	if !c.waitReady(10 * time.Second) {
 		t.Fatal("not every instance is ready within 10 s")
 	}
@@ -234,11 +234,11 @@
 		{"charge", kindCharge, []requestKind{kindLookup, kindCharge}},
 		{"generation", kindStream, []requestKind{kindStream}},
 	}
-	binary := buildBinary(t)
+	programs := buildReleases(t)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			began := time.Now()
-			c, load, stop := startLoad(t, binary, *countFlag)
+			c, load, stop := startLoad(t, programs, *countFlag)
 			time.Sleep(time.Second)
 			crashing := time.Now()
 			body := "crash-" + test.name
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -16,7 +16,7 @@
 // TestServerThatSaidItLeavesGetsMoreRequests guards against instances that go on sending to a server which says that it
 // leaves only in its answers, because the store does not know it.
 func TestServerThatSaidItLeavesGetsMoreRequests(t *testing.T) {
-	c, load, stop := startLoad(t, buildBinary(t), *countFlag)
+	c, load, stop := startLoad(t, buildReleases(t), *countFlag)
 	leaving := make(map[bool]bool) // by whether it is an engine
 	for _, b := range c.allBackends() {
 		if !leaving[b.isEngine] {
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -140,10 +140,10 @@
 		{"two are cut off, their connections hang", cutHangs, 2},
 		{"three are cut off, their connections live on", cutNew, 3},
 	}
-	binary := buildBinary(t)
+	programs := buildReleases(t)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c, load, stop := startLoad(t, binary, 4)
+			c, load, stop := startLoad(t, programs, 4)
 			end := c.partition(test.kind, test.cut, rand.New(rand.NewPCG(1, 3)))
 			time.Sleep(contactLimit + 3*time.Second)
 			end()
--- /dev/null
+++ b/internal/soak/release_test.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+var (
+	formerFlag = flag.String("soak.former", "", "`COMMIT` of a former release whose processes run beside those of this one")
+	mixFlag    = flag.String("soak.mix", "half", "with -soak.former, which processes are of the former release: former, half, upgrade or back")
+)
+
+// releaseMix tells which processes of a run are of the former release.
+type releaseMix int
+
+const (
+	mixNone    releaseMix = iota // none
+	mixFormer                    // all, as a control
+	mixHalf                      // those of every second instance
+	mixUpgrade                   // the first one of each instance
+	mixBack                      // the second one of each instance
+)
+
+var mixNames = map[string]releaseMix{"former": mixFormer, "half": mixHalf, "upgrade": mixUpgrade, "back": mixBack}
+
+// isFormer reports whether a process is of the former release, by the number of its instance and that of its start, both from 0.
+func (m releaseMix) isFormer(instance, start int) bool {
+	switch m {
+	case mixFormer:
+		return true
+	case mixHalf:
+		return instance%2 == 0
+	case mixUpgrade:
+		return start == 0
+	case mixBack:
+		return start == 1
+	default:
+		return false
+	}
+}
+
+// releases are the programs of a run.
+type releases struct {
+	current, former string // paths; former is empty without one
+	mix             releaseMix
+}
+
+// binary returns the program for a process and the name of its release.
+func (r releases) binary(instance, start int) (path, release string) {
+	if r.mix.isFormer(instance, start) {
+		return r.former, "former"
+	}
+	return r.current, "current"
+}
+
+// buildReleases builds the programs that the flags name.
+func buildReleases(t *testing.T) releases {
+	t.Helper()
+	r := releases{current: buildBinary(t)}
+	if *formerFlag == "" {
+		return r
+	}
+	mix, ok := mixNames[*mixFlag]
+	if !ok {
+		t.Fatalf("-soak.mix %q is none of former, half, upgrade and back", *mixFlag)
+	}
+	former, err := buildCommit(t.TempDir(), *formerFlag)
+	if err != nil {
+		t.Fatalf("-soak.former: %v", err)
+	}
+	r.former, r.mix = former, mix
+	return r
+}
+
+// buildCommit builds the program of a commit of the repository's history in a directory.
+func buildCommit(dir, commit string) (binary string, err error) {
+	if out, err := exec.Command("git", "cat-file", "-e", commit+"^{commit}").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("the repository's history holds no commit %q: %w\n%s", commit, err, out)
+	}
+	root, err := exec.Command("git", "rev-parse", "--show-toplevel").Output()
+	if err != nil {
+		return "", fmt.Errorf("find the repository: %w", err)
+	}
+	archive, source := filepath.Join(dir, "source.tar"), filepath.Join(dir, "source")
+	if err := os.Mkdir(source, 0o755); err != nil {
+		return "", err
+	}
+	binary = filepath.Join(dir, "former")
+	for _, step := range []struct {
+		dir  string
+		args []string
+	}{
+		{strings.TrimSpace(string(root)), []string{"git", "archive", "-o", archive, commit, "--", "cmd", "internal", "pkg", "platform", "go.mod", "go.sum"}},
+		{source, []string{"tar", "-xf", archive}},
+		{source, []string{"go", "build", "-o", binary, "./cmd/dragonflypond"}},
+	} {
+		command := exec.Command(step.args[0], step.args[1:]...)
+		command.Dir = step.dir
+		if out, err := command.CombinedOutput(); err != nil {
+			return "", fmt.Errorf("build commit %s: %s: %w\n%s", commit, strings.Join(step.args, " "), err, out)
+		}
+	}
+	return binary, nil
+}
+
+// replaceInstances stops the processes of instances one after the other, as an upgrade does, or some of them, or several at once.
+func (c *cluster) replaceInstances(random *rand.Rand) {
+	order := random.Perm(len(c.instances))
+	order = order[:1+random.IntN(len(order))]
+	gap := []time.Duration{0, 500 * time.Millisecond, 2 * time.Second}[random.IntN(3)]
+	ended := make(chan struct{}, len(order))
+	for _, number := range order {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			i := c.instances[number]
+			defer c.disturb(i)()
+			i.stop()
+		}()
+		time.Sleep(gap)
+	}
+	for range order {
+		<-ended
+	}
+}
+
+// TestFormerReleaseUnknown guards against a run that silently lacks the former release: a commit that the history does not hold is an
+// error that names it.
+func TestFormerReleaseUnknown(t *testing.T) {
+	const commit = "0000000000000000000000000000000000000001"
+	if _, err := buildCommit(t.TempDir(), commit); err == nil || !strings.Contains(err.Error(), commit) {
+		t.Errorf("got the error %v, want one that names the commit", err)
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -121,16 +121,16 @@
 
 // TestSoak checks the guarantees to callers and backend servers under overlapping faults.
 func TestSoak(t *testing.T) {
-	binary := buildBinary(t)
+	programs := buildReleases(t)
 	for _, run := range seedRuns(t) {
-		t.Run(fmt.Sprint("seed", run.seed), func(t *testing.T) { runSeed(t, binary, run) })
+		t.Run(fmt.Sprint("seed", run.seed), func(t *testing.T) { runSeed(t, programs, run) })
 	}
 }
 
-func runSeed(t *testing.T, binary string, run seedRun) {
+func runSeed(t *testing.T, programs releases, run seedRun) {
 	seed := run.seed
 	random := rand.New(rand.NewPCG(seed, 1))
-	c := newCluster(t, binary, seed, *countFlag)
+	c := newCluster(t, programs, seed, *countFlag)
 	if !c.waitReady(10 * time.Second) {
 		t.Fatal("not every instance is ready within 10 s")
 	}
@@ -152,7 +152,7 @@
 // TestGracefulStop guards against requests that a graceful stop interrupts. One instance is told to stop, then the two
 // others at once, while callers resolve addresses, keep connections open and read streams. There are no other faults.
 func TestGracefulStop(t *testing.T) {
-	c := newCluster(t, buildBinary(t), 0, 3)
+	c := newCluster(t, buildReleases(t), 0, 3)
 	if !c.waitReady(10 * time.Second) {
 		t.Fatal("not every instance is ready within 10 s")
 	}
@@ -322,6 +322,7 @@
 	{"store returns from an older copy", func(c *cluster, random *rand.Rand) {
 		c.returnFromCopy(random, time.Duration(500+random.IntN(6000))*time.Millisecond)
 	}},
+	{"instances are replaced in turn", func(c *cluster, random *rand.Rand) { c.replaceInstances(random) }},
 }
 
 func (c *cluster) anyInstance(random *rand.Rand) *instance {
