soak: test of a server that leaves after the store's return from an older copy

The entry of a server takes the same way as the configuration, so the return that hid versions on should hide a notice, too. Change: TestServerLeavesAfterOlderCopy: servers that say nothing in their answers give notice in the store after its return.

--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -37,3 +38,32 @@
 		}
 	}
 }
+
+// TestServerLeavesAfterOlderCopy guards against requests to a server whose notice the store has acknowledged with a revision that it had
+// given out before it came back from an older copy. The server says nothing in its answers.
+func TestServerLeavesAfterOlderCopy(t *testing.T) {
+	c, _, stop := startLoad(t, buildReleases(t), *countFlag)
+	for range 12 {
+		c.publish()
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.returnFromCopy(rand.New(rand.NewPCG(1, 4)), 2*time.Second)
+	leaving := make(map[bool]bool) // by whether it is an engine
+	for _, b := range c.allBackends() {
+		if leaving[b.isEngine] {
+			continue
+		}
+		leaving[b.isEngine] = true
+		c.store.put("servers/"+b.id, b.storeEntry("draining"))
+		b.recorder.mu.Lock()
+		b.leavingAt = time.Now()
+		b.recorder.mu.Unlock()
+	}
+	time.Sleep(drainLimit + 4*time.Second)
+	stop()
+	c.recorder.mu.Lock()
+	defer c.recorder.mu.Unlock()
+	for _, text := range c.recorder.violations {
+		t.Error(text)
+	}
+}
