feed, KNOWN-RED: test that fails, silent sources asked one after the other

Change: a test in virtual time with a parent, other instances and the store silent or rejecting, and one instance that answers.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,6 +184,60 @@
 	}
 }
 
+// TestSilentSourcesOneAfterTheOther guards against a configuration that takes effect late because sources are asked one after the other: each
+// silent one takes a whole timeout, and the users allow 3 s. An instance that can answer is the last of those asked.
+func TestSilentSourcesOneAfterTheOther(t *testing.T) {
+	const limit = 3 * time.Second
+	silent := SourceFunc(func(ctx context.Context, _ Cursor) (Batch, error) {
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	})
+	rejecting := SourceFunc(func(context.Context, Cursor) (Batch, error) {
+		time.Sleep(70 * time.Millisecond) // From another region.
+		return Batch{}, errors.New("status 429")
+	})
+	// The store's client bounds the time to the head of a response.
+	silentStore := SourceFunc(func(ctx context.Context, _ Cursor) (Batch, error) {
+		ctx, cancel := context.WithTimeout(ctx, PullTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return Batch{}, ctx.Err()
+	})
+	tests := []struct {
+		name      string
+		upstreams []Upstream
+	}{
+		{"store rejects", []Upstream{{Name: "parent", Source: silent}, {Name: "first", Source: silent}, {Name: "store", Source: rejecting, IsStore: true}}},
+		{"store silent", []Upstream{{Name: "parent", Source: silent}, {Name: "store", Source: silentStore, IsStore: true}}},
+		{"reader, store silent", []Upstream{{Name: "store", Source: silentStore, IsStore: true}}},
+		{"reader, store and a peer silent", []Upstream{{Name: "store", Source: silentStore, IsStore: true}, {Name: "first", Source: silent}}},
+	}
+	for _, test := range tests {
+		for _, age := range []time.Duration{0, 300 * time.Millisecond, 600 * time.Millisecond, 900 * time.Millisecond} {
+			t.Run(fmt.Sprint(test.name, ", confirmed ", age, " before"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					began := time.Now()
+					live := SourceFunc(func(context.Context, Cursor) (Batch, error) {
+						time.Sleep(70 * time.Millisecond)
+						return Batch{Position: at(6), Records: []Record{record("a", 6)}, ConfirmedAt: time.Now(), FromInstance: true}, nil
+					})
+					ctx, cancel := context.WithTimeout(t.Context(), 3*limit)
+					defer cancel()
+					f := New(Options{
+						Upstreams: func() []Upstream { return append(slices.Clone(test.upstreams), Upstream{Name: "last", Source: live}) },
+						Clock:     time.Now, Log: discardLog(), OnChange: func([]Record) { cancel() },
+					})
+					f.applyBatch(Batch{Snapshot: true, Position: at(5), Records: []Record{record("a", 5)}, ConfirmedAt: began.Add(-age)})
+					_ = f.Run(ctx)
+					if took := time.Since(began); took >= limit {
+						t.Errorf("a change is known %v later, want %v", took, limit)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestStoreRetriedAfterBackoff guards against an instance that tries all its followers after one failed call to the
 // store and gets no changes meanwhile, because each of them holds the request up to followerWait.
 func TestStoreRetriedAfterBackoff(t *testing.T) {
