feed: ask three sources at once after one has failed

Cause: an instance asked its sources one after the other, 1.5 s for each silent one. Change: after a failed or stale source three are asked at once, until one gives a current response. The others are cancelled, which is no failure. Changes are applied and passed on under one lock. Only the own failure counts, not one that the parent reports, so that a failed call of one reader does not bring all instances to the store.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -34,6 +34,10 @@
 	// silent instance takes PullTimeout, and a configuration has to be in effect after 3 s.
 	hurryAfter = 1200 * time.Millisecond
 
+	// urgentSources is the number of sources that are asked at once after one has failed. Asked one after the other, each silent one
+	// takes PullTimeout.
+	urgentSources = 3
+
 	// sourceBackoff is the time for which a source is skipped after it failed or was stale.
 	sourceBackoff = 1500 * time.Millisecond
 
@@ -112,6 +116,9 @@
 type Feed struct {
 	options Options
 
+	// applyMu keeps the changes of sources that are asked at once in order. It is held before mu.
+	applyMu sync.Mutex
+
 	mu           sync.Mutex
 	replica      *replica
 	updated      chan struct{} // closed at the next change or newer confirmation
@@ -119,7 +126,9 @@
 	// failedInstances holds the instances that failed or were stale since a source last gave a current response. The
 	// store is never marked.
 	failedInstances map[string]bool
-	currentSource   string
+	// failing is true if a source, the store included, failed or was stale since one last gave a current response.
+	failing       bool
+	currentSource string
 	// lacking is the name of the source that lacked numbered records in its last response, and lackingAbove the greatest number
 	// that it had.
 	lacking      string
@@ -143,32 +152,52 @@
 // Run pulls from the sources until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		upstream, ok := f.nextSource()
-		if !ok {
+		sources := f.nextSources()
+		if len(sources) == 0 {
 			select {
 			case <-ctx.Done():
 			case <-time.After(idleDelay):
 			}
 			continue
 		}
-		f.pull(ctx, upstream)
+		f.pullFirst(ctx, sources)
 	}
 	return context.Cause(ctx)
 }
 
-// nextSource returns the first source that is not in backoff. While instances fail, each of them is tried once before
-// any is retried: a pull from an unresponsive one takes longer than the backoff, so that otherwise the first few would
-// be tried in turn and the rest never. The store is retried as soon as its backoff ends, because the other sources of
-// the instance that reads the store are its own followers.
-func (f *Feed) nextSource() (Upstream, bool) {
+// nextSources returns the source to ask, or urgentSources of them if one has failed since the last current response.
+func (f *Feed) nextSources() []Upstream {
 	now := f.options.Clock()
 	upstreams := f.options.Upstreams()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	// A snapshot is too large to be requested several times.
+	urgent := f.failing && f.replica.position.Revision > 0
 	age := now.Sub(f.replica.confirmedAt)
 	if f.replica.position.Revision > 0 && (age > staleAfter || age > hurryAfter && f.instanceFailed()) {
 		upstreams = storeFirst(upstreams)
 	}
+	limit := 1
+	if urgent {
+		limit = urgentSources
+	}
+	var sources []Upstream
+	for len(sources) < limit {
+		upstream, ok := f.nextSource(upstreams, now)
+		if !ok || slices.ContainsFunc(sources, func(u Upstream) bool { return u.Name == upstream.Name }) {
+			break
+		}
+		sources = append(sources, upstream)
+		upstreams = slices.DeleteFunc(slices.Clone(upstreams), func(u Upstream) bool { return u.Name == upstream.Name })
+	}
+	return sources
+}
+
+// nextSource returns the first source that is not in backoff. While instances fail, each of them is tried once before
+// any is retried: a pull from an unresponsive one takes longer than the backoff, so that otherwise the first few would
+// be tried in turn and the rest never. The store is retried as soon as its backoff ends, because the other sources of
+// the instance that reads the store are its own followers. The lock must be held.
+func (f *Feed) nextSource(upstreams []Upstream, now time.Time) (Upstream, bool) {
 	available := func(u Upstream) bool { return !now.Before(f.backoffUntil[u.Name]) }
 	index := slices.IndexFunc(upstreams, func(u Upstream) bool { return available(u) && !f.failedInstances[u.Name] })
 	if index < 0 {
@@ -179,16 +208,39 @@
 	}
 	upstream := upstreams[index]
 	delete(f.backoffUntil, upstream.Name)
-	if f.currentSource != upstream.Name {
-		f.options.Log.WithFields(logrus.Fields{
-			logs.Event: "sourceChosen", logs.Source: upstream.Name, logs.Former: f.currentSource,
-			logs.Revision: f.replica.position.Revision,
-		}).Info("source of the configuration changed")
-		f.currentSource = upstream.Name
-	}
 	return upstream, true
 }
 
+// pullFirst pulls from sources at once, until one has given a current response.
+func (f *Feed) pullFirst(ctx context.Context, sources []Upstream) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, upstream := range sources {
+		f.logChosen(upstream)
+		group.Go(func() {
+			if f.pull(ctx, upstream) {
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+}
+
+// logChosen logs a change of the source.
+func (f *Feed) logChosen(upstream Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.currentSource == upstream.Name {
+		return
+	}
+	f.options.Log.WithFields(logrus.Fields{
+		logs.Event: "sourceChosen", logs.Source: upstream.Name, logs.Former: f.currentSource,
+		logs.Revision: f.replica.position.Revision,
+	}).Info("source of the configuration changed")
+	f.currentSource = upstream.Name
+}
+
 // instanceFailed reports whether an instance failed since a source last gave a current response. The lock must be held.
 func (f *Feed) instanceFailed() bool {
 	for _, failed := range f.failedInstances {
@@ -216,7 +268,8 @@
 	return ordered
 }
 
-func (f *Feed) pull(ctx context.Context, upstream Upstream) {
+// pull pulls from one source. It reports whether the response is current.
+func (f *Feed) pull(ctx context.Context, upstream Upstream) (current bool) {
 	cursor := f.cursor(upstream)
 	timeout := PullTimeout
 	switch {
@@ -225,20 +278,19 @@
 	case upstream.IsStore || cursor.Revision == 0:
 		timeout = bodyTimeout // The store's client bounds the time to the response header itself.
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	pullCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	batch, err := upstream.Source.Pull(ctx, cursor)
+	batch, err := upstream.Source.Pull(pullCtx, cursor)
 	now := f.options.Clock()
 	if err != nil {
+		if ctx.Err() != nil {
+			return false // Another source was faster, or the instance ends.
+		}
 		f.reportPull(upstream, PullFailed)
 		f.handleFailure(upstream, err, now)
-		return
-	}
-	changed, result := f.applyBatch(batch), PullUnchanged
-	if len(changed) > 0 {
-		result = PullChanged
-		f.options.OnChange(changed)
+		return false
 	}
+	result := f.applyInOrder(batch)
 	f.noteLacking(upstream, batch)
 	// A source at an earlier position cannot confirm this replica, however recent its own confirmation is.
 	if age := now.Sub(batch.ConfirmedAt); age > staleAfter || batch.Compare(cursor.Position) < 0 {
@@ -250,8 +302,22 @@
 		}).Warn("source of the configuration is not current")
 	} else {
 		f.clearFailures()
+		current = true
 	}
 	f.reportPull(upstream, result)
+	return current
+}
+
+// applyInOrder applies a batch and passes its changes on before another batch is applied.
+func (f *Feed) applyInOrder(batch Batch) PullResult {
+	f.applyMu.Lock()
+	defer f.applyMu.Unlock()
+	changed := f.applyBatch(batch)
+	if len(changed) == 0 {
+		return PullUnchanged
+	}
+	f.options.OnChange(changed)
+	return PullChanged
 }
 
 // cursor returns what a source is told about the replica.
@@ -269,7 +335,9 @@
 func (f *Feed) noteLacking(upstream Upstream, batch Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lacking = ""
+	if f.lacking == upstream.Name {
+		f.lacking = ""
+	}
 	if !upstream.IsStore && batch.Number < f.replica.greatestNumber() {
 		f.lacking, f.lackingAbove = upstream.Name, batch.Number
 	}
@@ -297,6 +365,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.failedInstances)
+	f.failing = false
 }
 
 func (f *Feed) reportPull(upstream Upstream, result PullResult) {
@@ -335,7 +404,7 @@
 func (f *Feed) deferSource(upstream Upstream, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.failedInstances[upstream.Name] = !upstream.IsStore
+	f.failedInstances[upstream.Name], f.failing = !upstream.IsStore, true
 	backoff := sourceBackoff
 	if upstream.DuringStart {
 		backoff = startBackoff
