soak, KNOWN-RED: test that fails, a server that has started again says that it leaves

The soak's servers had no start in their entries and never came back under their ID. Change: entries have the time of the start; TestRestartedServerSaysItLeaves.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -61,6 +61,7 @@
 	listener  net.Listener
 	proxy     *proxy
 	isEngine  bool
+	startedAt time.Time     // protected by recorder.mu
 	leavingAt time.Time     // protected by recorder.mu
 	limit     *rateLimit    // protected by recorder.mu; nil for none
 	backoff   *backoffPhase // protected by recorder.mu; nil for none
@@ -85,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{id: id, recorder: rec, listener: listener, isEngine: isEngine, toldAt: make(map[string]time.Time)}
+	b := &backend{id: id, recorder: rec, listener: listener, isEngine: isEngine, startedAt: time.Now(), toldAt: make(map[string]time.Time)}
 	if b.proxy, err = newProxy("127.0.0.1:0", listener.Addr().String()); err != nil {
 		return nil, err
 	}
@@ -99,9 +100,11 @@
 	if b.isEngine {
 		service = "llm"
 	}
+	b.recorder.mu.Lock()
+	defer b.recorder.mu.Unlock()
 	return map[string]any{
 		"service": service, "address": b.proxy.address(), "zone": "north-a", "slots": slots, "state": state,
-		"sequence": 1,
+		"sequence": 1, "born": b.startedAt.UnixMilli(),
 	}
 }
 
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -39,6 +39,44 @@
 	}
 }
 
+// restart has the backend server start again under its ID and address. It holds and knows nothing of before.
+func (b *backend) restart() {
+	b.recorder.mu.Lock()
+	b.startedAt, b.toldAt = time.Now(), make(map[string]time.Time)
+	b.recorder.mu.Unlock()
+	b.proxy.resetAll()
+}
+
+// TestRestartedServerSaysItLeaves guards against instances that put down what a server says to its former start, because the store was away
+// when it started again, and send to it once they learn of the new one.
+func TestRestartedServerSaysItLeaves(t *testing.T) {
+	c, _, stop := startLoad(t, buildReleases(t), *countFlag)
+	end := c.disturbStore()
+	c.store.setStatus(http.StatusServiceUnavailable)
+	time.Sleep(500 * time.Millisecond)
+	leaving := make(map[bool]*backend) // by whether it is an engine
+	for _, b := range c.allBackends() {
+		if leaving[b.isEngine] == nil {
+			leaving[b.isEngine] = b
+			b.restart()
+			b.sayLeaving()
+		}
+	}
+	time.Sleep(drainLimit + 500*time.Millisecond)
+	c.store.setStatus(0)
+	end()
+	for _, b := range leaving {
+		c.store.put("servers/"+b.id, b.storeEntry("ready"))
+	}
+	time.Sleep(drainLimit)
+	stop()
+	c.recorder.mu.Lock()
+	defer c.recorder.mu.Unlock()
+	for _, text := range c.recorder.violations {
+		t.Error(text)
+	}
+}
+
 // TestServerLeavesAfterOlderCopy guards against requests to a server whose notice the store has acknowledged with a revision that it had
 // given out before it came back from an older copy. The server says nothing in its answers.
 func TestServerLeavesAfterOlderCopy(t *testing.T) {
