fleet, feed: what a server said of its leaving holds for a start that the list did not show yet

Cause: a response names the ID of a server and not its start, and the word was put down to the start that was listed at that moment. If the server had started again under its ID while the store was down, the word was void as soon as the list showed the new start. Change: the feed tells until when the records were known to be complete before a change. A word heard later than a heartbeat before that is carried to the later start. No clocks of different machines are compared. A start that comes up within the same gap in the list and does not leave is kept out until its end.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -106,7 +106,7 @@
 	// Number returns the number that the publisher has assigned to a record, 0 for one without. A record never replaces one with
 	// a greater number, also if the store does not hold that any more. Nil stands for records without numbers.
 	Number func(record Record) uint64
-	// OnChange is called with each set of changes, those of the sources in order.
+	// OnChange is called with each set of changes, those of the sources in order. Feed.Knowledge tells what was known then.
 	OnChange func(records []Record)
 	// OnPull is called after each pull with its result; it may be nil.
 	OnPull func(upstream Upstream, result PullResult)
@@ -473,6 +473,21 @@
 	return f.replica.storeFailing()
 }
 
+// Knowledge tells what was known when records changed.
+type Knowledge struct {
+	// StoreOutageAt is the last time at which the store was known to be in an outage; zero for never.
+	StoreOutageAt time.Time
+	// CompleteAt is the last time before the changes at which the records were known to be complete; zero for never.
+	CompleteAt time.Time
+}
+
+// Knowledge returns what was known when records changed last.
+func (f *Feed) Knowledge() Knowledge {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return Knowledge{StoreOutageAt: f.replica.storeOutageAt, CompleteAt: f.replica.completeAt}
+}
+
 // StoreOutageAt returns the last time at which the store was known to be in an outage; zero for never.
 func (f *Feed) StoreOutageAt() time.Time {
 	f.mu.Lock()
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -60,7 +60,9 @@
 	historyBase uint64
 	// tombstones holds the revisions of deleted keys. The pages of a snapshot are read one after the other, so a page may
 	// hold a key whose deletion is already known.
-	tombstones    map[string]uint64
+	tombstones map[string]uint64
+	// completeAt is the last time at which the records were known to be complete before the newest changes.
+	completeAt    time.Time
 	confirmedAt   time.Time
 	storeOutageAt time.Time
 	storeFailedAt time.Time
@@ -98,6 +100,9 @@
 		changed = r.putAll(batch.Records)
 	}
 	r.position = batch.Position
+	if len(changed) > 0 {
+		r.completeAt = r.confirmedAt
+	}
 	if batch.ConfirmedAt.After(r.confirmedAt) {
 		r.confirmedAt = batch.ConfirmedAt
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -130,9 +130,8 @@
 // OnChange adds a callback that is called after each change, without a lock held. OnChange must be called before Apply.
 func (f *Fleet) OnChange(callback func()) { f.callbacks = append(f.callbacks, callback) }
 
-// Apply applies published records. storeOutageAt is the last time at which the store was known to be in an outage; zero
-// for never.
-func (f *Fleet) Apply(records []feed.Record, storeOutageAt time.Time) {
+// Apply applies published records.
+func (f *Fleet) Apply(records []feed.Record, known feed.Knowledge) {
 	now := f.options.Clock()
 	f.mu.Lock()
 	if slices.ContainsFunc(records, func(record feed.Record) bool { return record.Restored }) {
@@ -141,7 +140,7 @@
 	for _, record := range records {
 		f.revision = max(f.revision, record.Revision)
 		f.applyConfiguration(record)
-		f.applyBackend(record, now, storeOutageAt)
+		f.applyBackend(record, now, known)
 	}
 	f.evictGone(now)
 	f.manifest = f.buildManifest()
@@ -171,7 +170,7 @@
 	}).Info("configuration in effect")
 }
 
-func (f *Fleet) applyBackend(record feed.Record, now, storeOutageAt time.Time) {
+func (f *Fleet) applyBackend(record feed.Record, now time.Time, known feed.Knowledge) {
 	backend, ok, err := f.options.Decoder.Backend(record)
 	if !ok {
 		return
@@ -196,8 +195,8 @@
 		switch {
 		case record.Restored:
 			reregisterUntil = now.Add(reregisterWindow)
-		case !storeOutageAt.IsZero() && now.Sub(storeOutageAt) < reregisterWindow:
-			reregisterUntil = storeOutageAt.Add(reregisterWindow)
+		case !known.StoreOutageAt.IsZero() && now.Sub(known.StoreOutageAt) < reregisterWindow:
+			reregisterUntil = known.StoreOutageAt.Add(reregisterWindow)
 		}
 		f.markGone(previous, now, reregisterUntil)
 		log.WithFields(logrus.Fields{logs.Event: "backendGone", "doubtful": !reregisterUntil.IsZero()}).
@@ -217,11 +216,12 @@
 				logs.StartedAtMillis: backend.StartedAtMillis,
 			}).Info("backend server listed")
 		}
+		f.carryLeaving(backend, known.CompleteAt)
 		updated := &trackedBackend{backend: backend}
 		if record.Restored && previous.left(backend.StartedAtMillis, now) {
 			updated.heldUntil = now.Add(restoredHold)
 			log.WithField(logs.Event, "backendHeld").Info("a backend server that has left is listed by an older copy of the store")
-			time.AfterFunc(restoredHold, func() { f.Apply(nil, time.Time{}) })
+			time.AfterFunc(restoredHold, func() { f.Apply(nil, feed.Knowledge{}) })
 		}
 		if backend.Leaving {
 			updated.leavingAt = now
--- a/internal/fleet/signal.go
+++ b/internal/fleet/signal.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/route"
 )
 
 // Signal is what a response of a backend server says about the requests to come from this instance. The zero value says
@@ -21,10 +22,13 @@
 // leavingRetention is the time for which it is remembered that a backend server said that it leaves, after its entry was removed.
 const leavingRetention = 10 * time.Minute
 
+// entryDelay is the time within which a backend server that has started is listed, if the store takes its entry: one heartbeat.
+const entryDelay = 1200 * time.Millisecond
+
 // leavingStart is a start of a backend server that said in a response that it leaves.
 type leavingStart struct {
 	startedAtMillis int64
-	at              time.Time
+	heardAt         time.Time // the last time
 }
 
 //go:generate go tool enumer -type=Source -trimprefix=Source -transform=title-lower -output=source_enumer.go
@@ -56,7 +60,7 @@
 	now := f.options.Clock()
 	tracked, known := f.backends[id]
 	newLeaving := known && s.Leaving && !f.saysLeaving(id, tracked)
-	if newLeaving {
+	if known && s.Leaving {
 		f.signaledLeaving[id] = leavingStart{tracked.backend.StartedAtMillis, now}
 	}
 	until := now.Add(s.Backoff)
@@ -92,6 +96,21 @@
 	return ok && said.startedAtMillis == tracked.backend.StartedAtMillis
 }
 
+// carryLeaving puts down to a start of a backend server that is listed now what was heard while an earlier one was listed, if the later one
+// may have said it: the list was not known to be complete then. The lock must be held.
+func (f *Fleet) carryLeaving(listed route.Backend, completeAt time.Time) {
+	said, ok := f.signaledLeaving[listed.ID]
+	if !ok || said.startedAtMillis >= listed.StartedAtMillis || said.heardAt.Before(completeAt.Add(-entryDelay)) {
+		return
+	}
+	f.options.Log.WithFields(logrus.Fields{
+		logs.Event: "leavingCarried", logs.Backend: listed.ID, logs.StartedAtMillis: listed.StartedAtMillis, logs.Former: said.startedAtMillis,
+		logs.AgeMillis: f.options.Clock().Sub(said.heardAt).Milliseconds(),
+	}).Info("a start of a backend server that is new in the list may have said that it leaves and gets no new requests")
+	said.startedAtMillis = listed.StartedAtMillis
+	f.signaledLeaving[listed.ID] = said
+}
+
 // evictSignals forgets what backend servers have said that are not listed any more. An entry may come back, so it is kept for longer than
 // the entry. The lock must be held.
 func (f *Fleet) evictSignals(now time.Time) {
@@ -101,7 +120,7 @@
 		}
 	}
 	for id, said := range f.signaledLeaving {
-		if f.backends[id] == nil && now.Sub(said.at) > leavingRetention {
+		if f.backends[id] == nil && now.Sub(said.heardAt) > leavingRetention {
 			delete(f.signaledLeaving, id)
 		}
 	}
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -197,7 +197,7 @@
 		Clock:     clock.Now,
 		Log:       i.log,
 		Number:    i.adapters.Number,
-		OnChange:  func(records []feed.Record) { i.fleet.Apply(records, i.feed.StoreOutageAt()) },
+		OnChange:  func(records []feed.Record) { i.fleet.Apply(records, i.feed.Knowledge()) },
 		OnPull:    newPullCounter(i.metrics),
 	})
 }
