fleet: keep what a server says of its leaving while it is not listed

A server serves on for many seconds after its entry was removed. A word that arrives more than 15 s after the removal found no server to be put down to and was dropped; an entry that comes back, as after an outage of the store, gets requests again.

--- a/internal/fleet/signal.go
+++ b/internal/fleet/signal.go
@@ -25,6 +25,9 @@
 // entryDelay is the time within which a backend server that has started is listed, if the store takes its entry: one heartbeat.
 const entryDelay = 1200 * time.Millisecond
 
+// unlistedStart stands for the start of a backend server that was not listed when it said that it leaves.
+const unlistedStart int64 = -1
+
 // leavingStart is a start of a backend server that said in a response that it leaves.
 type leavingStart struct {
 	startedAtMillis int64
@@ -58,16 +61,14 @@
 	}
 	f.mu.Lock()
 	now := f.options.Clock()
-	tracked, known := f.backends[id]
-	newLeaving := known && s.Leaving && !f.saysLeaving(id, tracked)
-	if known && s.Leaving {
-		f.signaledLeaving[id] = leavingStart{tracked.backend.StartedAtMillis, now}
-	}
+	_, known := f.backends[id]
+	newLeaving := s.Leaving && f.recordLeaving(id, now)
 	until := now.Add(s.Backoff)
 	newBackoff = known && s.Backoff > 0 && until.After(f.backoffUntil[id])
 	if newBackoff {
 		f.backoffUntil[id] = until
 	}
+	start := f.signaledLeaving[id].startedAtMillis
 	f.mu.Unlock()
 	log := f.options.Log.WithFields(logrus.Fields{logs.Backend: id, logs.Source: source.String()})
 	if newBackoff {
@@ -75,13 +76,27 @@
 			Info("a backend server wants no requests from this instance for a while")
 	}
 	if newLeaving {
-		log.WithFields(logrus.Fields{logs.Event: "backendSignaledLeaving", logs.StartedAtMillis: tracked.backend.StartedAtMillis}).
+		log.WithFields(logrus.Fields{logs.Event: "backendSignaledLeaving", logs.StartedAtMillis: start}).
 			Info("a backend server says that it leaves and gets no new requests")
 		f.notify()
 	}
 	return newBackoff
 }
 
+// recordLeaving records that a backend server said now that it leaves, and reports whether that is new of the start that is listed. The lock
+// must be held.
+func (f *Fleet) recordLeaving(id string, now time.Time) bool {
+	said, before := f.signaledLeaving[id]
+	start := unlistedStart
+	if tracked, known := f.backends[id]; known {
+		start = tracked.backend.StartedAtMillis
+	} else if before {
+		start = said.startedAtMillis
+	}
+	f.signaledLeaving[id] = leavingStart{start, now}
+	return !before || said.startedAtMillis != start
+}
+
 // SaysLeaving reports whether a backend server says that it leaves, in its entry or in a response.
 func (f *Fleet) SaysLeaving(id string) bool {
 	f.mu.RLock()
@@ -100,7 +115,10 @@
 // may have said it: the list was not known to be complete then. The lock must be held.
 func (f *Fleet) carryLeaving(listed route.Backend, completeAt time.Time) {
 	said, ok := f.signaledLeaving[listed.ID]
-	if !ok || said.startedAtMillis >= listed.StartedAtMillis || said.heardAt.Before(completeAt.Add(-entryDelay)) {
+	if !ok || said.startedAtMillis >= listed.StartedAtMillis {
+		return
+	}
+	if said.startedAtMillis != unlistedStart && said.heardAt.Before(completeAt.Add(-entryDelay)) {
 		return
 	}
 	f.options.Log.WithFields(logrus.Fields{
--- a/internal/fleet/signal_test.go
+++ b/internal/fleet/signal_test.go
@@ -97,3 +97,18 @@
 		}
 	}
 }
+
+// TestLeavingOfUnlistedServer guards against a server that gets new requests although it said that it leaves in a response that came so late
+// that the server was not known any more.
+func TestLeavingOfUnlistedServer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newTestFleet(&now)
+	f.Apply([]feed.Record{put("ready", 2), {Key: "e1", Revision: 3, Deleted: true}}, feed.Knowledge{})
+	now = now.Add(goneRetention + time.Second)
+	f.Apply([]feed.Record{{Key: "other", Revision: 3}}, feed.Knowledge{})
+	f.ApplySignal("e1", Signal{Leaving: true}, SourceRequest)
+	f.Apply([]feed.Record{put("ready", 4)}, feed.Knowledge{CompleteAt: now.Add(9 * time.Second)})
+	if f.Accepting("e1") {
+		t.Error("a server that is listed again gets new requests, and has said that it leaves")
+	}
+}
