--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
+	"storj.io/drpc"
 
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
@@ -568,6 +569,36 @@
 	}
 }
 
+// lostCalls is a peer connection on which all calls fail.
+type lostCalls struct{ drpc.Conn }
+
+func (lostCalls) Invoke(context.Context, string, drpc.Encoding, drpc.Message, drpc.Message) error {
+	return errCut
+}
+func (lostCalls) Close() error { return nil }
+
+// TestSignalToHelperLost guards against a helper that goes on sending to a server which has said that it leaves in a response that it carried,
+// because the one call that tells it was lost.
+func TestSignalToHelperLost(t *testing.T) {
+	nodes, servers := newNodes(t, 2), newBackends(t, 1, hello)
+	nodes[0].set(wayRefuses)
+	conn, err := nodes[0].dialer.DialContext(t.Context(), "tcp", servers[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	connect, lost := nodes[0].dialer.options.Connect, 2
+	nodes[0].dialer.options.Connect = func(address string) drpc.Conn {
+		if lost--; lost >= 0 {
+			return lostCalls{}
+		}
+		return connect(address)
+	}
+	if err := conn.(*tunnelConn).SendSignal("i-1", fleet.Signal{Leaving: true}); err != nil || nodes[1].signal != "i-1 {true 0s}" {
+		t.Errorf("error %v, the helper signal %q", err, nodes[1].signal)
+	}
+}
+
 // TestHelperKnowsThatServerLeaves guards against requests that reach a server through an instance which the server has told that it
 // leaves, and against runs that are lost because the connections that move them are not carried any more.
 func TestHelperKnowsThatServerLeaves(t *testing.T) {
--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -30,6 +30,11 @@
 	// chunkBytes bounds the data in one message.
 	chunkBytes = 16 << 10
 
+	// signalTimeout bounds the time for which a helper is told what a backend server said to it, and signalRetryDelay is the pause between
+	// two tries. A server that leaves may get no new request 3 s after it has said so.
+	signalTimeout    = 2500 * time.Millisecond
+	signalRetryDelay = 200 * time.Millisecond
+
 	// closeTimeout bounds the orderly end of a tunnel.
 	closeTimeout = time.Second
 )
@@ -199,16 +204,32 @@
 func (c *tunnelConn) Via() pond.InstanceID { return c.helper.id }
 
 // SendSignal tells the helper what the backend server that it connected to said about later requests. The helper would not know
-// otherwise, because it does not read what it carries.
+// otherwise, because it does not read what it carries. SendSignal tries again for signalTimeout.
 func (c *tunnelConn) SendSignal(backend string, s fleet.Signal) error {
-	ctx, cancel := context.WithTimeout(context.Background(), helperTimeout)
+	until := time.Now().Add(s.Backoff)
+	ctx, cancel := context.WithTimeout(context.Background(), signalTimeout)
+	defer cancel()
+	for {
+		err := c.sendSignalOnce(ctx, &peerpb.SignalNotice{Backend: backend, Leaving: s.Leaving, BackoffMicro: s.Backoff.Microseconds()})
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "tell %s", c.helper.id)
+		case <-time.After(signalRetryDelay):
+			s.Backoff = max(time.Until(until), 0)
+		}
+	}
+}
+
+func (c *tunnelConn) sendSignalOnce(ctx context.Context, notice *peerpb.SignalNotice) error {
+	ctx, cancel := context.WithTimeout(ctx, helperTimeout)
 	defer cancel()
 	conn := c.dialer.options.Connect(c.helper.address)
 	defer conn.Close()
-	_, err := peerpb.NewDRPCTunnelsClient(conn).SendSignal(ctx, &peerpb.SignalNotice{
-		Backend: backend, Leaving: s.Leaving, BackoffMicro: s.Backoff.Microseconds(),
-	})
-	return errors.Wrapf(err, "tell %s", c.helper.id)
+	_, err := peerpb.NewDRPCTunnelsClient(conn).SendSignal(ctx, notice)
+	return err
 }
 
 // receive passes on what the helper sends until the stream ends.
