relay, fleet: the home of a pool does not offer engines that have told this instance that they leave

What callers saw: generations refused with "the chosen engines do not accept work" while other engines have room (not seen in a run of processes). A home in another instance offers an engine that has told only this one that it leaves; the instance rejects it and asks again, four times at most. Change: such engines are excluded in the first offer, as those that asked for a back-off are. Engines that are listed as leaving are known to the home. Measured: TestHomeOffersLeavingEngines red before, passes now.

--- a/internal/fleet/signal.go
+++ b/internal/fleet/signal.go
@@ -172,3 +172,22 @@
 	slices.Sort(ids)
 	return ids, firstEnd
 }
+
+// Unwilling returns the backend servers of a service that want no requests from this instance, at present or because they leave, and are listed as
+// ready, so that others may not know that.
+func (f *Fleet) Unwilling(service string) []string {
+	now := f.options.Clock()
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	var ids []string
+	for id, tracked := range f.backends {
+		if tracked.backend.Service != service || tracked.backend.Leaving || !tracked.goneAt.IsZero() {
+			continue
+		}
+		if f.saysLeaving(id, tracked) || now.Before(f.backoffUntil[id]) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/internal/relay/backoff_test.go
+++ b/internal/relay/backoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -175,3 +176,18 @@
 			target.requestCount(), copies)
 	}
 }
+
+// TestHomeOffersLeavingEngines guards against a home in another instance that offers engines which have told only this one that they leave: each is
+// rejected here, and after some the request is refused although others have room.
+func TestHomeOffersLeavingEngines(t *testing.T) {
+	engines := []*fakeBackend{newFakeBackend(t, respondOK), newFakeBackend(t, respondOK), newFakeBackend(t, respondOK)}
+	bed := newTestBed(t, route.KindStream, &route.EngineSpec{Slots: 4}, engines...)
+	bed.placer.next = 2
+	bed.fleet.ApplySignal("b0", fleet.Signal{Leaving: true}, fleet.SourceRequest)
+	bed.fleet.ApplySignal("b1", fleet.Signal{Backoff: time.Second}, fleet.SourceRequest)
+	bed.fleet.ApplySignal("other", fleet.Signal{Leaving: true}, fleet.SourceRequest)
+	_, _ = bed.post(t, "key")
+	if want := []string{"b0", "b1"}; !slices.Equal(bed.placer.excluded, want) {
+		t.Errorf("the placement excludes %v, want %v", bed.placer.excluded, want)
+	}
+}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -271,7 +271,7 @@
 		Deadline:   x.deadline,
 		Avoid:      x.run.avoid,
 	}
-	req.Exclude, _ = x.relay.options.Fleet.BackingOff(x.service.Name)
+	req.Exclude = x.relay.options.Fleet.Unwilling(x.service.Name)
 	if p := x.call.Prompt; p != nil {
 		// What the caller already has is read again like a prompt.
 		req.PromptTokens, req.PrefixHash = p.Tokens+x.run.deliveredTokens, p.PrefixHash
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -368,12 +368,14 @@
 	mu       sync.Mutex
 	reported []string
 	ended    []pond.PlacementEnd
+	excluded []string // by the newest request
 }
 
-func (p *fakePlacer) Place(context.Context, pond.PlaceRequest) (pond.Placement, error) {
+func (p *fakePlacer) Place(_ context.Context, req pond.PlaceRequest) (pond.Placement, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placed++
+	p.excluded = req.Exclude
 	return p, nil
 }
 
