soak: servers that start again under their ID, and that say only in their answers that they leave

The soak's servers never came back under their ID, and each that said in its answers that it leaves was listed as leaving or gone as well, so that the word alone was never asked for. Change: two kinds of faults. The check of the word excuses an instance that has been restarted or has stood still since it was told, as the users' rule does, and counts from its next answer then. That excuse is new; without it the check would be wider than the rule, because a process that has just started cannot know what no list shows.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -72,8 +72,10 @@
 	findByAddress func(address string) *backend
 	crash         func(*backend) // ends the process of the backend server
 	disturbed     func(address string, at time.Time) bool
-	storeReturned func(at time.Time) bool // whether the store has come back from an older copy lately
-	releaseAt     func(ip string) string
+	// disturbedSince reports whether an instance has had a fault of its own since a time.
+	disturbedSince func(address string, since time.Time) bool
+	storeReturned  func(at time.Time) bool // whether the store has come back from an older copy lately
+	releaseAt      func(ip string) string
 	// plainRunning counts the requests of a replica of the plain service that run, and shortages holds those that it had no room for
 	// in the last second. Both and crashed are protected by recorder.mu.
 	plainRunning int
@@ -136,6 +138,9 @@
 	client := b.proxy.clientOf(r.RemoteAddr)
 	backoff := b.recordBackoff(client)
 	told, saysLeaving := b.toldAt[client], b.saysLeaving
+	if !told.IsZero() && b.disturbedSince(client+frontPort, told) {
+		told = time.Time{} // A process that has started again or stood still may not know it.
+	}
 	if saysLeaving && told.IsZero() {
 		b.toldAt[client] = time.Now()
 	}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -103,6 +104,13 @@
 	return false
 }
 
+// disturbedSince reports whether a fault of the instance with a front address has lasted until a time or begun later.
+func (c *cluster) disturbedSince(address string, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.disturbances[address], func(d disturbance) bool { return d.until.After(since) })
+}
+
 // subnet returns the first three octets of the loopback addresses of the instances. They depend on the process ID,
 // because two concurrent runs with the same addresses joined each other's clusters.
 func subnet() string {
@@ -202,6 +210,7 @@
 		return
 	}
 	b.findByAddress, b.crash, b.disturbed = c.backendByAddress, c.crashBackend, c.disturbed
+	b.disturbedSince = c.disturbedSince
 	b.storeReturned, b.releaseAt = c.storeReturned, c.releaseAt
 	b.proxy.cutOff(c.partitionOf)
 	c.mu.Lock()
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -47,6 +47,40 @@
 	b.proxy.resetAll()
 }
 
+// restartBackend has a backend server start again under its ID and address. The store learns of it some time later.
+func (c *cluster) restartBackend(b *backend, random *rand.Rand) {
+	b.restart()
+	time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+	c.mu.Lock()
+	inUse := c.backends[b.id] == b
+	c.mu.Unlock()
+	if inUse {
+		c.store.put("servers/"+b.id, b.storeEntry("ready"))
+	}
+}
+
+// leaveUnlisted has a backend server leave that says so in its answers only. Its entry lasts until its end. It may start again before.
+func (c *cluster) leaveUnlisted(b *backend, random *rand.Rand) {
+	c.mu.Lock()
+	inUse := c.backends[b.id] == b
+	delete(c.backends, b.id)
+	c.mu.Unlock()
+	if !inUse {
+		return
+	}
+	c.addBackend(b.isEngine)
+	if random.IntN(3) == 0 {
+		b.restart()
+		b.sayLeaving()
+		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
+		c.store.put("servers/"+b.id, b.storeEntry("ready"))
+	}
+	b.sayLeaving()
+	time.Sleep(drainLimit + time.Duration(1000+random.IntN(5000))*time.Millisecond)
+	c.store.put("servers/"+b.id, nil)
+	b.stop()
+}
+
 // TestRestartedServerSaysItLeaves guards against instances that put down what a server says to its former start, because the store was away
 // when it started again, and send to it once they learn of the new one.
 func TestRestartedServerSaysItLeaves(t *testing.T) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -323,6 +323,8 @@
 		c.returnFromCopy(random, time.Duration(500+random.IntN(6000))*time.Millisecond)
 	}},
 	{"instances are replaced in turn", func(c *cluster, random *rand.Rand) { c.replaceInstances(random) }},
+	{"backend starts again under its ID", func(c *cluster, random *rand.Rand) { c.restartBackend(c.anyBackend(random), random) }},
+	{"backend says only in its answers that it leaves", func(c *cluster, random *rand.Rand) { c.leaveUnlisted(c.anyBackend(random), random) }},
 }
 
 func (c *cluster) anyInstance(random *rand.Rand) *instance {
