--- a/internal/soak/release_test.go
+++ b/internal/soak/release_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -113,8 +114,11 @@
 // replaceInstances stops the processes of instances one after the other, as an upgrade does, or some of them, or several at once.
 func (c *cluster) replaceInstances(random *rand.Rand) {
 	order := random.Perm(len(c.instances))
-	order = order[:1+random.IntN(len(order))]
-	gap := []time.Duration{0, 500 * time.Millisecond, 2 * time.Second}[random.IntN(3)]
+	c.replaceInTurn(order[:1+random.IntN(len(order))], []time.Duration{0, 500 * time.Millisecond, 2 * time.Second}[random.IntN(3)])
+}
+
+// replaceInTurn stops the processes of instances in the order of their numbers, and returns when all have been started again.
+func (c *cluster) replaceInTurn(order []int, gap time.Duration) {
 	ended := make(chan struct{}, len(order))
 	for _, number := range order {
 		go func() {
@@ -130,6 +134,71 @@
 	}
 }
 
+// crashesAfterReplacement replaces all instances, those that know of the crashes of a request, and sends it again. It returns the number of
+// backend servers that have crashed.
+func crashesAfterReplacement(t *testing.T, gap time.Duration) int {
+	c, load, stop := startLoad(t, buildReleases(t), *countFlag)
+	const body = "crash-known"
+	c.recorder.addCrashPart(body, requestCrashLimit)
+	send := func(duration time.Duration) {
+		ctx, cancel := context.WithTimeout(t.Context(), duration)
+		defer cancel()
+		load.sendSame(ctx, rand.New(rand.NewPCG(1, 3)), kindLookup, body, 300*time.Millisecond)
+	}
+	send(4 * time.Second)
+	var order []int
+	for _, i := range c.instances {
+		order = append(order, i.number)
+	}
+	c.replaceInTurn(order, gap)
+	time.Sleep(contactLimit)
+	send(4 * time.Second)
+	stop()
+	c.recorder.mu.Lock()
+	defer c.recorder.mu.Unlock()
+	checkCrashParts(t, c, load)
+	for _, text := range c.recorder.violations {
+		t.Error(text)
+	}
+	return len(c.recorder.crashParts[body].crashes)
+}
+
+// TestCrashesKnownAfterReplacement guards against a request that crashes more backend servers because all instances that knew of its crashes have
+// been replaced, one after the other.
+func TestCrashesKnownAfterReplacement(t *testing.T) {
+	if crashes := crashesAfterReplacement(t, 2*time.Second); crashes > requestCrashLimit+1 {
+		t.Errorf("%d backend servers crashed, want at most %d and one by an experiment", crashes, requestCrashLimit)
+	}
+}
+
+// TestCrashesKnownAfterQuickReplacement guards against the same while the instances are replaced so fast that their shutdowns overlap.
+func TestCrashesKnownAfterQuickReplacement(t *testing.T) {
+	if crashes := crashesAfterReplacement(t, 500*time.Millisecond); crashes > requestCrashLimit+1 {
+		t.Errorf("%d backend servers crashed, want at most %d and one by an experiment", crashes, requestCrashLimit)
+	}
+}
+
+// TestFormerRelease guards against instances of two releases side by side that break what each keeps alone: half of the instances are of the
+// former release, and all begin with it and are upgraded at their first restart.
+func TestFormerRelease(t *testing.T) {
+	// formerRelease is the landing before this one; its protocol between instances has to be understood.
+	const formerRelease = "a329a70"
+	binary, err := buildCommit(t.TempDir(), formerRelease)
+	if err != nil {
+		t.Fatal(err)
+	}
+	current := buildBinary(t)
+	for _, test := range []struct {
+		name string
+		mix  releaseMix
+		seed uint64
+	}{{"half", mixHalf, 3600}, {"upgrade", mixUpgrade, 3612}} {
+		t.Run(test.name, func(t *testing.T) {
+			runSeed(t, releases{current: current, former: binary, mix: test.mix}, seedRun{test.seed, len(faultKinds)})
+		})
+	}
+}
+
 // TestFormerReleaseUnknown guards against a run that silently lacks the former release: a commit that the history does not hold is an
 // error that names it.
 func TestFormerReleaseUnknown(t *testing.T) {
