feed: an instance of a former release is offered no configuration

It was offered with each pull, and not read there. Change: number 0 says nothing. Measured: TestNoOffersToFormerRelease red before (2 offers in 3 pulls), passes now.

--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -212,3 +212,23 @@
 		}
 	})
 }
+
+// TestNoOffersToFormerRelease guards against the whole configuration being sent with each pull to an instance of a former release, which states no
+// number and does not read what it is offered.
+func TestNoOffersToFormerRelease(t *testing.T) {
+	f := New(Options{
+		Upstreams: func() []Upstream { return nil }, Clock: time.Now, Log: discardLog(), Number: numberOf, OnChange: func([]Record) {},
+	})
+	f.applyBatch(Batch{Snapshot: true, Position: inEra(0, 9), Records: []Record{numbered(5, 8)}, ConfirmedAt: time.Now()})
+	offers := 0
+	former := Upstream{Name: "former", Source: SourceFunc(func(_ context.Context, cursor Cursor) (Batch, error) {
+		offers += len(cursor.Offered)
+		return Batch{Position: cursor.Position, ConfirmedAt: time.Now(), FromInstance: true}, nil
+	})}
+	for range 3 {
+		f.pull(t.Context(), former)
+	}
+	if offers > 0 {
+		t.Errorf("%d records were offered", offers)
+	}
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -338,7 +338,8 @@
 	if f.lacking == upstream.Name {
 		f.lacking = ""
 	}
-	if !upstream.IsStore && batch.Number < f.replica.greatestNumber() {
+	// An instance of a former release states no number and takes no offers.
+	if !upstream.IsStore && batch.Number > 0 && batch.Number < f.replica.greatestNumber() {
 		f.lacking, f.lackingAbove = upstream.Name, batch.Number
 	}
 }
