serve, reach: an instance that shuts down carries connections to replicas for others

Cause: an instance that shuts down carried nothing from the signal on, although it serves for 4.5 s to 7.3 s more, and the others did not ask it. If the instances that are left are cut off too, no way remains. Change: such an instance carries connections to replicas until no caller uses an old lookup response. Others ask it last, and not for engines: a generation may outlast it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -201,7 +201,7 @@
 	})
 	e.tunnels = reach.NewServer(e.dialer, reach.ServerOptions{
 		Known:   func(address string) bool { return slices.Contains(e.backendAddresses(), address) },
-		Leaving: func() bool { return e.Phase() > PhaseReady },
+		Leaving: func(string) bool { return e.Phase() > PhaseReady },
 		// Backend servers of this interface say nothing about later requests but that they leave, in a notice of the watch.
 		BackingOff:  func(string) bool { return false },
 		Leaves:      func(string) (string, bool) { return "", false },
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -116,7 +116,7 @@
 			Results: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "results"}, []string{"result"}),
 		})
 		n.dialer.dial = n.dial
-		n.server = NewServer(n.dialer, ServerOptions{Known: func(address string) bool { return address != n.unknown }, Leaving: n.leaving.Load,
+		n.server = NewServer(n.dialer, ServerOptions{Known: func(address string) bool { return address != n.unknown }, Leaving: func(string) bool { return n.leaving.Load() },
 			BackingOff:  func(address string) bool { return address == n.backingOff },
 			Leaves:      func(address string) (string, bool) { return "i-1", address == n.leavesAt },
 			ApplySignal: func(backend string, s fleet.Signal) { n.signal = fmt.Sprint(backend, " ", s) },
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -29,8 +29,8 @@
 type ServerOptions struct {
 	// Known reports whether a backend server has the address.
 	Known func(address string) bool
-	// Leaving reports whether this instance shuts down.
-	Leaving func() bool
+	// Leaving reports whether this instance shuts down and makes no more connections to an address.
+	Leaving func(address string) bool
 	// Leaves returns the ID of the backend server with an address if it says that it takes no new requests.
 	Leaves func(address string) (backend string, leaves bool)
 	// BackingOff reports whether the backend server with an address wants no requests from this instance at present.
@@ -119,7 +119,7 @@
 	d := s.dialer
 	d.plan("tcp", address) // Has the own ways probed if they are in doubt.
 	switch {
-	case s.options.Leaving():
+	case s.options.Leaving(address):
 		return nil, unableError{error: errors.New("the helper shuts down")}
 	case !s.options.Known(address):
 		return nil, declinedError{error: errors.New("the helper knows no backend server with the address")}
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -49,6 +49,9 @@
 	// readyMaxAge is the age of the confirmation up to which an instance with a key lease reports that it is ready.
 	readyMaxAge = 3500 * time.Millisecond
 
+	// leavingDistance is added to the way through an instance that shuts down, so that it is longer than any other.
+	leavingDistance = 100
+
 	// auxHeaderTimeout bounds the time to read a request header on the auxiliary listeners.
 	auxHeaderTimeout = 5 * time.Second
 )
@@ -87,6 +90,7 @@
 
 	sockets      sockets
 	leaving      atomic.Bool
+	deserted     atomic.Bool // the instance shuts down and no caller uses an old lookup response any more
 	shutdown     chan struct{}
 	shutdownOnce sync.Once
 }
@@ -219,7 +223,7 @@
 		Log:     i.log,
 	})
 	i.tunnels = reach.NewServer(i.dialer, reach.ServerOptions{
-		Known: i.fleet.KnowsAddress, Leaving: i.leaving.Load, BackingOff: i.backingOffAddress, ApplySignal: i.signalsFrom(fleet.SourcePeer),
+		Known: i.fleet.KnowsAddress, Leaving: i.leavesTunnels, BackingOff: i.backingOffAddress, ApplySignal: i.signalsFrom(fleet.SourcePeer),
 		Leaves: func(address string) (string, bool) {
 			server, _ := i.fleet.ByAddress(address)
 			return server.ID, i.fleet.SaysLeaving(server.ID)
@@ -327,19 +331,33 @@
 	return func(backend string, s fleet.Signal) { i.fleet.ApplySignal(backend, s, source) }
 }
 
-// helpers returns the instances through which this one may connect to a backend server, with the length of the whole way.
+// helpers returns the instances through which this one may connect to a backend server, with the length of the whole way. Those that shut down
+// are the last choice, and only for a replica: a generation may outlast them.
 func (i *Instance) helpers(address string) []reach.Helper {
 	server, _ := i.fleet.ByAddress(address)
+	isReplica := i.slots(server.ID) > 0
 	var helpers []reach.Helper
 	for _, peer := range i.members.Instances() {
-		if peer.State() == pond.InstanceLive && peer.ID() != i.members.Self().ID() {
-			way := i.fleet.Distance(i.settings.DataCentre, peer.DataCentre()) + i.fleet.Distance(peer.DataCentre(), server.DataCentre)
+		if peer.ID() == i.members.Self().ID() {
+			continue
+		}
+		way := i.fleet.Distance(i.settings.DataCentre, peer.DataCentre()) + i.fleet.Distance(peer.DataCentre(), server.DataCentre)
+		switch state := peer.State(); {
+		case state == pond.InstanceLive:
 			helpers = append(helpers, reach.NewHelper(peer, int(way)))
+		case state == pond.InstanceLeaving && isReplica:
+			helpers = append(helpers, reach.NewHelper(peer, int(way)+leavingDistance))
 		}
 	}
 	return helpers
 }
 
+// leavesTunnels reports whether this instance shuts down and carries no more connections to an address.
+func (i *Instance) leavesTunnels(address string) bool {
+	server, _ := i.fleet.ByAddress(address)
+	return i.deserted.Load() || i.leaving.Load() && i.slots(server.ID) == 0
+}
+
 func (i *Instance) livePeers() []pond.Instance { return member.Rank(i.members, "") }
 
 func (i *Instance) serviceOf(id string) string {
@@ -468,6 +486,7 @@
 		closeIdleAt = exitAt
 	}
 	sleepUntil(ctx, closeIdleAt)
+	i.deserted.Store(true)
 	i.front.closeIdle()
 	for i.relay.Open()+i.tunnels.Carried() > 0 && time.Now().Before(exitAt) && ctx.Err() == nil {
 		sleepUntil(ctx, time.Now().Add(drainPollInterval))
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -190,3 +190,41 @@
 		})
 	}
 }
+
+// TestHelperShutsDown guards against an instance that reaches no backend server and loses its helpers to a planned restart at once: until
+// callers have left one that shuts down, it goes on to serve its own requests, and can carry those of others that are short.
+func TestHelperShutsDown(t *testing.T) {
+	c, load, stop := startLoad(t, buildReleases(t), 2)
+	defer c.partition(cutResets, 1, rand.New(rand.NewPCG(1, 5)))()
+	cut, helper := c.instances[0], c.instances[1]
+	if c.partitionOf(cut.ip) == cutNone {
+		cut, helper = helper, cut
+	}
+	time.Sleep(2 * time.Second)
+	stoppedAt := time.Now()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		helper.stop()
+	}()
+	time.Sleep(4 * time.Second)
+	stop()
+	<-ended
+	served, sent := 0, 0
+	for _, o := range load.outcomes {
+		if since := o.sentAt.Sub(stoppedAt); o.ip() == cut.ip && o.kind != kindStream && since > 500*time.Millisecond && since < 3500*time.Millisecond {
+			sent++
+			if o.complete {
+				served++
+			}
+		}
+	}
+	if served < sent*9/10 || sent == 0 {
+		t.Errorf("%d of %d requests to replicas are served while the only helper shuts down", served, sent)
+	}
+	c.recorder.mu.Lock()
+	defer c.recorder.mu.Unlock()
+	for _, text := range c.recorder.violations {
+		t.Error(text)
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -97,6 +97,9 @@
 		}
 	}
 	kinds := *kindsFlag
+	if kinds < 0 || kinds > len(faultKinds) {
+		t.Fatalf("-soak.kinds %d: there are %d kinds of faults", kinds, len(faultKinds))
+	}
 	if kinds == 0 {
 		kinds = len(faultKinds)
 	}
