serve, hazard: an instance that starts learns of crashes from those that shut down

Cause: an instance that starts asked live instances only, 0.2 s after its start at the earliest. While shutdowns overlap there are none, or they end before. Change: instances that shut down are asked and told as well, they serve requests until their end; the first questions follow each other by 50 ms. All instances stopped at the same moment still forget.

--- a/internal/hazard/guard.go
+++ b/internal/hazard/guard.go
@@ -19,7 +19,7 @@
 	// exchangeInterval is the time between two exchanges of all crashes with another instance. An instance that has just
 	// started asks startPeers others with startInterval between them.
 	exchangeInterval = 3 * time.Second
-	startInterval    = 200 * time.Millisecond
+	startInterval    = 50 * time.Millisecond
 	startPeers       = 3
 
 	// maxTurns spreads the instances with which the others begin.
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -296,7 +296,7 @@
 func (i *Instance) newGuard(rankKey string, options hazard.Options) *hazard.Guard {
 	options.Self = pond.InstanceID(i.settings.Instance)
 	options.Homes = func(part string) []pond.Instance { return member.Rank(i.members, rankKey+part) }
-	options.Peers = i.livePeers
+	options.Peers = i.runningPeers
 	options.Connect = i.network.Conn
 	options.Ended = i.checker.ended
 	options.Clock = clock.Now
@@ -360,6 +360,18 @@
 
 func (i *Instance) livePeers() []pond.Instance { return member.Rank(i.members, "") }
 
+// runningPeers returns the instances that serve requests: the live ones and those that shut down, which know of crashes until their end.
+func (i *Instance) runningPeers() []pond.Instance {
+	var peers []pond.Instance
+	for _, instance := range i.members.Instances() {
+		switch instance.State() {
+		case pond.InstanceLive, pond.InstanceSuspect, pond.InstanceLeaving:
+			peers = append(peers, instance)
+		}
+	}
+	return peers
+}
+
 func (i *Instance) serviceOf(id string) string {
 	backend, _ := i.fleet.Backend(id)
 	return backend.Service
