--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -90,7 +90,7 @@
 
 	sockets      sockets
 	leaving      atomic.Bool
-	deserted     atomic.Bool // the instance shuts down and no caller uses an old lookup response any more
+	callersGone  atomic.Bool // the instance shuts down and no caller uses an old lookup response any more
 	shutdown     chan struct{}
 	shutdownOnce sync.Once
 }
@@ -355,7 +355,7 @@
 // leavesTunnels reports whether this instance shuts down and carries no more connections to an address.
 func (i *Instance) leavesTunnels(address string) bool {
 	server, _ := i.fleet.ByAddress(address)
-	return i.deserted.Load() || i.leaving.Load() && i.slots(server.ID) == 0
+	return i.callersGone.Load() || i.leaving.Load() && i.slots(server.ID) == 0
 }
 
 func (i *Instance) livePeers() []pond.Instance { return member.Rank(i.members, "") }
@@ -498,7 +498,7 @@
 		closeIdleAt = exitAt
 	}
 	sleepUntil(ctx, closeIdleAt)
-	i.deserted.Store(true)
+	i.callersGone.Store(true)
 	i.front.closeIdle()
 	for i.relay.Open()+i.tunnels.Carried() > 0 && time.Now().Before(exitAt) && ctx.Err() == nil {
 		sleepUntil(ctx, time.Now().Add(drainPollInterval))
