--- a/internal/soak/backoff_test.go
+++ b/internal/soak/backoff_test.go
@@ -88,6 +88,7 @@
 // them for back-off, that fail what the others could serve, and that make the callers of a service whose replicas all ask
 // for one wait or return all at once.
 func TestServerThatRequestedBackoffGetsMoreRequests(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name       string
 		backingOff func(isEngine bool, index int) bool
--- a/internal/soak/brittle_test.go
+++ b/internal/soak/brittle_test.go
@@ -112,6 +112,7 @@
 // TestBrittleReplicasCrash guards against instances that together send brittle replicas more than they have room for, so that they
 // crash one after the other.
 func TestBrittleReplicasCrash(t *testing.T) {
+	t.Parallel()
 	c, load, stop := startLoad(t, buildReleases(t), *countFlag)
 	end := c.beBrittle(1)
 	time.Sleep(contactLimit)
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -37,6 +37,7 @@
 	t         *testing.T
 	seed      uint64
 	releases  releases
+	subnet    string // the first three octets of the addresses of the instances
 	store     *store
 	storeHTTP *httptest.Server
 	recorder  *recorder
@@ -111,17 +112,21 @@
 	return slices.ContainsFunc(c.disturbances[address], func(d disturbance) bool { return d.until.After(since) })
 }
 
-// subnet returns the first three octets of the loopback addresses of the instances. They depend on the process ID,
-// because two concurrent runs with the same addresses joined each other's clusters.
-func subnet() string {
-	const firstNet, netCount = 64, 64
+// clusters is the number of clusters that the test process has made.
+var clusters atomic.Int64
+
+// newSubnet returns the first three octets of the loopback addresses of the instances of one cluster. They depend on the process ID and
+// differ between the clusters of a process, because two concurrent runs with the same addresses joined each other's clusters.
+func newSubnet() string {
+	const firstNet, processNets, clusterNets, lastOctets = 64, 16, 12, 256
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d", firstNet+pid%netCount, pid/netCount%256)
+	net := firstNet + pid%processNets*clusterNets + int(clusters.Add(1))%clusterNets
+	return fmt.Sprintf("127.%d.%d", net, pid/processNets%lastOctets)
 }
 
 func newCluster(t *testing.T, programs releases, seed uint64, instances int) *cluster {
 	c := &cluster{
-		t: t, seed: seed, releases: programs, store: newStore(), recorder: newRecorder(),
+		t: t, seed: seed, releases: programs, subnet: newSubnet(), store: newStore(), recorder: newRecorder(),
 		keys: []string{"key-0", "key-1", "key-2", "key-3"}, revoked: make(map[string]time.Time),
 		backends: make(map[string]*backend), disturbances: make(map[string][]disturbance),
 	}
@@ -256,7 +261,7 @@
 }
 
 func (c *cluster) addInstance(number int) {
-	i := &instance{name: fmt.Sprintf("instance-%d", number), number: number, ip: fmt.Sprintf("%s.%d", subnet(), firstHostNumber+number)}
+	i := &instance{name: fmt.Sprintf("instance-%d", number), number: number, ip: fmt.Sprintf("%s.%d", c.subnet, firstHostNumber+number)}
 	var err error
 	if i.storeProxy, err = newProxy("127.0.0.1:0", strings.TrimPrefix(c.storeHTTP.URL, "http://")); err != nil {
 		c.t.Fatal(err)
@@ -288,7 +293,7 @@
 ttl_max_s = 5
 [platform]
 address = %q
-`, i.name, i.ip, firstPeerPort, firstPeerPort+10, subnet(), firstHostNumber, subnet(), firstHostNumber+1,
+`, i.name, i.ip, firstPeerPort, firstPeerPort+10, c.subnet, firstHostNumber, c.subnet, firstHostNumber+1,
 		i.ip+frontPort, i.ip+readyPort, i.ip+resolvePort,
 		int(graceLimit.Seconds()), revokeLimit.Milliseconds(), i.storeProxy.address())
 	if err := os.WriteFile(i.settingsPath, []byte(text), 0o600); err != nil {
--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -169,6 +169,7 @@
 // TestConfigurationLostWithOlderCopy guards against instances that keep to what the store held before it came back from an older
 // copy: the configurations that it acknowledges afterwards have revisions which were given out before.
 func TestConfigurationLostWithOlderCopy(t *testing.T) {
+	t.Parallel()
 	c, load, stop := startLoad(t, buildReleases(t), *countFlag)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -188,6 +188,7 @@
 // TestPromptPartCrashesEnginesInTurn guards against requests that end one engine after the other, at any instance, and against
 // sound requests that are refused because they share a part or a caller with them.
 func TestPromptPartCrashesEnginesInTurn(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, buildReleases(t), 0, *countFlag)
 	if !c.waitReady(10 * time.Second) {
 		t.Fatal("not every instance is ready within 10 s")
@@ -225,6 +226,7 @@
 // TestRequestCrashesBackendServersInTurn guards against one request that ends each backend server which runs it, sent again and again
 // at any instance, and against sound requests that are refused because they ran on such a server.
 func TestRequestCrashesBackendServersInTurn(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name  string
 		kind  requestKind
--- a/internal/soak/leaving_test.go
+++ b/internal/soak/leaving_test.go
@@ -17,6 +17,7 @@
 // TestServerThatSaidItLeavesGetsMoreRequests guards against instances that go on sending to a server which says that it
 // leaves only in its answers, because the store does not know it.
 func TestServerThatSaidItLeavesGetsMoreRequests(t *testing.T) {
+	t.Parallel()
 	c, load, stop := startLoad(t, buildReleases(t), *countFlag)
 	leaving := make(map[bool]bool) // by whether it is an engine
 	for _, b := range c.allBackends() {
@@ -84,6 +85,7 @@
 // TestRestartedServerSaysItLeaves guards against instances that put down what a server says to its former start, because the store was away
 // when it started again, and send to it once they learn of the new one.
 func TestRestartedServerSaysItLeaves(t *testing.T) {
+	t.Parallel()
 	c, _, stop := startLoad(t, buildReleases(t), *countFlag)
 	end := c.disturbStore()
 	c.store.setStatus(http.StatusServiceUnavailable)
@@ -114,6 +116,7 @@
 // TestServerLeavesAfterOlderCopy guards against requests to a server whose notice the store has acknowledged with a revision that it had
 // given out before it came back from an older copy. The server says nothing in its answers.
 func TestServerLeavesAfterOlderCopy(t *testing.T) {
+	t.Parallel()
 	c, _, stop := startLoad(t, buildReleases(t), *countFlag)
 	for range 12 {
 		c.publish()
--- a/internal/soak/limit_test.go
+++ b/internal/soak/limit_test.go
@@ -98,6 +98,7 @@
 
 // TestLimitExceededByAllInstancesTogether guards against instances that each keep a limit for themselves, or not at all.
 func TestLimitExceededByAllInstancesTogether(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, buildReleases(t), 0, *countFlag)
 	if !c.waitReady(10 * time.Second) {
 		t.Fatal("not every instance is ready within 10 s")
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -131,6 +131,7 @@
 // TestInstancesThatReachNoBackendServerFailTheirCallers guards against callers who are served only if their instance itself
 // reaches the backend servers, and against instances that reach them but follow one that does not.
 func TestInstancesThatReachNoBackendServerFailTheirCallers(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		kind cutKind
@@ -194,6 +195,7 @@
 // TestHelperShutsDown guards against an instance that reaches no backend server and loses its helpers to a planned restart at once: until
 // callers have left one that shuts down, it goes on to serve its own requests, and can carry those of others that are short.
 func TestHelperShutsDown(t *testing.T) {
+	t.Parallel()
 	c, load, stop := startLoad(t, buildReleases(t), 2)
 	defer c.partition(cutResets, 1, rand.New(rand.NewPCG(1, 5)))()
 	cut, helper := c.instances[0], c.instances[1]
--- a/internal/soak/release_test.go
+++ b/internal/soak/release_test.go
@@ -166,6 +166,7 @@
 // TestCrashesKnownAfterReplacement guards against a request that crashes more backend servers because all instances that knew of its crashes have
 // been replaced, one after the other.
 func TestCrashesKnownAfterReplacement(t *testing.T) {
+	t.Parallel()
 	if crashes := crashesAfterReplacement(t, 2*time.Second); crashes > requestCrashLimit+1 {
 		t.Errorf("%d backend servers crashed, want at most %d and one by an experiment", crashes, requestCrashLimit)
 	}
@@ -173,6 +174,7 @@
 
 // TestCrashesKnownAfterQuickReplacement guards against the same while the instances are replaced so fast that their shutdowns overlap.
 func TestCrashesKnownAfterQuickReplacement(t *testing.T) {
+	t.Parallel()
 	if crashes := crashesAfterReplacement(t, 500*time.Millisecond); crashes > requestCrashLimit+1 {
 		t.Errorf("%d backend servers crashed, want at most %d and one by an experiment", crashes, requestCrashLimit)
 	}
@@ -181,6 +183,7 @@
 // TestFormerRelease guards against instances of two releases side by side that break what each keeps alone: half of the instances are of the
 // former release, and all begin with it and are upgraded at their first restart.
 func TestFormerRelease(t *testing.T) {
+	t.Parallel()
 	// formerRelease is the landing before this one; its protocol between instances has to be understood.
 	const formerRelease = "a329a70"
 	binary, err := buildCommit(t.TempDir(), formerRelease)
@@ -202,6 +205,7 @@
 // TestFormerReleaseUnknown guards against a run that silently lacks the former release: a commit that the history does not hold is an
 // error that names it.
 func TestFormerReleaseUnknown(t *testing.T) {
+	t.Parallel()
 	const commit = "0000000000000000000000000000000000000001"
 	if _, err := buildCommit(t.TempDir(), commit); err == nil || !strings.Contains(err.Error(), commit) {
 		t.Errorf("got the error %v, want one that names the commit", err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,7 +70,11 @@
 	if *logsFlag == "" {
 		return keptOnFailure(t)
 	}
-	dir := filepath.Join(*logsFlag, fmt.Sprint("seed-", seed))
+	name := fmt.Sprint("seed-", seed)
+	if seed == 0 {
+		name = strings.ReplaceAll(t.Name(), "/", "-") // Tests without a seed may run side by side.
+	}
+	dir := filepath.Join(*logsFlag, name)
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		t.Fatal(err)
 	}
@@ -113,17 +117,43 @@
 	return runs
 }
 
+// buildDir holds the programs that buildBinary builds.
+var buildDir string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "soak-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "make a directory for programs:", err)
+		os.Exit(1)
+	}
+	buildDir = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir) // What is left over does no harm.
+	os.Exit(code)
+}
+
+// buildOnce builds the program of this tree. All tests share it.
+var buildOnce = sync.OnceValues(func() (binary string, err error) {
+	binary = filepath.Join(buildDir, "dragonflypond")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/dragonflypond").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return binary, nil
+})
+
 func buildBinary(t *testing.T) string {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), "dragonflypond")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/dragonflypond").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
+	binary, err := buildOnce()
+	if err != nil {
+		t.Fatal(err)
 	}
 	return binary
 }
 
 // TestSoak checks the guarantees to callers and backend servers under overlapping faults.
 func TestSoak(t *testing.T) {
+	t.Parallel()
 	programs := buildReleases(t)
 	for _, run := range seedRuns(t) {
 		t.Run(fmt.Sprint("seed", run.seed), func(t *testing.T) { runSeed(t, programs, run) })
@@ -155,6 +185,7 @@
 // TestGracefulStop guards against requests that a graceful stop interrupts. One instance is told to stop, then the two
 // others at once, while callers resolve addresses, keep connections open and read streams. There are no other faults.
 func TestGracefulStop(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, buildReleases(t), 0, 3)
 	if !c.waitReady(10 * time.Second) {
 		t.Fatal("not every instance is ready within 10 s")
