hazard: an instance that starts asks different others for their crashes

Cause: a start counted three answers, also of the same instance, and could go on to ask one that has ended while others that know of the crashes shut down. Change: opening decides whom to ask: one that has not answered, asked least often, of these one that shuts down. It ends after three different ones or 5 s.

--- a/internal/hazard/guard.go
+++ b/internal/hazard/guard.go
@@ -16,11 +16,8 @@
 )
 
 const (
-	// exchangeInterval is the time between two exchanges of all crashes with another instance. An instance that has just
-	// started asks startPeers others with startInterval between them.
+	// exchangeInterval is the time between two exchanges of all crashes with another instance.
 	exchangeInterval = 3 * time.Second
-	startInterval    = 50 * time.Millisecond
-	startPeers       = 3
 
 	// maxTurns spreads the instances with which the others begin.
 	maxTurns = 1 << 16
@@ -183,10 +180,10 @@
 		<-ctx.Done()
 		return context.Cause(ctx)
 	}
-	asked := 0
+	first := newOpening(g.options.Clock())
 	for turn := rand.IntN(maxTurns); ; turn++ {
-		interval := exchangeInterval
-		if asked < startPeers {
+		opens, interval := !first.over(g.options.Clock()), exchangeInterval
+		if opens {
 			interval = startInterval
 		}
 		timer := time.NewTimer(interval)
@@ -196,7 +193,14 @@
 			return context.Cause(ctx)
 		case <-timer.C:
 		}
-		peer, ok := g.peer(turn)
+		peers := g.peersFrom(turn)
+		if len(peers) == 0 {
+			continue
+		}
+		peer, ok := peers[0], true
+		if opens {
+			peer, ok = first.next(peers)
+		}
 		if !ok {
 			continue
 		}
@@ -205,17 +209,18 @@
 				Info("another instance did not exchange crashes of engines")
 			continue
 		}
-		asked++
+		first.hasAnswered(peer)
 	}
 }
 
-// peer returns the other instance whose turn it is, and false if there is none.
-func (g *Guard) peer(turn int) (pond.Instance, bool) {
+// peersFrom returns the other instances, beginning with the one whose turn it is.
+func (g *Guard) peersFrom(turn int) []pond.Instance {
 	peers := slices.DeleteFunc(slices.Clone(g.options.Peers()), func(peer pond.Instance) bool { return peer.ID() == g.options.Self })
 	if len(peers) == 0 {
-		return pond.Instance{}, false
+		return nil
 	}
-	return peers[turn%len(peers)], true
+	begin := turn % len(peers)
+	return slices.Concat(peers[begin:], peers[:begin])
 }
 
 // Crashes returns the number of crashes that the instance knows.
