hazard, serve: an instance that shuts down hands its crashes over

What callers saw: after all instances had been replaced within seconds, a request that had crashed three replicas crashed three more, and the sound requests there broke off. Cause: what is known of crashes is in memory only, and passed on only if a new instance asked one in time that still ran. Change: an instance that is told to stop ends when another one keeps its crashes: one that runs on, or one that stops later by an order on which all agree. So the last one waits for the first that is back, until the end of its grace period. An instance that has just started passes on what it is told, four times at most. Why it works: each that ends leaves its crashes to one that is bound by the same rule, and the order has a last one. Lost still: if the one that waits is killed, or nobody is back within its grace period.

--- a/internal/hazard/guard.go
+++ b/internal/hazard/guard.go
@@ -61,13 +61,25 @@
 type Guard struct {
 	options Options
 
-	mu    sync.Mutex
-	table *Table
+	mu       sync.Mutex
+	table    *Table
+	revision int // rises whenever the table changes
+	keeping  keeping
+	met      bool // another instance has been known since the start
+	passOns  int  // since the start
+
+	startedAt time.Time
 }
 
 // NewGuard returns a guard that knows no crash.
 func NewGuard(options Options) *Guard {
-	return &Guard{options: options, table: NewTable(options.RemembersSound)}
+	return &Guard{
+		options: options,
+		table:   NewTable(options.RemembersSound),
+		keeping: keeping{stay: peerpb.Stay_STAY_RUNS_ON, id: options.Self},
+
+		startedAt: options.Clock(),
+	}
 }
 
 // Admission is the decision about one generation.
@@ -122,6 +134,7 @@
 	}
 	g.mu.Lock()
 	changed := messagesOf(g.table.Clear(parts, version, g.options.Clock()), g.options.Clock())
+	g.revision += len(changed)
 	g.mu.Unlock()
 	if len(changed) == 0 {
 		return
@@ -161,6 +174,9 @@
 	g.mu.Lock()
 	now := g.options.Clock()
 	crash, changed := g.table.Record(r, now)
+	if changed {
+		g.revision++
+	}
 	messages, candidates := messagesOf([]*Crash{crash}, now), crash.candidates()
 	g.mu.Unlock()
 	if !changed {
@@ -204,7 +220,8 @@
 		if !ok {
 			continue
 		}
-		if err := g.exchange(ctx, peer.PeerAddress(), g.messages(), true); err != nil {
+		messages, _ := g.messages()
+		if _, err := g.exchange(ctx, peer.PeerAddress(), messages, true); err != nil {
 			g.options.Log.WithError(err).WithFields(logrus.Fields{logs.Event: "crashesNotExchanged", logs.Peer: peer.ID()}).
 				Info("another instance did not exchange crashes of engines")
 			continue
@@ -219,6 +236,9 @@
 	if len(peers) == 0 {
 		return nil
 	}
+	g.mu.Lock()
+	g.met = true
+	g.mu.Unlock()
 	begin := turn % len(peers)
 	return slices.Concat(peers[begin:], peers[:begin])
 }
--- a/internal/hazard/guard_test.go
+++ b/internal/hazard/guard_test.go
@@ -29,6 +29,7 @@
 
 	mu    sync.Mutex
 	nodes []*node
+	conns int             // connections made
 	alive map[string]bool // engines that have not ended although they broke a request off
 }
 
@@ -42,6 +43,8 @@
 
 // Instances implements pond.Directory.
 func (n *node) Instances() []pond.Instance {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
 	var instances []pond.Instance
 	for _, other := range n.fleet.nodes {
 		instances = append(instances, other.self)
@@ -97,6 +100,7 @@
 func (n *node) connect(address string) drpc.Conn {
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
+	n.fleet.conns++
 	clientEnd, serverEnd := net.Pipe()
 	i := slices.IndexFunc(n.fleet.nodes, func(other *node) bool { return other.self.PeerAddress() == address })
 	other := n.fleet.nodes[i]
@@ -112,6 +116,13 @@
 	return drpcconn.New(clientEnd)
 }
 
+// calls returns the number of calls between the instances.
+func (f *fleetOfGuards) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conns
+}
+
 func (f *fleetOfGuards) setDown(n *node, down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/hazard/peers.go
+++ b/internal/hazard/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -21,6 +22,11 @@
 	// maxPushes bounds the calls that are open when a crash is told to all instances.
 	maxPushes = 16
 
+	// passOnPeers is the number of instances to which one that has just started passes on crashes that it did not know, and maxPassOns how
+	// often it does: tables that are full or hold what others have forgotten always find something new in each other.
+	passOnPeers = 3
+	maxPassOns  = 4
+
 	// maxCrashesInMessage bounds the crashes of one message. The newest ones go first.
 	maxCrashesInMessage = 64
 
@@ -41,11 +47,16 @@
 
 // Exchange implements peerpb.DRPCHazardsServer and peerpb.DRPCRequestHazardsServer.
 func (s *Server) Exchange(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
-	merged := s.guard.merge(req.GetCrashes())
+	merged, learnt := s.guard.merge(req.GetCrashes())
 	if req.GetAll() {
-		merged = s.guard.messages()
+		merged, _ = s.guard.messages()
+		if learnt && s.guard.mayPassOn() {
+			go s.guard.passOn()
+		}
 	}
-	return &peerpb.ExchangeResponse{Crashes: merged}, nil
+	resp := &peerpb.ExchangeResponse{Crashes: merged}
+	resp.Stay, resp.StopsAtMilli = s.guard.stay()
+	return resp, nil
 }
 
 // Experiment implements peerpb.DRPCHazardsServer and peerpb.DRPCRequestHazardsServer.
@@ -94,7 +105,8 @@
 // push tells all instances about crashes. What they have cleared meanwhile is told to all again.
 func (g *Guard) push(crashes []*peerpb.EngineCrash) {
 	if g.pushOnce(crashes) {
-		g.pushOnce(g.merge(crashes))
+		merged, _ := g.merge(crashes)
+		g.pushOnce(merged)
 	}
 }
 
@@ -107,7 +119,10 @@
 		if peer.ID() == g.options.Self {
 			continue
 		}
-		group.Go(func() error { return g.exchange(context.Background(), peer.PeerAddress(), crashes, false) })
+		group.Go(func() error {
+			_, err := g.exchange(context.Background(), peer.PeerAddress(), crashes, false)
+			return err
+		})
 	}
 	if err := group.Wait(); err != nil {
 		g.options.Log.WithError(err).WithField(logs.Event, "crashNotTold").Info("an instance could not be told about a crash")
@@ -115,6 +130,35 @@
 	return g.clearedParts() != before
 }
 
+// mayPassOn reports whether the instance has just started and may pass on what it has been told, and counts that it does.
+func (g *Guard) mayPassOn() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.passOns == maxPassOns || g.options.Clock().After(g.startedAt.Add(startTime)) {
+		return false
+	}
+	g.passOns++
+	return true
+}
+
+// passOn tells a few other instances all crashes, after one has told this instance crashes that it did not know. So those that know of
+// crashes after all instances were replaced at once tell all others soon.
+func (g *Guard) passOn() {
+	messages, _ := g.messages()
+	peers := g.peersFrom(0)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var group errgroup.Group
+	for _, peer := range peers[:min(len(peers), passOnPeers)] {
+		group.Go(func() error {
+			_, err := g.exchange(context.Background(), peer.PeerAddress(), messages, true)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		g.options.Log.WithError(err).WithField(logs.Event, "crashNotTold").Info("an instance could not be told about a crash")
+	}
+}
+
 // clearedParts returns the number of cleared parts over all crashes.
 func (g *Guard) clearedParts() int {
 	g.mu.Lock()
@@ -126,39 +170,56 @@
 	return n
 }
 
-func (g *Guard) exchange(ctx context.Context, address string, crashes []*peerpb.EngineCrash, all bool) error {
+func (g *Guard) exchange(
+	ctx context.Context, address string, crashes []*peerpb.EngineCrash, all bool,
+) (*peerpb.ExchangeResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	conn := g.options.Connect(address)
 	defer conn.Close()
 	resp, err := g.options.Client(conn).Exchange(ctx, &peerpb.ExchangeRequest{Crashes: crashes, All: all})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	g.merge(resp.GetCrashes())
-	return nil
+	return resp, nil
 }
 
-// merge adds crashes of another instance and returns them as they are now.
-func (g *Guard) merge(crashes []*peerpb.EngineCrash) []*peerpb.EngineCrash {
+// merge adds crashes of another instance and returns them as they are now, and whether one of them was not known.
+func (g *Guard) merge(crashes []*peerpb.EngineCrash) (messages []*peerpb.EngineCrash, learnt bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Clock()
 	merged := make([]*Crash, 0, len(crashes))
 	for _, message := range crashes[:min(len(crashes), maxCrashesInMessage)] {
-		known, _ := g.table.Merge(crashOf(message, now), now)
+		crash := crashOf(message, now)
+		learnt = learnt || g.table.crashes[crash.engine] == nil
+		known, changed := g.table.Merge(crash, now)
+		if changed {
+			g.revision++
+		}
 		merged = append(merged, known)
 	}
-	return messagesOf(merged, now)
+	return messagesOf(merged, now), learnt
+}
+
+// stay returns what the instance states of itself in responses.
+func (g *Guard) stay() (stay peerpb.Stay, stopsAtMilli int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.keeping.stay == peerpb.Stay_STAY_STOPS {
+		stopsAtMilli = g.keeping.stopsAt.UnixMilli()
+	}
+	return g.keeping.stay, stopsAtMilli
 }
 
-// messages returns the newest crashes that the instance knows.
-func (g *Guard) messages() []*peerpb.EngineCrash {
+// messages returns the newest crashes that the instance knows, and the revision of the table.
+func (g *Guard) messages() (crashes []*peerpb.EngineCrash, revision int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	crashes := g.table.Crashes()
-	slices.SortFunc(crashes, func(a, b *Crash) int { return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.engine.id, b.engine.id)) })
-	return messagesOf(crashes[:min(len(crashes), maxCrashesInMessage)], g.options.Clock())
+	known := g.table.Crashes()
+	slices.SortFunc(known, func(a, b *Crash) int { return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.engine.id, b.engine.id)) })
+	return messagesOf(known[:min(len(known), maxCrashesInMessage)], g.options.Clock()), g.revision
 }
 
 func messagesOf(crashes []*Crash, now time.Time) []*peerpb.EngineCrash {
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -484,7 +484,8 @@
 }
 
 // leave shuts the instance down. It announces that the instance leaves, waits until callers no longer use cached lookup
-// responses that name it, and drains open requests until the end of the grace period.
+// responses that name it, and drains open requests until the end of the grace period. It also waits, within that period, until another
+// instance keeps what this one knows of crashes.
 func (i *Instance) leave(ctx context.Context) {
 	began := time.Now()
 	i.leaving.Store(true)
@@ -493,6 +494,7 @@
 	i.members.Leave()
 	i.log.WithFields(logrus.Fields{logs.Event: "instanceLeaving", "open": i.relay.Open(), "carried": i.tunnels.Carried()}).
 		Info("instance leaves")
+	handedOver := i.handOver(ctx, exitAt)
 	closeIdleAt := began.Add(lookupRetentionFactor * i.lookupValidity())
 	if closeIdleAt.After(exitAt) {
 		closeIdleAt = exitAt
@@ -510,6 +512,20 @@
 		i.log.WithError(err).WithFields(logrus.Fields{logs.Event: "requestsCut", "open": open}).
 			Warn("open requests were aborted at the end of the shutdown")
 	}
+	<-handedOver
+}
+
+// handOver returns a channel that is closed when another instance keeps what this one knows of crashes, at exitAt at the latest.
+func (i *Instance) handOver(ctx context.Context, exitAt time.Time) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var group sync.WaitGroup
+		group.Go(func() { i.hazards.HandOver(ctx, exitAt) })
+		group.Go(func() { i.requestHazards.HandOver(ctx, exitAt) })
+		group.Wait()
+	}()
+	return done
 }
 
 func (i *Instance) lookupValidity() time.Duration {
