reach: one probe a second that meets a dead server (red, a try that was not kept)

Tried: four probes in turn until one is reached. The test is committed and listed with what is left to do.

--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -261,6 +263,32 @@
 	}
 }
 
+// TestProbesGoOnAfterDeadServer guards against an instance that doubts its own ways for as long as its probes happen to meet dead servers,
+// and as a helper is of no use meanwhile.
+func TestProbesGoOnAfterDeadServer(t *testing.T) {
+	const probesInTurn = 400 * time.Millisecond
+	nodes, servers := newNodes(t, 8), newBackends(t, 1, hello)
+	dead := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"}
+	var group sync.WaitGroup
+	for _, n := range nodes {
+		n.servers = append(slices.Clone(dead), servers...)
+		group.Go(func() {
+			n.dialer.update(func(table *Table, now time.Time) {
+				table.Failed(dead[0], now)
+				table.Failed(dead[1], now)
+			})
+			n.dialer.plan("tcp", dead[0])
+		})
+	}
+	group.Wait()
+	time.Sleep(probesInTurn)
+	for _, n := range nodes {
+		if state := n.state(); state != StateDirect {
+			t.Errorf("%s: state %v after %v", n.ID(), state, probesInTurn)
+		}
+	}
+}
+
 // TestSilentServer guards against a belief that is changed by one server that is silent for a while.
 func TestSilentServer(t *testing.T) {
 	nodes := newNodes(t, 2)
