reach: a failed write counts as a failed connection

Cause: only a read told that a connection had failed. If the reset is met by the write of the request, net/http closes the connection, and the read ends with "closed", which says nothing. In the red runs that were read, "read/write on closed pipe" stands before the third loss. Change: a write that fails before the first read counts too, unless it timed out or the instance has closed the connection itself. TestFailedWriteCounts fails without the change.

--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -332,7 +332,8 @@
 	d.logged = state
 }
 
-// directConn is a connection from this instance to a backend server. The first read decides whether it was of use.
+// directConn is a connection from this instance to a backend server. The first read, or a write that fails before it, decides whether it was of
+// use.
 type directConn struct {
 	net.Conn
 	dialer  *Dialer
@@ -350,9 +351,23 @@
 		case n > 0:
 			c.dialer.update(func(t *Table, _ time.Time) { t.Reached(c.address, c.begun) })
 		case errors.As(err, &broken) && !broken.Timeout() && !errors.Is(err, net.ErrClosed):
-			c.dialer.count(ResultBroken)
-			c.dialer.update(func(t *Table, _ time.Time) { t.Failed(c.address, c.begun) })
+			c.recordBroken()
 		}
 	})
 	return n, err
 }
+
+// Write implements net.Conn. After a failed write net/http closes the connection, so that a read would not tell why it failed.
+func (c *directConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	var timeout net.Error
+	if err != nil && !errors.Is(err, net.ErrClosed) && !(errors.As(err, &timeout) && timeout.Timeout()) {
+		c.first.Do(c.recordBroken)
+	}
+	return n, err
+}
+
+func (c *directConn) recordBroken() {
+	c.dialer.count(ResultBroken)
+	c.dialer.update(func(t *Table, _ time.Time) { t.Failed(c.address, c.begun) })
+}
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -419,8 +420,9 @@
 	}
 	lost := 0
 	for i := range 30 {
-		if body, _ := nodes[0].get(servers[i%len(servers)]); body != "hello" {
+		if body, err := nodes[0].get(servers[i%len(servers)]); body != "hello" {
 			lost++
+			t.Logf("request %d: %v", i, err)
 		}
 	}
 	if lost > doubtServers {
@@ -428,6 +430,38 @@
 	}
 }
 
+// unwritableConn is a connection that is reset before the request is written. net/http closes it then, often before it has read from it.
+type unwritableConn struct{ net.Conn }
+
+func (unwritableConn) Write([]byte) (int, error) {
+	return 0, &net.OpError{Op: "write", Err: syscall.ECONNRESET}
+}
+
+func (unwritableConn) Read([]byte) (int, error) {
+	return 0, &net.OpError{Op: "read", Err: net.ErrClosed}
+}
+
+// TestFailedWriteCounts guards against an instance that does not notice its cut because it learns of a reset when it writes and not when it
+// reads.
+func TestFailedWriteCounts(t *testing.T) {
+	const server = "127.0.0.1:1"
+	n := newNodes(t, 1)[0]
+	n.dialer.dial = func(context.Context, string, string) (net.Conn, error) { return unwritableConn{}, nil }
+	conn, err := n.dialer.dialDirect(t.Context(), "tcp", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write([]byte("request")); err == nil {
+		t.Fatal("the write succeeded")
+	}
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the read succeeded")
+	}
+	if got := n.dialer.Unreached(); got != 1 {
+		t.Errorf("%d failed servers are known, want 1", got)
+	}
+}
+
 // TestDeadServerWhileCutOff guards against an instance that is cut off and takes a server which nobody reaches for a sign
 // that its helpers are cut off too. Found by the soak: one dead server, asked about twice a second, kept callers from all
 // others.
