peerpb: values of enumerations of landed releases are checked

Cause: the check of former releases knew fields and bytes; a value of an enumeration with another number or meaning passed. Change: describe writes a line for each value, checkEnum compares. Measured: TestChangedEnumIsFound finds another name, a value that is gone and an unknown enumeration.

--- a/internal/peerpb/release_test.go
+++ b/internal/peerpb/release_test.go
@@ -5,8 +5,10 @@
 	"encoding/hex"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -21,9 +23,32 @@
 // maxDepth bounds messages in messages.
 const maxDepth = 3
 
-// describe returns a line for each field of all messages, and one with a filled message of each.
+// enums returns all enumerations by their names, those in messages as "MESSAGE.NAME".
+func enums() map[string]protoreflect.EnumDescriptor {
+	byName := make(map[string]protoreflect.EnumDescriptor)
+	add := func(prefix string, list protoreflect.EnumDescriptors) {
+		for i := range list.Len() {
+			byName[prefix+string(list.Get(i).Name())] = list.Get(i)
+		}
+	}
+	add("", File_peer_proto.Enums())
+	for i := range File_peer_proto.Messages().Len() {
+		message := File_peer_proto.Messages().Get(i)
+		add(string(message.Name())+".", message.Enums())
+	}
+	return byName
+}
+
+// describe returns a line for each value of all enumerations and each field of all messages, and one with a filled message of each.
 func describe() string {
 	var text strings.Builder
+	byName := enums()
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		for i := range byName[name].Values().Len() {
+			value := byName[name].Values().Get(i)
+			fmt.Fprintf(&text, "enum %s %d %s\n", name, value.Number(), value.Name())
+		}
+	}
 	messages := File_peer_proto.Messages()
 	for i := range messages.Len() {
 		message := messages.Get(i)
@@ -121,6 +146,29 @@
 	return ""
 }
 
+// checkEnum returns what is wrong with a value of an enumeration of a former release in this one, or "". The words are those of a line of
+// describe.
+func checkEnum(words []string) string {
+	descriptor := enums()[words[0]]
+	if descriptor == nil {
+		return "the enumeration is gone"
+	}
+	var number protoreflect.EnumNumber
+	if _, err := fmt.Sscan(words[1], &number); err != nil {
+		return err.Error()
+	}
+	value := descriptor.Values().ByNumber(number)
+	switch {
+	case value == nil && descriptor.ReservedRanges().Has(number):
+		return ""
+	case value == nil:
+		return "the value is gone and its number is not reserved"
+	case string(value.Name()) != words[2]:
+		return fmt.Sprintf("the number was %s and is %s now", words[2], value.Name())
+	}
+	return ""
+}
+
 // checkBytes returns what is wrong with the way in which this release reads and writes the bytes of a former one, or "".
 func checkBytes(name, text string) string {
 	former, err := hex.DecodeString(text)
@@ -145,7 +193,7 @@
 	return ""
 }
 
-// TestMessagesOfFormerReleases guards against a field number or type of a landed release that is changed or used again: instances of two releases
+// TestMessagesOfFormerReleases guards against a field number, a type or a value of a landed release that is changed or used again: instances of two releases
 // run side by side during an upgrade.
 func TestMessagesOfFormerReleases(t *testing.T) {
 	if *writeFlag != "" {
@@ -168,6 +216,8 @@
 			switch {
 			case len(words) == 7 && words[0] == "field":
 				problem = checkField(words[1:])
+			case len(words) == 4 && words[0] == "enum":
+				problem = checkEnum(words[1:])
 			case len(words) == 3 && words[0] == "bytes":
 				problem = checkBytes(words[1], words[2])
 			case len(words) == 2 && words[0] == "bytes": // A message without fields.
@@ -198,3 +248,17 @@
 		t.Errorf("a reserved number: %s", problem)
 	}
 }
+
+// TestChangedEnumIsFound guards against the same for the values of enumerations.
+func TestChangedEnumIsFound(t *testing.T) {
+	for _, words := range []string{
+		"Datagram.Kind 1 KIND_ACK",       // another name
+		"Datagram.Kind 99 KIND_GONE",     // gone, not reserved
+		"NoSuchEnum 1 VALUE",             // no such enumeration
+		"Datagram.Kind number KIND_PUSH", // no number
+	} {
+		if checkEnum(strings.Fields(words)) == "" {
+			t.Errorf("%s: no problem found", words)
+		}
+	}
+}
