member, serve: instances state their release

Cause: during an upgrade nothing showed which instance is of which release; what a peer can do was guessed from each message. Change: datagrams carry the number of the sender's release. It is read from the sender's own datagrams only, because a former release drops it when it passes on what it knows, so that 0 always means a release before it and never "not heard". No decision depends on the number yet.

--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -168,6 +168,17 @@
 	return instances
 }
 
+// Releases returns the releases of the members that are not gone and have sent something.
+func (m *Machine) Releases() map[pond.InstanceID]Release {
+	releases := make(map[pond.InstanceID]Release)
+	for id, r := range m.records {
+		if r.state() != pond.InstanceGone && r.release.Heard {
+			releases[id] = r.release
+		}
+	}
+	return releases
+}
+
 // Tick advances timers. It must be called every TickInterval.
 func (m *Machine) Tick(now time.Time) []Outgoing {
 	if now.Sub(m.lastTick) > pauseThreshold {
@@ -204,6 +215,7 @@
 	m.merge(now, sender, directAck)
 	if r := m.records[pond.InstanceID(sender.GetId())]; r != nil && r.instance.Ref() == refOf(sender) {
 		r.manifestConfirmed = d.GetManifest().GetConfirmed()
+		r.release.state(d.GetRelease())
 	}
 	m.mergeAll(now, d.GetMembers(), d.GetBackends(), true)
 	m.dispatch(now, from, d)
@@ -361,6 +373,7 @@
 // datagram says so before other updates, so that the receiver can refute.
 func (m *Machine) send(address string, d *peerpb.Datagram, to *record) {
 	d.Sender = m.self.encodeFull()
+	d.Release = peerpb.Release
 	d.Manifest = m.manifest
 	if to != nil {
 		d.Members = appendSuspicion(d.Members, to)
--- a/internal/member/machine_test.go
+++ b/internal/member/machine_test.go
@@ -75,6 +75,51 @@
 	}
 }
 
+// TestReleases guards against a release that another instance tells, which may be of a release that drops it, against one that is kept over a
+// restart, and against decisions by what an instance states that changes it without one.
+func TestReleases(t *testing.T) {
+	type datagram struct {
+		incarnation uint64
+		release     uint32
+	}
+	tests := []struct {
+		name string
+		sent []datagram
+		want Release
+	}{
+		{"none", nil, Release{}},
+		{"former release", []datagram{{5, 0}}, Release{Number: 0, Heard: true}},
+		{"this release", []datagram{{5, 1}, {5, 1}}, Release{Number: 1, Heard: true}},
+		{"later release", []datagram{{5, 99}}, Release{Number: 99, Heard: true}},
+		{"upgrade", []datagram{{5, 0}, {6, 1}}, Release{Number: 1, Heard: true}},
+		{"back", []datagram{{5, 1}, {6, 0}}, Release{Number: 0, Heard: true}},
+		{"changed without a restart", []datagram{{5, 1}, {5, 2}, {5, 1}}, Release{Number: peerpb.OldestRelease, Heard: true, Unsteady: true}},
+		{"restarted after that", []datagram{{5, 1}, {5, 2}, {6, 2}}, Release{Number: 2, Heard: true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newTestMachine()
+			m.merge(testStart, report(5, 1, pond.InstanceLive), false)
+			for _, sent := range test.sent {
+				// The ack to a probe shows that the new incarnation is there.
+				m.sequence++
+				m.probes[m.sequence] = &probe{address: "127.0.0.2:2", deadline: testStart.Add(time.Second)}
+				m.Receive(testStart, "127.0.0.2:2", &peerpb.Datagram{
+					Kind: peerpb.Datagram_KIND_ACK, Sequence: m.sequence, Sender: report(sent.incarnation, 1, pond.InstanceLive), Release: sent.release,
+				})
+			}
+			if got := m.Releases()["other"]; got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+	if out := newTestMachine().Receive(testStart, "127.0.0.2:2", &peerpb.Datagram{
+		Kind: peerpb.Datagram_KIND_PROBE, Sender: report(5, 1, pond.InstanceLive),
+	}); len(out) != 1 || out[0].Datagram.GetRelease() != peerpb.Release {
+		t.Errorf("datagrams %v, want one that states release %d", out, peerpb.Release)
+	}
+}
+
 // TestRestartReplacesGone guards against a restarted instance that is never accepted because it cannot be probed
 // directly, although its earlier incarnation is gone.
 func TestRestartReplacesGone(t *testing.T) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -112,6 +112,13 @@
 // slice.
 func (m *Member) Instances() []pond.Instance { return m.view.Load().instances }
 
+// Releases returns the releases of the other instances that are not gone and have sent something.
+func (m *Member) Releases() map[pond.InstanceID]Release {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Releases()
+}
+
 // AddSeeds sets the peer addresses that are seeds in addition to Options.Seeds, for example those in the instance list
 // of the platform. It replaces those of earlier calls.
 func (m *Member) AddSeeds(addresses ...string) {
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -118,6 +118,7 @@
 	}
 	r.previousIncarnation = r.incarnation()
 	r.instance = decodeInstance(e)
+	r.release = Release{}
 	r.version = e.GetVersion()
 	r.suspicionDeadline = time.Time{}
 	r.disputed = false
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -23,10 +23,33 @@
 	// manifestConfirmed is the flag from the member's last datagram. A member with a confirmed manifest has received
 	// all earlier notices.
 	manifestConfirmed bool
+	// release is what the incarnation has stated in its datagrams.
+	release Release
 	// previousIncarnation is the incarnation that this one replaced; late reports about it are ignored.
 	previousIncarnation pond.Incarnation
 }
 
+// Release is the release of an instance, as it states it.
+type Release struct {
+	// Number is that of package peerpb, and the oldest one if the instance has changed it without a restart.
+	Number uint32
+	// Heard is false until the instance has sent something itself.
+	Heard bool
+	// Unsteady is true if the instance has changed the number without a restart.
+	Unsteady bool
+}
+
+// state records the number in a datagram.
+func (r *Release) state(number uint32) {
+	switch {
+	case r.Unsteady:
+	case r.Heard && r.Number != number:
+		r.Number, r.Unsteady = peerpb.OldestRelease, true
+	default:
+		r.Number, r.Heard = number, true
+	}
+}
+
 func (r *record) id() pond.InstanceID           { return r.instance.ID() }
 func (r *record) state() pond.InstanceState     { return r.instance.State() }
 func (r *record) incarnation() pond.Incarnation { return r.instance.Ref().Incarnation }
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
+	"github.com/dragonflypond/dragonflypond/internal/peerpb"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
@@ -19,6 +20,7 @@
 	ready                          bool
 	openRequests                   int
 	liveInstances                  int
+	otherReleases                  int
 	waitingShort, waitingLong      int
 	running                        int
 	engines, avoidedEngines        int
@@ -48,6 +50,8 @@
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.openRequests) }},
 	{Name: "instances_live", Help: "Entry instances that this one considers live, itself included.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.liveInstances) }},
+	{Name: "instances_other_release", Help: "Other instances that are of another release than this one.",
+		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.otherReleases) }},
 	{Name: "placement_waiting_short", Help: "Short generations that wait for an engine in the pools of this instance.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.waitingShort) }},
 	{Name: "placement_waiting_long", Help: "Long generations that wait for an engine in the pools of this instance.",
@@ -111,6 +115,11 @@
 			stats.liveInstances++
 		}
 	}
+	for _, release := range i.members.Releases() {
+		if release.Number != peerpb.Release {
+			stats.otherReleases++
+		}
+	}
 	for _, pool := range i.placer.Stats() {
 		stats.waitingShort += pool.WaitingShort
 		stats.waitingLong += pool.WaitingLong
