--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -34,7 +34,8 @@
 	sentAt   time.Time
 	status   int // 0 if no response arrived
 	complete bool
-	address  string // front address of the instance that received the request
+	address  string    // front address of the instance that received the request
+	firstAt  time.Time // of the first event of a stream
 	endedAt  time.Time
 }
 
@@ -180,6 +181,9 @@
 		if want := fmt.Sprintf("data: %s-%d", o.id, next); line != want {
 			g.cluster.recorder.reportViolation("request %s got %q, want %q", o.id, line, want)
 		}
+		if next == 1 {
+			o.firstAt = time.Now()
+		}
 		next++
 	}
 	if scanner.Err() != nil {
@@ -194,6 +198,13 @@
 
 // startLoad starts a cluster that is ready and callers who send requests until stop is called.
 func startLoad(t *testing.T, programs releases, instances int) (c *cluster, load *loadGenerator, stop func()) {
+	return startLoadEvery(t, programs, instances, callInterval)
+}
+
+// startLoadEvery is startLoad with another time between two requests.
+func startLoadEvery(
+	t *testing.T, programs releases, instances int, interval time.Duration,
+) (c *cluster, load *loadGenerator, stop func()) {
 	c = newCluster(t, programs, 0, instances)
 	if !c.waitReady(10 * time.Second) {
 		t.Fatal("not every instance is ready within 10 s")
@@ -201,7 +212,7 @@
 	load = newLoadGenerator(c)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	group.Go(func() { load.run(ctx, rand.New(rand.NewPCG(1, 2)), callInterval) })
+	group.Go(func() { load.run(ctx, rand.New(rand.NewPCG(1, 2)), interval) })
 	time.Sleep(time.Second)
 	return c, load, func() {
 		cancel()
