fleet: a back-off is dropped with the listing of the start that asked for it (red)

The case "new start" states now that the list was known to be complete after the back-off, as that of servers that leave does; without that the new start may have asked for it.

--- a/internal/fleet/signal_test.go
+++ b/internal/fleet/signal_test.go
@@ -8,24 +8,30 @@
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 )
 
-// TestBackoff guards against a back-off that is shortened by a later answer, forgotten with an entry that comes back, or
-// applied to another start of the server, and against one that also keeps other instances from the server.
+// TestBackoff guards against a back-off that is shortened by a later answer, forgotten with an entry that comes back or with a start of the
+// server that may have asked for it and is listed later, or applied to a start that cannot have, and against one that also keeps other
+// instances from the server.
 func TestBackoff(t *testing.T) {
 	const second = time.Second
 	tests := []struct {
 		name     string
 		backoffs []time.Duration // each asked for half a second after the one before
 		then     []feed.Record
+		// complete is the time from the last back-off until the list was last known to be complete before the records.
+		complete time.Duration
 		after    time.Duration // from the first back-off
 		want     bool
 	}{
-		{"none", nil, nil, 0, false},
-		{"within", []time.Duration{3 * second}, nil, 2 * second, true},
-		{"over", []time.Duration{3 * second}, nil, 3 * second, false},
-		{"lengthened", []time.Duration{second, 3 * second}, nil, 3 * second, true},
-		{"not shortened", []time.Duration{3 * second, second / 10}, nil, 2 * second, true},
-		{"new start", []time.Duration{3 * second}, []feed.Record{put("reborn", 3)}, 2 * second, false},
-		{"removed and back", []time.Duration{3 * second}, []feed.Record{{Key: "e1", Revision: 3, Deleted: true}, put("ready", 4)}, 2 * second, true},
+		{"none", nil, nil, 0, 0, false},
+		{"within", []time.Duration{3 * second}, nil, 0, 2 * second, true},
+		{"over", []time.Duration{3 * second}, nil, 0, 3 * second, false},
+		{"lengthened", []time.Duration{second, 3 * second}, nil, 0, 3 * second, true},
+		{"not shortened", []time.Duration{3 * second, second / 10}, nil, 0, 2 * second, true},
+		{"new start", []time.Duration{3 * second}, []feed.Record{put("reborn", 3)}, 9 * second, 2 * second, false},
+		{"new start, list complete until the word", []time.Duration{3 * second}, []feed.Record{put("reborn", 3)}, 0, 2 * second, true},
+		{"new start, list not complete for long", []time.Duration{3 * second}, []feed.Record{put("reborn", 3)}, -9 * second, 2 * second, true},
+		{"new start, listed a heartbeat after the word", []time.Duration{3 * second}, []feed.Record{put("reborn", 3)}, entryDelay + second/10, 2 * second, false},
+		{"removed and back", []time.Duration{3 * second}, []feed.Record{{Key: "e1", Revision: 3, Deleted: true}, put("ready", 4)}, 9 * second, 2 * second, true},
 	}
 	for _, test := range tests {
 		now := time.Unix(1000, 0)
@@ -36,7 +42,7 @@
 			now = begun.Add(time.Duration(i) * second / 2)
 			f.ApplySignal("e1", Signal{Backoff: backoff}, SourceRequest)
 		}
-		f.Apply(test.then, feed.Knowledge{})
+		f.Apply(test.then, feed.Knowledge{CompleteAt: now.Add(test.complete)})
 		now = begun.Add(test.after)
 		_, backingOff := f.BackoffUntil("e1")
 		ids, _ := f.BackingOff("llm")
