fleet: a back-off is kept for a start that may have asked for it

What backend servers saw: a replica that has started again under its ID and asks for a back-off before the list shows the new start gets requests again as soon as it does. Cause: the back-off was put down to the former start, and dropped with it. Change: a back-off heard after the list was last known to be complete, less the time in which a start is listed, is kept for the new start, by the same rule as the word of a server that leaves. Why it works: the list shows a start that was there at least that long before, so that what was heard later may be of the new one.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -102,7 +102,7 @@
 	backends        map[string]*trackedBackend
 	reportedLeaving map[string]time.Time    // backend servers that reported that they leave
 	suspendedUntil  map[string]time.Time    // backend servers that did not answer, and until when they get no new work
-	backoffUntil    map[string]time.Time    // backend servers that want no requests from this instance, and until when
+	backoffs        map[string]backoff      // of backend servers that want no requests from this instance
 	signaledLeaving map[string]leavingStart // backend servers that said in a response that they leave
 	manifest        *spec.Manifest
 	callbacks       []func()
@@ -116,7 +116,7 @@
 		backends:        make(map[string]*trackedBackend),
 		reportedLeaving: make(map[string]time.Time),
 		suspendedUntil:  make(map[string]time.Time),
-		backoffUntil:    make(map[string]time.Time),
+		backoffs:        make(map[string]backoff),
 		signaledLeaving: make(map[string]leavingStart),
 	}
 	for region, dataCentres := range options.Regions {
@@ -207,7 +207,7 @@
 			delete(f.suspendedUntil, backend.ID)
 		}
 		if previous != nil && previous.backend.StartedAtMillis != backend.StartedAtMillis {
-			delete(f.backoffUntil, backend.ID)
+			f.carryBackoff(backend, known.CompleteAt)
 		}
 		if previous == nil || !previous.goneAt.IsZero() || previous.backend.Leaving != backend.Leaving ||
 			previous.backend.StartedAtMillis != backend.StartedAtMillis || previous.backend.Address != backend.Address {
--- a/internal/fleet/signal.go
+++ b/internal/fleet/signal.go
@@ -28,6 +28,12 @@
 // unlistedStart stands for the start of a backend server that was not listed when it said that it leaves.
 const unlistedStart int64 = -1
 
+// backoff is the time for which a backend server wants no requests from this instance.
+type backoff struct {
+	until   time.Time
+	heardAt time.Time // the last time
+}
+
 // leavingStart is a start of a backend server that said in a response that it leaves.
 type leavingStart struct {
 	startedAtMillis int64
@@ -64,9 +70,13 @@
 	_, known := f.backends[id]
 	newLeaving := s.Leaving && f.recordLeaving(id, now)
 	until := now.Add(s.Backoff)
-	newBackoff = known && s.Backoff > 0 && until.After(f.backoffUntil[id])
-	if newBackoff {
-		f.backoffUntil[id] = until
+	if known && s.Backoff > 0 {
+		former := f.backoffs[id].until
+		newBackoff = until.After(former)
+		if !newBackoff {
+			until = former
+		}
+		f.backoffs[id] = backoff{until: until, heardAt: now}
 	}
 	start := f.signaledLeaving[id].startedAtMillis
 	f.mu.Unlock()
@@ -111,6 +121,30 @@
 	return ok && said.startedAtMillis == tracked.backend.StartedAtMillis
 }
 
+// mayBeOfLater reports whether a start of a backend server that was listed later may have said what was heard at a time: the list was not known to
+// be complete then.
+func mayBeOfLater(heardAt, completeAt time.Time) bool {
+	return !heardAt.Before(completeAt.Add(-entryDelay))
+}
+
+// carryBackoff keeps a back-off for a start of a backend server that is listed now if that may have asked for it, and drops it otherwise. The
+// lock must be held.
+func (f *Fleet) carryBackoff(listed route.Backend, completeAt time.Time) {
+	asked, ok := f.backoffs[listed.ID]
+	if !ok {
+		return
+	}
+	if !mayBeOfLater(asked.heardAt, completeAt) {
+		delete(f.backoffs, listed.ID)
+		return
+	}
+	now := f.options.Clock()
+	f.options.Log.WithFields(logrus.Fields{
+		logs.Event: "backoffCarried", logs.Backend: listed.ID, logs.StartedAtMillis: listed.StartedAtMillis,
+		"backoffMillis": asked.until.Sub(now).Milliseconds(), logs.AgeMillis: now.Sub(asked.heardAt).Milliseconds(),
+	}).Info("a start of a backend server that is new in the list may have asked for the back-off")
+}
+
 // carryLeaving puts down to a start of a backend server that is listed now what was heard while an earlier one was listed, if the later one
 // may have said it: the list was not known to be complete then. The lock must be held.
 func (f *Fleet) carryLeaving(listed route.Backend, completeAt time.Time) {
@@ -118,7 +152,7 @@
 	if !ok || said.startedAtMillis >= listed.StartedAtMillis {
 		return
 	}
-	if said.startedAtMillis != unlistedStart && said.heardAt.Before(completeAt.Add(-entryDelay)) {
+	if said.startedAtMillis != unlistedStart && !mayBeOfLater(said.heardAt, completeAt) {
 		return
 	}
 	f.options.Log.WithFields(logrus.Fields{
@@ -132,9 +166,9 @@
 // evictSignals forgets what backend servers have said that are not listed any more. An entry may come back, so it is kept for longer than
 // the entry. The lock must be held.
 func (f *Fleet) evictSignals(now time.Time) {
-	for id, until := range f.backoffUntil {
-		if f.backends[id] == nil && !now.Before(until) {
-			delete(f.backoffUntil, id)
+	for id, asked := range f.backoffs {
+		if f.backends[id] == nil && !now.Before(asked.until) {
+			delete(f.backoffs, id)
 		}
 	}
 	for id, said := range f.signaledLeaving {
@@ -149,7 +183,7 @@
 	now := f.options.Clock()
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	until = f.backoffUntil[id]
+	until = f.backoffs[id].until
 	return until, now.Before(until)
 }
 
@@ -159,14 +193,14 @@
 	now := f.options.Clock()
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	for id, until := range f.backoffUntil {
+	for id, asked := range f.backoffs {
 		tracked := f.backends[id]
-		if !now.Before(until) || tracked == nil || tracked.backend.Service != service || !f.accepts(id, tracked, now) {
+		if !now.Before(asked.until) || tracked == nil || tracked.backend.Service != service || !f.accepts(id, tracked, now) {
 			continue
 		}
 		ids = append(ids, id)
-		if firstEnd.IsZero() || until.Before(firstEnd) {
-			firstEnd = until
+		if firstEnd.IsZero() || asked.until.Before(firstEnd) {
+			firstEnd = asked.until
 		}
 	}
 	slices.Sort(ids)
@@ -184,7 +218,7 @@
 		if tracked.backend.Service != service || tracked.backend.Leaving || !tracked.goneAt.IsZero() {
 			continue
 		}
-		if f.saysLeaving(id, tracked) || now.Before(f.backoffUntil[id]) {
+		if f.saysLeaving(id, tracked) || now.Before(f.backoffs[id].until) {
 			ids = append(ids, id)
 		}
 	}
