--- a/internal/hazard/doc.go
+++ b/internal/hazard/doc.go
@@ -17,7 +17,8 @@
 // is refused, and is an experiment while another one was there each time. Nothing is remembered of requests that are in no crash.
 //
 // Crashes only grow by merging: parts are added and cleared, never taken back. Any order of messages gives the same table.
-// An instance that starts asks another one for its table. Tables are bounded: the oldest crashes and clearings yield.
+// An instance that starts asks others for their tables, and one that shuts down waits until another one keeps its table. Tables are
+// bounded: the oldest crashes and clearings yield.
 //
 // Table decides and does no I/O. Guard shares it with other instances.
 //
