soak: the store's stand-in writes the newest value of a key again

After two returns from older copies that overlap, the value lost in the first was written again after the second and counted as the newest write there, so that version 9 was never written again. An operator writes the newest version. Ruled out: that the version is lost between the instances; all that run have it, and a new one has it 0.5 and 0.8 s after its start. Change: the stand-in keeps the newest value of each key, and that is written again, unless the store has it. More than before is written again; no check changes. TestStoreWritesNewestAgain; the former code cannot pass it, it was not run there.

--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -161,7 +161,7 @@
 		}
 		group.Go(func() {
 			time.Sleep(delay)
-			c.store.writeAgain(entry, returnedAt)
+			c.store.writeAgain(entry.Key)
 		})
 	}
 }
@@ -197,3 +197,28 @@
 	t.Logf("%d requests; %d calls to the store in the second before, %d in the %v after its return", len(load.outcomes), calm, returned,
 		contactLimit+configLimit)
 }
+
+// TestStoreWritesNewestAgain guards against a stand-in of the store that ends with an older value because two returns from older copies
+// overlap: what was lost in the first is written again after the second.
+func TestStoreWritesNewestAgain(t *testing.T) {
+	t.Parallel()
+	const key = "op/config"
+	s := newStore()
+	s.put(key, 1)
+	time.Sleep(20 * time.Millisecond)
+	s.put(key, 2)
+	s.rollBack(10 * time.Millisecond) // Loses 2.
+	time.Sleep(20 * time.Millisecond)
+	s.put(key, 3)
+	s.rollBack(10 * time.Millisecond) // Loses 3.
+	s.writeAgain(key)                 // For the first return.
+	s.writeAgain(key)                 // For the second one.
+	if got := string(s.items[key].Value); got != "3" {
+		t.Errorf("the store holds %q, want the newest value 3", got)
+	}
+	s.put(key, nil)
+	s.writeAgain(key)
+	if _, ok := s.items[key]; ok {
+		t.Error("a deleted key is written again")
+	}
+}
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -21,6 +22,7 @@
 	status   int // HTTP status of every response while the store fails; 0 while it works
 	era      uint64
 	calls    int
+	newest   map[string]item // the last value that the owner of each key has given it; not what is written again
 }
 
 type item struct {
@@ -32,13 +34,18 @@
 }
 
 func newStore() *store {
-	return &store{revision: 1, era: 1, items: make(map[string]item), changed: make(chan struct{})}
+	return &store{revision: 1, era: 1, items: make(map[string]item), newest: make(map[string]item), changed: make(chan struct{})}
 }
 
 // put writes a value, or deletes the key if the value is nil.
 func (s *store) put(key string, value any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.newest[key] = s.write(key, value)
+}
+
+// write changes a key and returns its entry. The lock must be held.
+func (s *store) write(key string, value any) item {
 	s.revision++
 	entry := item{Key: key, Revision: s.revision, Deleted: value == nil, WrittenAt: time.Now()}
 	if value != nil {
@@ -50,6 +57,7 @@
 	s.history = append(s.history, entry)
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return entry
 }
 
 // rollBack replaces the state by that of some time ago, as when the store comes back from an older copy: revisions are given out
@@ -81,19 +89,17 @@
 	return slices.SortedFunc(maps.Values(lost), func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 }
 
-// writeAgain writes what a roll back has lost, unless the key has been written since.
-func (s *store) writeAgain(lost item, rolledBackAt time.Time) {
+// writeAgain gives a key that a roll back has changed its newest value again, unless it has it.
+func (s *store) writeAgain(key string) {
 	s.mu.Lock()
-	written := slices.ContainsFunc(s.history, func(entry item) bool {
-		return entry.Key == lost.Key && entry.WrittenAt.After(rolledBackAt)
-	})
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	newest, now := s.newest[key], s.items[key]
 	switch {
-	case written:
-	case lost.Deleted:
-		s.put(lost.Key, nil)
+	case newest.Deleted && now.Key == "" || !newest.Deleted && bytes.Equal(newest.Value, now.Value):
+	case newest.Deleted:
+		s.write(key, nil)
 	default:
-		s.put(lost.Key, json.RawMessage(lost.Value))
+		s.write(key, json.RawMessage(newest.Value))
 	}
 }
 
