--- a/internal/hazard/request_test.go
+++ b/internal/hazard/request_test.go
@@ -109,6 +109,21 @@
 	}
 }
 
+// TestRequestRefusedWithoutExperiment guards against a sound request that is refused for long because it was at each of five servers when
+// another request crashed them, though it was never let in to show whether it is sound.
+func TestRequestRefusedWithoutExperiment(t *testing.T) {
+	for crashes := minCrashes; crashes <= 2*(minCrashes+maxExperiments); crashes++ {
+		table := NewTable(false)
+		for i := range crashes {
+			table.Record(NewReport(fmt.Sprint("replica-", i), 1, "", true, []string{"bad"}), start)
+			table.Record(NewReport(fmt.Sprint("replica-", i), 1, "", true, []string{"polled"}), start)
+		}
+		if got := table.CheckRequest([]string{"polled"}, start).Verdict(); got != VerdictExperiment {
+			t.Errorf("after %d crashes: verdict %v, want %v", crashes, got, VerdictExperiment)
+		}
+	}
+}
+
 // TestRequestCrashBound guards against a request that crashes more than three backend servers and three more, with any requests beside it,
 // and against a sound one that is refused for longer than until its experiment. A crash is known before the next request is checked.
 func TestRequestCrashBound(t *testing.T) {
