hazard: a request is refused for crashes under its own experiments only

Callers of a sound request were refused for 20 minutes when another request had crashed five servers at which the sound one was, too.

Cause: after the third crash, every further one counted as an experiment of all requests that were there. A request that nobody had let in as an experiment used up its experiments with those of the other one. Change: a crash holds which requests were experiments, on the wire too. Without that statement (a former release) all crashes after the third count, as before.

--- a/internal/hazard/crash.go
+++ b/internal/hazard/crash.go
@@ -53,6 +53,10 @@
 	waiting partSet
 	// cleared holds the parts that were found sound.
 	cleared partSet
+	// experiments holds the parts of the requests that were admitted as an experiment.
+	experiments partSet
+	// unstated is true if an instance that does not state experiments has told of the crash.
+	unstated bool
 }
 
 // Report is what one instance knows about the end of an engine when a request there broke off.
@@ -61,6 +65,8 @@
 	version string
 	writing bool
 	parts   []string
+	// experiment is true if the request was admitted as an experiment.
+	experiment bool
 }
 
 // NewReport returns a report of a request that broke off at an engine. writing is true if the head of its answer had come.
@@ -68,11 +74,23 @@
 	return Report{engine: engineStart{engine, startedAtMillis}, version: version, writing: writing, parts: parts}
 }
 
+// InExperiment returns the report of a request that was admitted as an experiment, or not.
+func (r Report) InExperiment(experiment bool) Report {
+	r.experiment = experiment
+	return r
+}
+
 // Engine returns the ID of the engine.
 func (r Report) Engine() string { return r.engine.id }
 
 func (r Report) crash(now time.Time) *Crash {
-	c := &Crash{engine: r.engine, at: now, usedAt: now, version: r.version, writing: partSet{}, waiting: partSet{}, cleared: partSet{}}
+	c := &Crash{
+		engine: r.engine, at: now, usedAt: now, version: r.version,
+		writing: partSet{}, waiting: partSet{}, cleared: partSet{}, experiments: partSet{},
+	}
+	if r.experiment {
+		c.experiments.add(r.parts, maxParts)
+	}
 	if r.writing {
 		c.writing.add(r.parts, maxParts)
 	} else {
@@ -86,6 +104,10 @@
 	changed := c.writing.add(other.writing.sorted(), maxParts)
 	changed = c.waiting.add(other.waiting.sorted(), maxParts) || changed
 	changed = c.clear(other.cleared.sorted()) || changed
+	changed = c.experiments.add(other.experiments.sorted(), maxParts) || changed
+	if other.unstated && !c.unstated {
+		c.unstated, changed = true, true
+	}
 	if c.version == "" && other.version != "" {
 		c.version, changed = other.version, true
 	}
@@ -126,6 +148,9 @@
 	return from.has(part) && !c.cleared.has(part)
 }
 
+// excludesExperiment reports whether the request with a part is known not to have been an experiment.
+func (c *Crash) excludesExperiment(part string) bool { return !c.unstated && !c.experiments.has(part) }
+
 // concerns reports whether an answer on a version of the weights says something about the crash.
 func (c *Crash) concerns(version string) bool {
 	return c.version == "" || version == "" || c.version == version
--- a/internal/hazard/peers.go
+++ b/internal/hazard/peers.go
@@ -234,6 +234,9 @@
 			Writing:        c.writing.sorted(),
 			Waiting:        c.waiting.sorted(),
 			Cleared:        c.cleared.sorted(),
+
+			Experiments:       c.experiments.sorted(),
+			StatesExperiments: !c.unstated,
 		})
 	}
 	return messages
@@ -245,10 +248,12 @@
 		at:      now.Add(-time.Duration(max(message.GetAgeMicro(), 0)) * time.Microsecond),
 		usedAt:  now.Add(-time.Duration(max(message.GetUsedAgeMicro(), 0)) * time.Microsecond),
 		version: message.GetWeightsVersion(),
-		writing: partSet{}, waiting: partSet{}, cleared: partSet{},
+		writing: partSet{}, waiting: partSet{}, cleared: partSet{}, experiments: partSet{},
+		unstated: !message.GetStatesExperiments(),
 	}
 	c.writing.add(message.GetWriting(), maxParts)
 	c.waiting.add(message.GetWaiting(), maxParts)
 	c.clear(message.GetCleared())
+	c.experiments.add(message.GetExperiments(), maxParts)
 	return c
 }
--- a/internal/hazard/table.go
+++ b/internal/hazard/table.go
@@ -33,7 +33,7 @@
 	// servers which ended in a row is answered then; another crash makes the next delay experimentDelay.
 	firstRequestDelay = 10 * time.Second
 
-	// maxExperiments bounds the experiments with a whole request under which backend servers crash.
+	// maxExperiments bounds the experiments with a whole request under which backend servers crash, while another one may be the cause.
 	maxExperiments = 2
 
 	// maxRefusalDelay bounds the time after which a refused caller may return. Until then, the part may have been found sound.
@@ -229,7 +229,8 @@
 
 // CheckRequest decides about a request with one identity that other requests hardly have. Those that ran beside it in a crash may
 // never come again and so never be cleared, so what counts is the number of crashes since it was last answered. If another request
-// ran beside it in each of them, either may be the cause, and one at a time runs as an experiment, maxExperiments times.
+// ran beside it in each of them, either may be the cause, and one at a time runs as an experiment, until backend servers have crashed under
+// maxExperiments of its own.
 func (t *Table) CheckRequest(identity []string, now time.Time) Decision {
 	if len(t.crashes) == 0 || len(identity) != 1 {
 		return Decision{}
@@ -238,7 +239,7 @@
 	if len(crashes) < minCrashes {
 		return Decision{}
 	}
-	if len(crashes) < minCrashes+maxExperiments && companyIn(crashes) {
+	if experimentsIn(crashes, identity[0]) < maxExperiments && companyIn(crashes) {
 		return Decision{verdict: VerdictExperiment, parts: identity, crashes: len(crashes), retryAt: now.Add(experimentTime)}
 	}
 	delay := firstRequestDelay
@@ -261,6 +262,19 @@
 	return crashes
 }
 
+// experimentsIn returns in how many of the crashes that a request may have caused it may have run as an experiment. Requests that were
+// already at their servers at the third crash were no experiments, however many servers end with them; the first three are none either,
+// also if an instance that does not state experiments has told of them.
+func experimentsIn(crashes []*Crash, part string) int {
+	none := 0
+	for _, c := range crashes {
+		if c.excludesExperiment(part) {
+			none++
+		}
+	}
+	return len(crashes) - max(none, minCrashes)
+}
+
 // companyIn reports whether the crashes have more than one candidate in common.
 func companyIn(crashes []*Crash) bool {
 	common := 0
--- a/internal/relay/identity.go
+++ b/internal/relay/identity.go
@@ -92,7 +92,8 @@
 // recordRequestBreak records that a backend server broke the request off, if it has ended. If the request may be repeated, it waits until
 // that is known.
 func (x *exchange) recordRequestBreak(ctx context.Context, backend route.Backend, a attempt, writing, repeatable bool) {
-	report := hazard.NewReport(backend.ID, backend.StartedAtMillis, a.weightsVersion, writing, []string{x.identity()})
+	report := hazard.NewReport(backend.ID, backend.StartedAtMillis, a.weightsVersion, writing, []string{x.identity()}).
+		InExperiment(x.experiment)
 	if !repeatable {
 		x.relay.options.Requests.Broke(report)
 		return
--- a/internal/relay/identity_test.go
+++ b/internal/relay/identity_test.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/hazard"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 )
 
@@ -112,6 +115,37 @@
 	}
 }
 
+// TestExperimentsBesideAnotherRequestEnd guards against experiments without end with a request that crashes replicas, while another request
+// is at each of them.
+func TestExperimentsBesideAnotherRequestEnd(t *testing.T) {
+	const arrivals, admitted, experiments = 9, 3, 2
+	var backends []*fakeBackend
+	for range arrivals + 1 {
+		backends = append(backends, newFakeBackend(t, resetConnection))
+	}
+	bed := newTestBed(t, route.KindIdempotent, nil, backends...)
+	began := time.Now()
+	var arrival atomic.Int64
+	bed.relay.options.Requests = newTestGuardAt((*hazard.Table).CheckRequest, true, func() time.Time {
+		return began.Add(time.Duration(arrival.Load()) * time.Minute / arrivals) // An experiment has 3 s.
+	})
+	for i := range backends {
+		bed.relay.options.Requests.Settle(t.Context(), hazard.NewReport(fmt.Sprint("b", i), 0, "", true, []string{"another request"}))
+	}
+	for range arrivals {
+		bed.placer.next = int(arrival.Load())
+		bed.post(t, "key")
+		arrival.Add(1)
+	}
+	sent := 0
+	for _, b := range backends {
+		sent += b.requestCount()
+	}
+	if sent != admitted+experiments {
+		t.Errorf("%d requests reached replicas, want %d", sent, admitted+experiments)
+	}
+}
+
 // TestSoundRequestBesideCrash guards against a request that is refused or not repeated after the accident of one replica, and against
 // evidence that stays after an answer.
 func TestSoundRequestBesideCrash(t *testing.T) {
