--- a/internal/calls/property_test.go
+++ b/internal/calls/property_test.go
@@ -1,26 +1,16 @@
 package calls
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// TestMain fixes the seed of the property tests, so that their results are reproducible.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{
-		"rapid.seed": "11", "rapid.checks": "300", "rapid.steps": "150", "rapid.nofailfile": "true",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 11, Checks: 300, Steps: 150}) }
 
 // TestAtMostOnce guards against a key that runs twice, and against "run: no" for a key that runs before or after that
 // refusal, under divergent views, restarts, pauses, lost, duplicated and late copies, failing replicas and full tables.
--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -9,8 +9,13 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 )
 
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 35}) }
+
 // numberOf is the number of a record under the key "n": its first byte.
 func numberOf(record Record) uint64 {
 	if record.Key != "n" || record.Deleted || len(record.Value) == 0 {
--- a/internal/hazard/table_test.go
+++ b/internal/hazard/table_test.go
@@ -7,8 +7,13 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 )
 
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 35}) }
+
 var start = time.Unix(1000, 0)
 
 // crashWith records that an engine ended when it had begun to answer a prompt with the parts.
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -18,21 +16,13 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
 
-// TestMain fixes the seed of the property tests, so that their results are reproducible.
-func TestMain(m *testing.M) {
-	for name, value := range map[string]string{
-		"rapid.seed": "7", "rapid.checks": "300", "rapid.steps": "60", "rapid.nofailfile": "true",
-	} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 7, Checks: 300, Steps: 60}) }
 
 type object = map[string]any
 
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -5,8 +5,13 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 )
 
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 35}) }
+
 // TestLedgerRate guards against permits beyond the limit over any time, also after a pause in the questions or a clock
 // that steps back.
 func TestLedgerRate(t *testing.T) {
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -25,6 +25,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
 	"github.com/dragonflypond/dragonflypond/internal/peer"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
@@ -699,4 +700,8 @@
 	}
 }
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) {
+	repro.Fix(repro.Draws{Seed: 35})
+	goleak.VerifyTestMain(m)
+}
--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +14,7 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/hazard"
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -236,10 +236,5 @@
 	return greatest
 }
 
-func init() {
-	for name, value := range map[string]string{"rapid.seed": "19", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-}
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 19}) }
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -1,27 +1,19 @@
 package sched
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	// A fixed seed gives the same result in every run.
-	_ = flag.Set("rapid.seed", "20261203")
-	_ = flag.Set("rapid.checks", "2000")
-	_ = flag.Set("rapid.steps", "60")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 20261203, Checks: 2000, Steps: 60}) }
 
 var epoch = time.Unix(1_800_000_000, 0)
 
--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -19,20 +17,13 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 	"github.com/dragonflypond/dragonflypond/internal/stream"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// rapidSeed makes every run of the property tests draw the same cases.
-const rapidSeed = "20261203"
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set(rapidSeed)
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 20261203}) }
 
 const (
 	tokenGap  = 10 * time.Millisecond
--- a/internal/table/table_test.go
+++ b/internal/table/table_test.go
@@ -1,22 +1,17 @@
 package table
 
 import (
-	"flag"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	// A fixed seed makes the result the same in every run.
-	_ = flag.Set("rapid.seed", "20261203")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 20261203}) }
 
 // TestTableMatchesMap compares the table with a map. It guards against rows that change their slot, values left over
 // in a reused slot, and an iteration order that depends on insertions.
--- a/internal/watch/manifest_test.go
+++ b/internal/watch/manifest_test.go
@@ -1,27 +1,18 @@
 package watch
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/dragonflypond/dragonflypond/internal/repro"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
 
-// TestMain sets a fixed seed for all property tests, so that their results are reproducible.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "7", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+// TestMain fixes what the property tests draw.
+func TestMain(m *testing.M) { repro.Main(m, repro.Draws{Seed: 7}) }
 
 const (
 	// adoptionLimit is the time within which an accepted manifest must be in effect on all instances.
