--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -93,25 +94,14 @@
 // process.
 func (c *cluster) probeOnce(client *http.Client, i *instance, serial, known, knownBy int) (version, process int) {
 	newest, sentAt, pid := c.newestPublication(), time.Now(), i.pid()
-	req, err := http.NewRequest(http.MethodGet, "http://"+i.ip+frontPort+markerPrefix(newest.version)+"x", nil)
-	if err != nil {
-		c.recorder.reportViolation("probe of %s: %v", i.name, err)
-		return known, knownBy
-	}
-	req.Host = "soak.example"
-	req.Header.Set("X-Attempt-Id", fmt.Sprintf("probe-%s-%d", i.name, serial))
-	resp, err := client.Do(req)
-	if err != nil {
-		return known, knownBy
-	}
-	_ = resp.Body.Close()
-	if c.newestPublication() != newest || i.pid() != pid {
+	status := c.askMarker(client, i, newest.version, serial)
+	if status == 0 || c.newestPublication() != newest || i.pid() != pid {
 		return known, knownBy
 	}
 	switch {
-	case resp.StatusCode == http.StatusOK:
+	case status == http.StatusOK:
 		return newest.version, pid
-	case resp.StatusCode != http.StatusNotFound:
+	case status != http.StatusNotFound:
 	case known == newest.version && knownBy == pid:
 		c.recorder.reportViolation("%s%s knew version %d of the configuration and is behind it again", i.name, c.releaseAt(i.ip), known)
 	case sentAt.Sub(newest.at) > configLimit && !c.disturbed(i.ip+frontPort, sentAt) && !c.disturbed(i.storeWay(), sentAt) &&
@@ -122,6 +112,23 @@
 	return known, knownBy
 }
 
+// askMarker asks an instance for the route that only one version has and returns the status; 0 for no response.
+func (c *cluster) askMarker(client *http.Client, i *instance, version, serial int) (status int) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+i.ip+frontPort+markerPrefix(version)+"x", nil)
+	if err != nil {
+		c.recorder.reportViolation("probe of %s: %v", i.name, err)
+		return 0
+	}
+	req.Host = "soak.example"
+	req.Header.Set("X-Attempt-Id", fmt.Sprintf("probe-%s-%d-%d", i.name, version, serial))
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 // pid returns the ID of the instance's process, 0 for none.
 func (i *instance) pid() int {
 	i.mu.Lock()
@@ -198,6 +205,43 @@
 		contactLimit+configLimit)
 }
 
+// TestStartOnOlderVersionOfStore guards against an instance that starts between the store's return from an older copy and the next write of the
+// operator, and runs by the older version that the store holds meanwhile though other instances run by the newer one.
+func TestStartOnOlderVersionOfStore(t *testing.T) {
+	t.Parallel()
+	const (
+		spreadTime = time.Second // for the others to learn of a version and of the store's return
+		watchTime  = 2 * time.Second
+	)
+	c, _, stop := startLoad(t, buildReleases(t), *countFlag)
+	defer stop()
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, i := range c.instances[:3] { // Two seeds and one that asks them.
+		older := c.newestPublication().version
+		time.Sleep(spreadTime)
+		c.publish()
+		newer := c.newestPublication().version
+		time.Sleep(spreadTime)
+		c.store.rollBack(spreadTime + spreadTime/2)
+		time.Sleep(spreadTime)
+		i.signal(syscall.SIGKILL)
+		byOlder, byNewer := 0, 0
+		for serial, ends := 0, time.Now().Add(watchTime); time.Now().Before(ends); serial++ {
+			if c.askMarker(client, i, older, serial) == http.StatusOK {
+				byOlder++
+			}
+			if c.askMarker(client, i, newer, serial) == http.StatusOK {
+				byNewer++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if byOlder > 0 || byNewer == 0 {
+			t.Errorf("%s started while the store held an older version: %d requests served by that, %d by the newer one", i.name, byOlder, byNewer)
+		}
+		c.store.writeAgain("op/config")
+	}
+}
+
 // TestStoreWritesNewestAgain guards against a stand-in of the store that ends with an older value because two returns from older copies
 // overlap: what was lost in the first is written again after the second.
 func TestStoreWritesNewestAgain(t *testing.T) {
