feed, serve: an instance that starts asks others before it takes over the store's version

Callers with revoked keys were served, and routes were those of an older version, for 0.5 to 0.9 s at a seed that started after the store's return from an older copy and before the operator's next write.

The number of a version protects only who has met it. Ruled out: other instances that go back (none shows an older version), a version that comes and is not applied (it is in force in the millisecond in which it is offered). A pull may inquire, which is answered at once. Nothing is in force before the answers, so there is no moment to serve by the older version.

--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -9,6 +9,9 @@
 // recent. The times are those of a clock that counts suspended time. The age that a source states is counted from the
 // moment at which the request was sent, so that a delayed response never looks recent.
 //
+// The store may come back from an older copy. Numbered records, which the publisher numbers itself, never go back then: an instance keeps the
+// greatest number it has met, and one that starts asks others before it takes the store's; see CompleteAtStart.
+//
 // # Usage
 //
 //	f := feed.New(feed.Options{
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -500,6 +500,9 @@
 // confirmation. It returns at once if the follower is at another position or holds other numbered records, and as soon as there
 // is a snapshot if neither side has one yet.
 func (f *Feed) Serve(ctx context.Context, cursor Cursor) Batch {
+	if cursor.Inquires {
+		return f.numberedSince(cursor)
+	}
 	f.Offer(cursor.Offered)
 	timer := time.NewTimer(followerWait)
 	defer timer.Stop()
@@ -517,6 +520,14 @@
 	return batch
 }
 
+func (f *Feed) numberedSince(cursor Cursor) Batch {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	batch := f.replica.state()
+	batch.Records = f.replica.numberedAbove(cursor.Number)
+	return batch
+}
+
 func (f *Feed) changesSince(cursor Cursor) (Batch, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/feed/position.go
+++ b/internal/feed/position.go
@@ -22,4 +22,6 @@
 	Number uint64
 	// Offered holds numbered records that the source lacked in its last response.
 	Offered []Record
+	// Inquires is true for one that only asks for numbered records with a greater number. The source answers at once.
+	Inquires bool
 }
--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -235,12 +235,17 @@
 	}
 }
 
-// changesSince returns the changes after a follower's cursor, or a snapshot if the history does not reach back so far.
-func (r *replica) changesSince(cursor Cursor) Batch {
-	batch := Batch{
+// state returns a batch without records.
+func (r *replica) state() Batch {
+	return Batch{
 		Position: r.position, Number: r.greatestNumber(), ConfirmedAt: r.confirmedAt,
 		StoreOutageAt: r.storeOutageAt, StoreFailedAt: r.storeFailedAt,
 	}
+}
+
+// changesSince returns the changes after a follower's cursor, or a snapshot if the history does not reach back so far.
+func (r *replica) changesSince(cursor Cursor) Batch {
+	batch := r.state()
 	if cursor.Era == r.position.Era && cursor.Revision >= r.historyBase && cursor.Revision > 0 {
 		for _, record := range r.history {
 			if record.Revision > cursor.Revision {
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -67,6 +67,7 @@
 
 	network *peer.Network
 	members *member.Member
+	store   feed.Source
 	feed    *feed.Feed
 	fleet   *fleet.Fleet
 	placer  *place.Placer
@@ -196,6 +197,7 @@
 		Decoder: i.adapters.Decoder, Regions: i.settings.Regions, LinkBits: i.settings.LinkBits, Clock: clock.Now, Log: i.log,
 		IgnoreBackoffs: i.flags.disabled.Has(pond.MechanismBackoffs),
 	})
+	i.store = feed.CompleteAtStart(i.adapters.Store, feed.StartOptions{Others: i.otherSources, Number: i.adapters.Number, Log: i.log})
 	i.feed = feed.New(feed.Options{
 		Upstreams: i.upstreams,
 		Clock:     clock.Now,
--- a/internal/serve/records.go
+++ b/internal/serve/records.go
@@ -61,7 +61,7 @@
 	for _, index := range sourceRanks(rank, len(ranked)) {
 		sources = append(sources, i.peerSource(ranked[index]))
 	}
-	sources = append(sources, feed.Upstream{Name: "store", Source: i.adapters.Store, IsStore: true})
+	sources = append(sources, feed.Upstream{Name: "store", Source: i.store, IsStore: true})
 	others := i.members.Instances()
 	limit := len(sources) + fallbackPeers
 	for _, index := range rand.Perm(len(others)) {
@@ -115,7 +115,7 @@
 	defer conn.Close()
 	req := &peerpb.PullRequest{
 		After: cursor.Revision, Era: cursor.Era, Number: cursor.Number, Offered: messagesOf(cursor.Offered),
-		OrdersByEra: true,
+		OrdersByEra: true, Inquires: cursor.Inquires,
 	}
 	resp, err := peerpb.NewDRPCRecordsClient(conn).Pull(ctx, req)
 	if err != nil {
@@ -181,10 +181,13 @@
 type batchKey struct {
 	after, current         feed.Position
 	followerNumber, number uint64
+	inquires               bool
 }
 
 func newBatchKey(cursor feed.Cursor, batch feed.Batch) batchKey {
-	return batchKey{after: cursor.Position, current: batch.Position, followerNumber: cursor.Number, number: batch.Number}
+	return batchKey{
+		after: cursor.Position, current: batch.Position, followerNumber: cursor.Number, number: batch.Number, inquires: cursor.Inquires,
+	}
 }
 
 // addRecords adds the records of a batch to a response, compressed if they are large.
@@ -219,6 +222,7 @@
 	receivedAt := clock.Now()
 	cursor := feed.Cursor{
 		Position: feed.Position{Era: req.GetEra(), Revision: req.GetAfter()}, Number: req.GetNumber(), Offered: recordsOf(req.GetOffered()),
+		Inquires: req.GetInquires(),
 	}
 	if !req.GetOrdersByEra() {
 		// A follower of a former release would get a snapshot without end.
--- a/internal/serve/start.go
+++ b/internal/serve/start.go
@@ -1,10 +1,12 @@
 package serve
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 // startupWindow is the time after its start for which an instance pulls records from the seeds. After that it knows
@@ -48,3 +50,15 @@
 	}
 	return sources
 }
+
+// otherSources returns the seeds and the other instances that are known.
+func (i *Instance) otherSources() []feed.Upstream {
+	sources := i.seedSources()
+	for _, instance := range i.members.Instances() {
+		isSeed := slices.Contains(i.settings.Seeds, instance.PeerAddress())
+		if instance.ID() != i.members.Self().ID() && instance.State() != pond.InstanceGone && !isSeed {
+			sources = append(sources, i.peerSource(instance))
+		}
+	}
+	return sources
+}
