feed: an instance that starts asks five others at most until one answers

Cause: the inquiry of a start went on to further instances as long as one of those asked had not answered, so with hundreds of instances one start asked most of them. Found on reading the change; nobody saw it. Change: no further instance is asked once one that holds records has answered.

--- a/internal/feed/start.go
+++ b/internal/feed/start.go
@@ -21,7 +21,7 @@
 	// consultInterval is the time between two looks for instances that have become known.
 	consultInterval = 25 * time.Millisecond
 
-	// maxConsulted bounds the instances that are asked at a time.
+	// maxConsulted bounds the instances that are asked at the same time.
 	maxConsulted = 5
 )
 
@@ -75,7 +75,8 @@
 	newestOf string // the instance that the newest record came from
 }
 
-// run returns when the instances that are known have answered and one of them holds records, or when the time is up.
+// run asks some of the instances that are known at a time, until one that holds records has answered. It returns when the others of that time have
+// answered too, or when the time is up.
 func (c *consultation) run(ctx context.Context) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, consultTime)
@@ -83,7 +84,9 @@
 	ticker := time.NewTicker(consultInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil && (c.pending > 0 || c.knowing == 0) {
-		c.ask(ctx)
+		if c.knowing == 0 {
+			c.ask(ctx)
+		}
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
--- a/internal/feed/start_test.go
+++ b/internal/feed/start_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,6 +85,37 @@
 	}
 }
 
+// TestStartAsksFew guards against an instance that asks all others when it starts.
+func TestStartAsksFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const others = 50
+		var asked atomic.Int32
+		other := SourceFunc(func(context.Context, Cursor) (Batch, error) {
+			asked.Add(1)
+			time.Sleep(time.Duration(asked.Load()) * time.Millisecond)
+			return Batch{Position: Position{2, 9}, Number: 3}, nil
+		})
+		store := CompleteAtStart(SourceFunc(func(context.Context, Cursor) (Batch, error) {
+			return Batch{Position: Position{2, 9}, Snapshot: true, Records: []Record{numbered(3, 5)}}, nil
+		}), StartOptions{
+			Others: func() []Upstream {
+				var known []Upstream
+				for i := range others {
+					known = append(known, Upstream{Name: fmt.Sprint(i), Source: other})
+				}
+				return known
+			},
+			Number: numberOf, Log: discardLog(),
+		})
+		if _, err := store.Pull(t.Context(), Cursor{}); err != nil {
+			t.Fatal(err)
+		}
+		if got := asked.Load(); got != maxConsulted {
+			t.Errorf("%d of %d instances were asked, want %d", got, others, maxConsulted)
+		}
+	})
+}
+
 // TestInquiry guards against an inquiry that is held like a follower's request, or that is answered with all records.
 func TestInquiry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
