--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,6 +47,7 @@
 }{
 	{118, 14, "an instance that briefly lost the store treated the removal of an engine's entry as doubtful"},
 	{2312, 23, "instances that had just started met only an older copy of the store, which lists a server that has left; allowed"},
+	{5116, 26, "all instances refused requests with keys while the store was down, cut off from the servers or not; allowed"},
 }
 
 // keptOnFailure returns a directory that is removed unless the test fails. A failure that shows once cannot be traced without
