Revert "reach: a probe goes on to other servers after one that is dead"

By their logs they took themselves for direct four to six times in five seconds. A probe counts as reached if its reset takes longer than 0.1 s, and the change made four probes of one. Ruled out: not shown that the change alone does it; the same test was red once without it at load 24 to 30, with two such times. Conclusion: a doubt of one second at a dead server is less harm than requests lost at an instance that is cut off. First a probe has to tell a late reset from an open connection.

--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -24,9 +23,6 @@
 	// headStart is the time after which a direct attempt is no longer waited for alone. Regions are 30 ms apart.
 	headStart = 250 * time.Millisecond
 
-	// maxProbed bounds the servers that are probed in turn until one is reached.
-	maxProbed = 4
-
 	// probeHold is the time for which a connection on which nothing was sent is watched. It exceeds a round trip between regions.
 	probeHold = 100 * time.Millisecond
 )
@@ -144,13 +140,6 @@
 	return d.table.Reaches(address, d.options.Clock())
 }
 
-// knowsDown reports whether a server was found down a short time ago.
-func (d *Dialer) knowsDown(address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.table.IsDown(address, d.options.Clock())
-}
-
 // dialBoth connects directly, and through a helper if that fails or takes long.
 func (d *Dialer) dialBoth(ctx context.Context, network, address string) (net.Conn, error) {
 	begun := d.options.Clock()
@@ -220,51 +209,19 @@
 	}
 }
 
-// probe tests the direct ways of this instance with connections that carry no request: to a server and, if that fails, to others in turn,
-// because it may be dead.
+// probe tests the direct way to a server with a connection that carries no request.
 func (d *Dialer) probe(network, address string) {
 	ctx, cancel := context.WithTimeout(d.probeContext, dialTimeout)
 	defer cancel()
-	var failed []string
-	for more := true; more && len(failed) < maxProbed; address, more = d.nextProbed(failed) {
-		begun := d.options.Clock()
-		if !d.probeOnce(ctx, network, address) {
-			failed = append(failed, address)
-			continue
-		}
-		d.update(func(t *Table, now time.Time) { t.ProbeReached(address, begun, now) })
-		return
-	}
-}
-
-// probeOnce reports whether a connection that carries no request reaches a server.
-func (d *Dialer) probeOnce(ctx context.Context, network, address string) bool {
+	begun := d.options.Clock()
 	conn, err := d.dialDirect(ctx, network, address)
 	if err != nil {
-		return false
+		return
 	}
 	defer conn.Close()
-	return d.hold(conn) == nil
-}
-
-// nextProbed returns a server to probe after others, of those that have not failed before if there is one. It returns false if there is none,
-// or if a helper reaches the first one that was probed: the way to that one was tested, not all ways.
-func (d *Dialer) nextProbed(probed []string) (address string, ok bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.probeContext.Err() != nil || d.table.Blocked(probed[0]) {
-		return "", false
-	}
-	servers := d.options.Servers()
-	for _, index := range rand.Perm(len(servers)) {
-		if slices.Contains(probed, servers[index]) {
-			continue
-		}
-		if address, ok = servers[index], true; !d.table.HasFailed(address) {
-			return address, true
-		}
+	if d.hold(conn) == nil {
+		d.update(func(t *Table, _ time.Time) { t.Reached(address, begun) })
 	}
-	return address, ok
 }
 
 // hold checks that a direct connection on which nothing has been sent stays open for probeHold. One that does not is closed, and counts
