soak: a fault that needs a backend server waits for one

Ruled out: a fault of the product; the panic is in the fault itself. Change: it waits for the first server that is back. Measured: not reproduced; that all six are gone at one moment needs a slow machine.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -366,9 +366,14 @@
 	return c.instances[random.IntN(len(c.instances))]
 }
 
+// anyBackend returns a backend server in use. If all have crashed at once, it waits for the first that is back.
 func (c *cluster) anyBackend(random *rand.Rand) *backend {
-	backends := c.allBackends()
-	return backends[random.IntN(len(backends))]
+	for {
+		if backends := c.allBackends(); len(backends) > 0 {
+			return backends[random.IntN(len(backends))]
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
 }
 
 // allBackends returns the backend servers in use, the oldest first.
