hazard: an instance that has promised to keep crashes asks again before it ends

Callers: all instances told to stop at once could forget which requests crash backend servers; the same request then crashed more of them.

Cause: two instances handed over to each other. The first asked the second before that one was told to stop and heard that it runs on; the second asked the first before that one had counted its answers and heard that it stops later. Both believed true, but old, answers. Ruled out: the order of stop times (TestOutlasts): it is total, but "runs on" stands outside of it. Change: an answer that this instance keeps its crashes counts as a change since the round's questions, so the round does not end the instance's keeping and it asks again. Whoever relies on an instance has so asked it before that one asked its own keeper; a circle is not possible. Rounds are a random time apart, or two instances could disturb each other until both stop.

--- a/internal/hazard/guard.go
+++ b/internal/hazard/guard.go
@@ -63,7 +63,7 @@
 
 	mu       sync.Mutex
 	table    *Table
-	revision int // rises whenever the table changes
+	revision int // rises whenever the table changes, or another instance is told that this one keeps its crashes until it stops
 	keeping  keeping
 	met      bool // another instance has been known since the start
 	passOns  int  // since the start
--- a/internal/hazard/guard_test.go
+++ b/internal/hazard/guard_test.go
@@ -38,6 +38,7 @@
 	self  pond.Instance
 	guard *Guard
 	down  bool // no connection in either direction works
+	hangs bool // connections are accepted and never served
 	stop  context.CancelFunc
 }
 
@@ -108,6 +109,9 @@
 		_ = serverEnd.Close()
 		return drpcconn.New(clientEnd)
 	}
+	if other.hangs {
+		return drpcconn.New(clientEnd)
+	}
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterHazards(mux, NewServer(other.guard)); err != nil {
 		n.fleet.t.Error(err)
--- a/internal/hazard/handover.go
+++ b/internal/hazard/handover.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// handOverInterval is the time between two rounds in which an instance that shuts down looks for one that keeps its crashes, and
-	// handOverPeers the number of instances that it asks in each.
+	// handOverInterval is the mean time between two rounds in which an instance that shuts down looks for one that keeps its crashes,
+	// and handOverPeers the number of instances that it asks in each.
 	handOverInterval = 100 * time.Millisecond
 	handOverPeers    = 3
 )
@@ -77,7 +77,8 @@
 			}
 			return
 		}
-		timer := time.NewTimer(handOverInterval)
+		// With a fixed pause, two instances that ask each other could disturb each other's rounds until both stop.
+		timer := time.NewTimer(handOverInterval/2 + rand.N(handOverInterval))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -126,7 +127,8 @@
 	return g.met
 }
 
-// endKeeping records that another instance has taken over, unless the table has changed since a revision.
+// endKeeping records that another instance has taken over, unless the table has changed since a revision or an instance was told meanwhile
+// that this one keeps its crashes: that one may be the keeper that was found.
 func (g *Guard) endKeeping(revision int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/hazard/handover_test.go
+++ b/internal/hazard/handover_test.go
@@ -160,6 +160,34 @@
 	}
 }
 
+// TestHandOverToEachOther guards against two instances that shut down at almost the same time and rely on each other: the first asks before the
+// second is told to stop, and the second before the first has counted its answers.
+func TestHandOverToEachOther(t *testing.T) {
+	for _, gap := range []time.Duration{time.Millisecond, 100 * time.Millisecond, peerTimeout - time.Millisecond} {
+		t.Run(gap.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleetOfGuards(t, 3)
+				defer f.close()
+				f.crash(f.nodes[0], "engine-0", "bad")
+				time.Sleep(10 * time.Second)
+				f.mu.Lock()
+				f.nodes[2].hangs = true // The rounds of questions last for peerTimeout.
+				f.mu.Unlock()
+				first, second := f.nodes[0].guard, f.nodes[1].guard
+				lastStop := time.Now().Add(graceTime)
+				var group sync.WaitGroup
+				group.Go(func() { first.HandOver(t.Context(), lastStop) })
+				time.Sleep(gap)
+				group.Go(func() { second.HandOver(t.Context(), lastStop.Add(-time.Second)) })
+				group.Wait()
+				if left := time.Until(lastStop); left > 0 {
+					t.Errorf("nobody keeps the crashes for the last %v", left)
+				}
+			})
+		})
+	}
+}
+
 // TestPassOnEnds guards against instances that pass on the same crashes without end because their tables forget them again.
 func TestPassOnEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/hazard/peers.go
+++ b/internal/hazard/peers.go
@@ -208,12 +208,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.keeping.stay == peerpb.Stay_STAY_STOPS {
+		g.revision++
 		stopsAtMilli = g.keeping.stopsAt.UnixMilli()
 	}
 	return g.keeping.stay, stopsAtMilli
 }
 
-// messages returns the newest crashes that the instance knows, and the revision of the table.
+// messages returns the newest crashes that the instance knows, and the revision.
 func (g *Guard) messages() (crashes []*peerpb.EngineCrash, revision int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
