engine: a generation has a connection of its own

Cause: on the product's own interface, generations shared connections. An engine that writes the refusal of an earlier generation once more made the next one, which it runs, look refused ("not run"), and it was started at a second engine. A refusal names no generation. Ruled out: the users' platform, where each connection serves one request (relay), and calls (calls.Executor), which have one each too. Weighed: an echo of the generation in refusals; it would change the engine protocol, and engines without it stay exposed. Change: the client uses a new connection for each start and resume; load reports and cancels, whose responses decide nothing about a run, still share some. The caller gives the dial function instead of a transport, so the wrong one cannot be chosen.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -30,11 +30,16 @@
 // Client is an HTTP client for engines. It implements Runner, Canceler and ReaderChecker and is safe for concurrent
 // use.
 type Client struct {
-	transport *Transport
+	// generations uses each connection once. A connection in use again may hold the refusal of an earlier generation, and a
+	// refusal names none.
+	generations *Transport
+	control     *Transport
 }
 
-// NewClient returns a client that sends its requests over the transport.
-func NewClient(transport *Transport) *Client { return &Client{transport: transport} }
+// NewClient returns a client that connects with the dial function. Nil connects directly.
+func NewClient(dial DialFunc) *Client {
+	return &Client{generations: NewUnpooledTransport(dial), control: NewTransport(dial)}
+}
 
 // Start implements Runner.
 func (c *Client) Start(ctx context.Context, address string, generation Generation) (Events, error) {
@@ -69,7 +74,7 @@
 	if err != nil {
 		return errors.Wrap(err, "create request")
 	}
-	resp, err := c.transport.Do(req)
+	resp, err := c.control.Do(req)
 	var failure *Error
 	if errors.As(err, &failure) && failure.Gone() {
 		return nil
@@ -82,7 +87,7 @@
 
 func (c *Client) openStream(req *http.Request) (Events, error) {
 	req.Header.Set("Accept", "text/event-stream")
-	resp, err := c.transport.Do(req)
+	resp, err := c.generations.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/engine/doc.go
+++ b/internal/engine/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	client := engine.NewClient(engine.NewTransport(nil))
+//	client := engine.NewClient(nil)
 //	events, err := client.Start(ctx, "127.0.0.1:7201", engine.Generation{Generation: id, Model: "letters", Prompt: text})
 //	if err != nil {
 //		var failure *engine.Error
--- a/internal/engine/load.go
+++ b/internal/engine/load.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return load, errors.Wrap(err, "create request")
 	}
-	resp, err := c.transport.Do(req)
+	resp, err := c.control.Do(req)
 	if err != nil {
 		return load, err
 	}
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -37,19 +37,17 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // NewTransport returns a transport that pools connections of the dial function. Nil connects directly.
-func NewTransport(dial DialFunc) *Transport {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	}
-	return newTransport(false, dial)
-}
+func NewTransport(dial DialFunc) *Transport { return newTransport(false, dial) }
 
 // NewUnpooledTransport returns a transport that uses each connection for one request only. On a reused connection it
 // may be impossible to tell whether a request ran, because the backend server may close or lose an idle connection at
-// any time or send a late response on it.
+// any time or send a late response on it. Nil connects directly.
 func NewUnpooledTransport(dial DialFunc) *Transport { return newTransport(true, dial) }
 
 func newTransport(disableKeepAlives bool, dial DialFunc) *Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	return &Transport{pooled: !disableKeepAlives, base: &http.Transport{
 		DisableKeepAlives: disableKeepAlives,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -207,7 +207,7 @@
 		Leaves:      func(string) (string, bool) { return "", false },
 		ApplySignal: func(string, fleet.Signal) {},
 	})
-	e.engines = engine.NewClient(engine.NewTransport(e.dialer.DialContext))
+	e.engines = engine.NewClient(e.dialer.DialContext)
 	e.placer = place.New(place.Options{
 		Engines:   e.engines,
 		Manifests: e.watch,
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -99,7 +99,7 @@
 
 func setDefaults(options *Options) {
 	if options.EngineClient == nil {
-		options.EngineClient = engine.NewClient(engine.NewTransport(nil))
+		options.EngineClient = engine.NewClient(nil)
 	}
 	if options.Metrics == nil {
 		options.Metrics = metric.New()
--- a/internal/place/placer.go
+++ b/internal/place/placer.go
@@ -106,7 +106,7 @@
 		options.Rank = RendezvousRank
 	}
 	if options.Engines == nil {
-		options.Engines = engine.NewClient(engine.NewTransport(nil))
+		options.Engines = engine.NewClient(nil)
 	}
 	if options.ReportInterval == nil {
 		options.ReportInterval = func() time.Duration { return reportInterval }
