--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -106,6 +106,7 @@
 	signaledLeaving map[string]leavingStart // backend servers that said in a response that they leave
 	manifest        *spec.Manifest
 	callbacks       []func()
+	rejectedEntries int
 }
 
 // New returns a fleet without a configuration and backend servers.
@@ -185,6 +186,7 @@
 	log := f.options.Log.WithFields(logrus.Fields{logs.Backend: backend.ID, logs.Revision: record.Revision})
 	switch {
 	case err != nil:
+		f.rejectedEntries++
 		log.WithError(err).WithField(logs.Event, "backendEntryRejected").Warn("entry of a backend server is invalid")
 		f.markGone(previous, now, time.Time{})
 	case record.Deleted:
@@ -347,6 +349,13 @@
 	return ok && f.accepts(id, tracked, now)
 }
 
+// RejectedEntries returns the number of entries of backend servers that were not usable.
+func (f *Fleet) RejectedEntries() int {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.rejectedEntries
+}
+
 // Backend returns a backend server, including one that is leaving or left recently.
 func (f *Fleet) Backend(id string) (route.Backend, bool) {
 	f.mu.RLock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -163,6 +163,15 @@
 			f.Apply([]feed.Record{put("reborn", 3)}, feed.Knowledge{})
 		}, true, true},
 		{"invalid entry", func(f *Fleet, _ time.Time) { f.Apply([]feed.Record{put("ready", 2), put("?", 3)}, feed.Knowledge{}) }, false, false},
+		{"written again after an invalid entry", func(f *Fleet, _ time.Time) {
+			f.Apply([]feed.Record{put("ready", 2), put("?", 3), put("ready", 4)}, feed.Knowledge{})
+		}, true, true},
+		{"invalid entry of another server", func(f *Fleet, _ time.Time) {
+			f.Apply([]feed.Record{put("ready", 2), {Key: "e2", Value: []byte("?"), Revision: 3}}, feed.Knowledge{})
+			if got := f.RejectedEntries(); got != 1 {
+				t.Errorf("%d entries rejected, want 1", got)
+			}
+		}, true, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -27,6 +27,7 @@
 	reservedTokens, usableTokens   int
 	droppedLogLines                int64
 	engineCrashes, unreached       int
+	rejectedEntries                int
 	requestCrashes                 int
 	carriedTunnels                 int
 	sentBytes, receivedBytes       uint64
@@ -72,6 +73,8 @@
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.requestCrashes) }},
 	{Name: "backends_unreached", Help: "Backend servers at which connections of this instance failed since one was reached.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.unreached) }},
+	{Name: "backend_entries_rejected_total", Help: "Published entries of backend servers that were not usable.",
+		Type: prometheus.CounterValue, Value: func(s *instanceStats) float64 { return float64(s.rejectedEntries) }},
 	{Name: "tunnels_carried", Help: "Connections to backend servers that this instance carries for others.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.carriedTunnels) }},
 	{Name: "log_lines_dropped_total", Help: "Log lines that were not written, because of their rate or of a slow reader.",
@@ -103,6 +106,7 @@
 		engineCrashes:   i.hazards.Crashes(),
 		requestCrashes:  i.requestHazards.Crashes(),
 		unreached:       i.dialer.Unreached(),
+		rejectedEntries: i.fleet.RejectedEntries(),
 		carriedTunnels:  i.tunnels.Carried(),
 		sentBytes:       members.SentBytes,
 		receivedBytes:   members.ReceivedBytes,
