reach: a probe goes on to other servers after one that refuses

Ruled out: that a refusal does the same harm: a refused connection never counts as reached, however many are tried. So an instance that is cut off by hangs or resets sends one probe a second, as before, and one that is cut off by refusals four, none of which can pass.

--- a/internal/reach/dialer.go
+++ b/internal/reach/dialer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	// headStart is the time after which a direct attempt is no longer waited for alone. Regions are 30 ms apart.
 	headStart = 250 * time.Millisecond
 
+	// maxProbed bounds the servers that are probed in turn until one is reached.
+	maxProbed = 4
+
 	// probeHold is the time for which a connection on which nothing was sent is watched. It exceeds a round trip between regions.
 	probeHold = 100 * time.Millisecond
 )
@@ -140,6 +144,13 @@
 	return d.table.Reaches(address, d.options.Clock())
 }
 
+// knowsDown reports whether a server was found down a short time ago.
+func (d *Dialer) knowsDown(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.IsDown(address, d.options.Clock())
+}
+
 // dialBoth connects directly, and through a helper if that fails or takes long.
 func (d *Dialer) dialBoth(ctx context.Context, network, address string) (net.Conn, error) {
 	begun := d.options.Clock()
@@ -209,19 +220,59 @@
 	}
 }
 
-// probe tests the direct way to a server with a connection that carries no request.
+// probe tests the direct ways of this instance with connections that carry no request: to a server and, if that one is dead, to others in
+// turn.
 func (d *Dialer) probe(network, address string) {
 	ctx, cancel := context.WithTimeout(d.probeContext, dialTimeout)
 	defer cancel()
-	begun := d.options.Clock()
+	var failed []string
+	for more := true; more && len(failed) < maxProbed; address, more = d.nextProbed(failed) {
+		begun := d.options.Clock()
+		switch d.probeOnce(ctx, network, address) {
+		case ResultConnected:
+			d.update(func(t *Table, now time.Time) { t.ProbeReached(address, begun, now) })
+			return
+		case ResultRefused:
+			failed = append(failed, address)
+		default:
+			// A connection that hangs or breaks is no sign of a dead server. A cut that resets connections late lets some probes pass,
+			// and more probes would let more pass.
+			return
+		}
+	}
+}
+
+// probeOnce tests the way to a server with a connection that carries no request.
+func (d *Dialer) probeOnce(ctx context.Context, network, address string) Result {
 	conn, err := d.dialDirect(ctx, network, address)
 	if err != nil {
-		return
+		return resultOf(ctx, err)
 	}
 	defer conn.Close()
-	if d.hold(conn) == nil {
-		d.update(func(t *Table, _ time.Time) { t.Reached(address, begun) })
+	if d.hold(conn) != nil {
+		return ResultBroken
+	}
+	return ResultConnected
+}
+
+// nextProbed returns a server to probe after others, of those that have not failed before if there is one. It returns false if there is none,
+// or if a helper reaches the first one that was probed: the way to that one was tested, not all ways.
+func (d *Dialer) nextProbed(probed []string) (address string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.probeContext.Err() != nil || d.table.Blocked(probed[0]) {
+		return "", false
+	}
+	servers := d.options.Servers()
+	for _, index := range rand.Perm(len(servers)) {
+		if slices.Contains(probed, servers[index]) {
+			continue
+		}
+		if address, ok = servers[index], true; !d.table.HasFailed(address) {
+			return address, true
+		}
 	}
+	return address, ok
 }
 
 // hold checks that a direct connection on which nothing has been sent stays open for probeHold. One that does not is closed, and counts
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -291,6 +291,35 @@
 	}
 }
 
+// TestProbesOfCutOffInstance guards against an instance that is cut off and takes itself for direct because one of many probes was not reset
+// in time: only a refusal is a reason to probe another server at once.
+func TestProbesOfCutOffInstance(t *testing.T) {
+	tests := []struct {
+		name string
+		way  way
+		want int32
+	}{
+		{"hangs", wayHangs, 1},
+		{"breaks", wayBreaks, 1},
+		{"refuses", wayRefuses, maxProbed},
+	}
+	servers := []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5", "127.0.0.1:6"}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := newNodes(t, 1)[0]
+			n.servers = servers
+			n.set(test.way)
+			n.dialer.probe("tcp", servers[0])
+			if got := n.dials.Load(); got != test.want {
+				t.Errorf("%d servers were probed, want %d", got, test.want)
+			}
+			if n.dialer.fresh() {
+				t.Error("a server counts as reached")
+			}
+		})
+	}
+}
+
 // TestSilentServer guards against a belief that is changed by one server that is silent for a while.
 func TestSilentServer(t *testing.T) {
 	nodes := newNodes(t, 2)
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -125,6 +125,8 @@
 		return nil, declinedError{error: errors.New("the helper knows no backend server with the address")}
 	case s.options.BackingOff(address):
 		return nil, declinedError{error: errors.New("the backend server wants no requests from the helper")}
+	case d.knowsDown(address):
+		return nil, errors.New("the backend server is down, as a probe of others has shown")
 	case !d.reaches(address):
 		return nil, s.failure(address, errors.New("the helper does not reach the backend server"))
 	}
--- a/internal/reach/table.go
+++ b/internal/reach/table.go
@@ -9,6 +9,10 @@
 	// evidenceAge is the time for which reaching one server shows that failures at others are their own.
 	evidenceAge = 500 * time.Millisecond
 
+	// sameTime is the time before a probe that reached a server in which failures at others are taken for their own. In a longer time, the
+	// ways of the instance may have come back.
+	sameTime = 100 * time.Millisecond
+
 	// failureMemory is the time after which a failed connection counts no more, and blockMemory that after which a server
 	// that only helpers reached is forgotten, unless it is used.
 	failureMemory = 10 * time.Second
@@ -75,6 +79,16 @@
 	}
 }
 
+// ProbeReached records that a probe reached a server. Others at which connections failed just before are down.
+func (t *Table) ProbeReached(address string, begun, now time.Time) {
+	for failed, failedAt := range t.failures {
+		if age := begun.Sub(failedAt); age >= 0 && age <= sameTime && failed != address && t.blocks[failed] == nil {
+			t.Down(failed, now)
+		}
+	}
+	t.Reached(address, begun)
+}
+
 // Failed records that a direct connection could not be established, or ended before the server sent anything. It does not count
 // if helpers fail at the server as well.
 func (t *Table) Failed(address string, begun time.Time) {
@@ -103,7 +117,7 @@
 	}
 }
 
-// Down records that helpers that reach other servers fail at one as well.
+// Down records that helpers that reach other servers fail at one as well, or that this instance does and reaches others.
 func (t *Table) Down(address string, now time.Time) {
 	t.downUntil[address] = now.Add(downTime)
 	delete(t.failures, address)
@@ -151,6 +165,9 @@
 // Doubtful reports whether failures may be due to this instance instead of the servers.
 func (t *Table) Doubtful(now time.Time) bool { return t.State(now) != StateDirect }
 
+// IsDown reports whether a server was found down a short time ago.
+func (t *Table) IsDown(address string, now time.Time) bool { return now.Before(t.downUntil[address]) }
+
 // HasFailed reports whether a connection to a server has failed since one was reached.
 func (t *Table) HasFailed(address string) bool { return !t.failures[address].IsZero() }
 
@@ -159,12 +176,12 @@
 
 // Blames reports whether the failure of a connection is the server's own.
 func (t *Table) Blames(address string, now time.Time) bool {
-	return now.Before(t.downUntil[address]) || !t.Doubtful(now) && t.blocks[address] == nil
+	return t.IsDown(address, now) || !t.Doubtful(now) && t.blocks[address] == nil
 }
 
 // Proves reports whether a failure at a server proves that it is the server's own, also to other instances.
 func (t *Table) Proves(address string, now time.Time) bool {
-	return t.Blames(address, now) && (now.Before(t.downUntil[address]) || t.fresh(now))
+	return t.Blames(address, now) && (t.IsDown(address, now) || t.fresh(now))
 }
 
 // fresh reports whether a server was reached a short time ago.
@@ -204,7 +221,7 @@
 	case b != nil:
 		b.usedAt = now
 		return PlanTunnel, probeDue(&b.probeAt, probeInterval, now)
-	case now.Before(t.downUntil[address]):
+	case t.IsDown(address, now):
 		return PlanDirectOnly, false
 	case state != StateDirect:
 		return PlanTunnel, probeDue(&t.probeAt, probeInterval, now)
--- a/internal/reach/table_test.go
+++ b/internal/reach/table_test.go
@@ -44,3 +44,35 @@
 		}
 	}
 }
+
+// TestProbeShowsServersDown guards against servers that stay in doubt after a probe has reached another one, against helpers that are asked
+// about them again, and against servers that are taken for down because the ways of the instance have come back.
+func TestProbeShowsServersDown(t *testing.T) {
+	base := time.Unix(1000, 0)
+	tests := []struct {
+		name   string
+		before time.Duration // from the failure to the probe
+		helped bool          // a helper reaches the server
+		want   bool
+	}{
+		{"just before", sameTime / 2, false, true},
+		{"long before", 2 * sameTime, false, false},
+		{"after the probe began", -time.Millisecond, false, false},
+		{"a helper reaches it", sameTime / 2, true, false},
+	}
+	for _, test := range tests {
+		table, failedAt := NewTable(), base.Add(-test.before)
+		table.Failed("a", failedAt)
+		if test.helped {
+			table.Tunneled("a", failedAt, failedAt)
+		}
+		now := base.Add(probeHold)
+		table.ProbeReached("b", base, now)
+		if got := table.IsDown("a", now); got != test.want {
+			t.Errorf("%s: down %t, want %t", test.name, got, test.want)
+		}
+		if table.IsDown("a", now.Add(downTime)) {
+			t.Errorf("%s: down for longer than %v", test.name, downTime)
+		}
+	}
+}
