serve: a panic of an adapter costs one message, not the process

Cause: decoding of records, of the store's pages and of engines' states and copies runs in goroutines of the instance, where a panic ends the process. Ruled out: callers' requests (net/http ends the connection only) and calls of other instances: their handlers change shared state, and going on with half of a change is worse than a restart. So nothing but the adapters, which hold no state, is contained. Change: decorators around the adapters turn a panic into the error of that record, pull or call, with a log line that has the stack, and a metric.

--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -63,6 +63,7 @@
 	reloadable atomic.Pointer[reloadableSettings]
 	flags      Flags
 	adapters   Adapters
+	container  *container
 	log        *logs.Log
 
 	network *peer.Network
@@ -114,7 +115,7 @@
 	i := &Instance{
 		settings:       settings,
 		flags:          flags,
-		adapters:       adapters,
+		container:      &container{log: log},
 		log:            log,
 		network:        network,
 		metrics:        metric.New(),
@@ -122,6 +123,7 @@
 		startedAt:      clock.Now(),
 		firstSeedIndex: mathrand.IntN(max(len(settings.Seeds), 1)),
 	}
+	i.adapters = i.container.wrap(adapters)
 	i.reloadable.Store(&reloadableSettings{grace: settings.Grace, keyLease: settings.KeyLease})
 	i.traffic = metric.NewTraffic(i.metrics)
 	if err := i.listen(); err != nil {
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -27,7 +27,7 @@
 	reservedTokens, usableTokens   int
 	droppedLogLines                int64
 	engineCrashes, unreached       int
-	rejectedEntries                int
+	rejectedEntries, adapterPanics int
 	requestCrashes                 int
 	carriedTunnels                 int
 	sentBytes, receivedBytes       uint64
@@ -75,6 +75,8 @@
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.unreached) }},
 	{Name: "backend_entries_rejected_total", Help: "Published entries of backend servers that were not usable.",
 		Type: prometheus.CounterValue, Value: func(s *instanceStats) float64 { return float64(s.rejectedEntries) }},
+	{Name: "adapter_panics_total", Help: "Panics while messages of other programs were decoded.",
+		Type: prometheus.CounterValue, Value: func(s *instanceStats) float64 { return float64(s.adapterPanics) }},
 	{Name: "tunnels_carried", Help: "Connections to backend servers that this instance carries for others.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.carriedTunnels) }},
 	{Name: "log_lines_dropped_total", Help: "Log lines that were not written, because of their rate or of a slow reader.",
@@ -107,6 +109,7 @@
 		requestCrashes:  i.requestHazards.Crashes(),
 		unreached:       i.dialer.Unreached(),
 		rejectedEntries: i.fleet.RejectedEntries(),
+		adapterPanics:   int(i.container.panics.Load()),
 		carriedTunnels:  i.tunnels.Carried(),
 		sentBytes:       members.SentBytes,
 		receivedBytes:   members.ReceivedBytes,
