relay: comments in a stream are no progress of its run

Callers: a resumable stream whose engine had stalled, but sent a comment line now and then, was kept until no time was left for another engine.

Cause: each block of lines counted as an event: it restarted the timer that leaves half of the remaining time to another engine, wrote the header of the response, and counted as tokens in the home's books. Ruled out: a slow but sound stream is not cut: the timer is half of the time that is left, and only where another attempt is allowed. Change: a block of comments is forwarded, but is no event. Before the first event it is held (64 KiB at most), because another engine may still run the request.

--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -65,6 +65,33 @@
 	<-r.Context().Done()
 }
 
+const comment = ": ping\n\n"
+
+// sendComments sends a number of events, and then comments until the relay closes the connection.
+func sendComments(events int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		for id := range events {
+			writeEvent(w, id+1)
+		}
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, comment)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// commentBetween sends a comment before each event and one at the end.
+func commentBetween(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	for id := range streamEvents {
+		_, _ = io.WriteString(w, comment)
+		writeEvent(w, id+1)
+	}
+	_, _ = io.WriteString(w, comment)
+}
+
 // setResumable publishes the test bed's route as resumable, with a timeout and a number of attempts.
 func (b *testBed) setResumable(timeout time.Duration, attempts int) {
 	content := route.Content{
@@ -104,6 +131,9 @@
 		{"refused", true, respondNotRun, "", 200, eventsFrom(1), 1},
 		{"no response", true, sendNothing, "", 200, eventsFrom(1), 1},
 		{"stalls after an event", true, stallAfterOne, "", 200, eventsFrom(1), 1},
+		{"comments without an event", true, sendComments(0), "", 200, eventsFrom(1), 1},
+		{"an event, then comments", true, sendComments(1), "", 200, eventsFrom(1), 1},
+		{"comments between the events", true, commentBetween, "", 200, eventsFrom(1), 0},
 		{"not resumable, breaks", false, breakAfter(3), "", 0, "", 0},
 		{"not resumable, reset before the response", false, resetConnection, "", 502, "", 0},
 	}
@@ -116,6 +146,7 @@
 				bed.setResumable(500*time.Millisecond, 2)
 			}
 			status, body := bed.postAt(t, "key", test.position)
+			body = strings.ReplaceAll(body, comment, "")
 			if status != test.wantStatus || status == 200 && body != test.wantBody {
 				t.Errorf("response %d %q, want %d %q", status, body, test.wantStatus, test.wantBody)
 			}
@@ -126,6 +157,33 @@
 	}
 }
 
+// TestCommentsAreNoProgress guards against an engine that keeps a stream with comments until there is no time left for another one. The
+// caller gets the comments of a stream that goes on.
+func TestCommentsAreNoProgress(t *testing.T) {
+	const timeout = 2 * time.Second
+	for _, events := range []int{0, 1} {
+		t.Run(fmt.Sprint(events, " events"), func(t *testing.T) {
+			var left time.Duration
+			began := time.Now()
+			second := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				left = timeout - time.Since(began)
+				continueStream(w, r)
+			})
+			bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, newFakeBackend(t, sendComments(events)), second)
+			bed.placer.spread = true
+			bed.setResumable(timeout, 2)
+			began = time.Now()
+			if status, body := bed.post(t, "key"); status != http.StatusOK || strings.ReplaceAll(body, comment, "") != eventsFrom(1) {
+				t.Errorf("response %d %q", status, body)
+			}
+			// Half of the time is the second engine's; the rest is slack for slow machines.
+			if left < timeout/4 {
+				t.Errorf("%v of %v were left for the second engine", left, timeout)
+			}
+		})
+	}
+}
+
 // TestResumableNotRun guards against a response that says "not run" after an engine may have run the request.
 func TestResumableNotRun(t *testing.T) {
 	tests := []struct {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -46,12 +46,14 @@
 	events        int
 	eventsBefore  int
 	headerWritten bool
-	firstEventAt  time.Time
-	lastEventAt   time.Time
-	maxGap        time.Duration
-	moves         int
-	mover         *mover
-	stall         *stallTimer
+	// comments holds the comments that came before the first event.
+	comments     []byte
+	firstEventAt time.Time
+	lastEventAt  time.Time
+	maxGap       time.Duration
+	moves        int
+	mover        *mover
+	stall        *stallTimer
 
 	// mu protects the fields that the mover also reads.
 	mu      sync.Mutex
@@ -172,6 +174,9 @@
 
 // deliverEvent forwards one complete event, unless the caller has already received it.
 func (s *stream) deliverEvent(event []byte) error {
+	if isComment(event) {
+		return s.deliverComment(event)
+	}
 	id := eventID(event)
 	if number, err := strconv.ParseInt(id, 10, 64); err == nil {
 		if number <= s.lastNumericID {
@@ -183,12 +188,39 @@
 		s.x.run.position = id
 	}
 	s.writeHeader()
-	if _, err := s.x.w.Write(event); err != nil {
-		return errors.Join(errCallerLeft, err)
+	if err := s.write(event); err != nil {
+		return err
 	}
 	s.recordEvent(time.Now())
 	s.stall.reset(s.x.deadline)
 	s.placement.Progress(s.tokens(), time.Now())
+	return s.flush()
+}
+
+// deliverComment forwards lines that are no event. They are no progress of the run. Before the first event they are held back, because another
+// engine may still have to run the request.
+func (s *stream) deliverComment(comment []byte) error {
+	if !s.headerWritten {
+		if len(s.comments)+len(comment) > maxEventBytes {
+			return errEventTooLarge
+		}
+		s.comments = append(s.comments, comment...)
+		return nil
+	}
+	if err := s.write(comment); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+func (s *stream) write(p []byte) error {
+	if _, err := s.x.w.Write(p); err != nil {
+		return errors.Join(errCallerLeft, err)
+	}
+	return nil
+}
+
+func (s *stream) flush() error {
 	if err := s.flusher.Flush(); err != nil {
 		return errors.Join(errCallerLeft, err)
 	}
@@ -241,6 +273,8 @@
 	s.headerWritten = true
 	copyHeader(s.x.w.Header(), s.head)
 	s.x.w.WriteHeader(http.StatusOK)
+	_, _ = s.x.w.Write(s.comments) // The write of the event that follows reports an error.
+	s.comments = nil
 	s.x.relay.options.Metrics.RecordFirstEvent(s.x.route.Name, time.Since(s.x.arrived))
 }
 
@@ -322,6 +356,7 @@
 		return false
 	}
 	failed := s.currentBackend()
+	s.comments = nil
 	s.mover.stop()
 	_ = s.currentBody().Close()
 	s.placement.Done(pond.PlacementEnd{Tokens: s.tokens(), BackendFailed: true}, time.Now())
@@ -351,6 +386,16 @@
 	}).Info("a run goes on on another engine")
 }
 
+// isComment reports whether all lines of a block are comments or empty.
+func isComment(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if line[0] != ':' && len(bytes.TrimRight(line, "\r\n")) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the id field of an event, or "".
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
