stream: events that bring no token do not keep a stalled generation open

Cause: on the product's own interface, the watchdog of an attempt restarted with each event, also with one that the caller has already. After the first token no deadline runs while tokens come, so an engine that repeats an old event each second kept its reader for as long as it did so. Ruled out: slow but sound streams: a stall ends the connection, not the generation, which is resumed at the next token. Change: only an accepted token restarts the watchdog. The stateful test draws the fault too.

--- a/internal/stream/fake_test.go
+++ b/internal/stream/fake_test.go
@@ -31,6 +31,8 @@
 	// releaseDelay delays the response to a granted release, so that refusals overtake it and tokens still arrive at the
 	// old reader.
 	releaseDelay = 2 * tokenGap
+
+	maxRepeats = 100
 )
 
 // fault is what a connection of a fake engine does wrong.
@@ -50,6 +52,8 @@
 	faultDisconnect
 	// faultStall sends nothing more.
 	faultStall
+	// faultRepeat sends the first event again once a second, maxRepeats times, and nothing else.
+	faultRepeat
 	// faultSuperseded ends the reader as if a newer one had attached.
 	faultSuperseded
 	// faultDie ends the engine process.
@@ -190,6 +194,8 @@
 	id         string
 	generation *fakeGeneration
 	offset     int
+	// repeats counts what is left of faultRepeat.
+	repeats    int
 	queue      []engine.Event
 	ended      chan struct{}
 	once       sync.Once
@@ -257,6 +263,9 @@
 
 // produce queues the next event with the fault of its offset. It returns false if the connection ends.
 func (r *fakeEvents) produce() bool {
+	if r.repeats > 0 {
+		return r.repeat()
+	}
 	r.engine.lock.Lock()
 	f := r.engine.faults[r.offset]
 	delete(r.engine.faults, r.offset)
@@ -269,6 +278,9 @@
 	r.engine.lock.Unlock()
 	event := r.tokenEvent(r.offset)
 	switch f {
+	case faultRepeat:
+		r.repeats = maxRepeats
+		return r.repeat()
 	case faultSuperseded:
 		r.superseded.Store(true)
 		return false
@@ -293,6 +305,13 @@
 	return true
 }
 
+// repeat queues the first event again after a second. It returns false if the connection ends.
+func (r *fakeEvents) repeat() bool {
+	r.repeats--
+	r.queue = append(r.queue, r.tokenEvent(0))
+	return r.repeats > 0 && r.waitUntil(time.Now().Add(time.Second))
+}
+
 func (r *fakeEvents) tokenEvent(offset int) engine.Event {
 	return engine.Event{Generation: r.id, Offset: offset, Text: tokenText(r.generation.prompt, offset)}
 }
--- a/internal/stream/recovery_test.go
+++ b/internal/stream/recovery_test.go
@@ -41,6 +41,7 @@
 		{name: "engine dies after the first token", faults: map[int]fault{1: faultDie}, tokens: 1, starts: 1, kind: stream.ItemError, reason: pond.ReasonGenerationLost},
 		{name: "connection closes after tokens", faults: map[int]fault{3: faultDisconnect}, tokens: length, starts: 1, kind: stream.ItemDone},
 		{name: "connection stalls after tokens", faults: map[int]fault{3: faultStall}, tokens: length, starts: 1, kind: stream.ItemDone},
+		{name: "an old event arrives again and again", faults: map[int]fault{3: faultRepeat}, tokens: length, starts: 1, kind: stream.ItemDone},
 		{name: "events are duplicated", faults: map[int]fault{0: faultDuplicate, 4: faultDuplicate}, tokens: length, starts: 1, kind: stream.ItemDone},
 		{name: "an old event arrives again", faults: map[int]fault{5: faultStaleEvent}, tokens: length, starts: 1, kind: stream.ItemDone},
 		{name: "an event of another generation arrives", faults: map[int]fault{0: faultOtherGeneration, 2: faultOtherGeneration}, tokens: length, starts: 1, kind: stream.ItemDone},
@@ -56,9 +57,13 @@
 					test.setup(c.fleet["a"])
 				}
 				var caller recorder
+				began := time.Now()
 				if err := c.relays["entry-1"].Generate(t.Context(), testRequest("p"), &caller); err != nil {
 					t.Fatal(err)
 				}
+				if took := time.Since(began); took > time.Minute {
+					t.Errorf("the response took %v", took)
+				}
 				if want := wholeText("p", test.tokens); caller.text.String() != want {
 					t.Errorf("caller received %q, want %q", caller.text.String(), want)
 				}
@@ -204,7 +209,7 @@
 }
 
 // eventFaults are the faults that the relay must hide from its caller.
-var eventFaults = []fault{faultDuplicate, faultStaleEvent, faultOtherGeneration, faultMissing, faultDisconnect, faultStall}
+var eventFaults = []fault{faultDuplicate, faultStaleEvent, faultOtherGeneration, faultMissing, faultDisconnect, faultStall, faultRepeat}
 
 // TestDifferential guards against any mix of event faults that makes the response differ from that of the naive relay
 // on an engine without faults.
--- a/internal/stream/session.go
+++ b/internal/stream/session.go
@@ -166,9 +166,9 @@
 		if err != nil {
 			return s.handleReadError(ctx, err)
 		}
-		watchdog.Reset(limit)
 		switch s.sequence.check(event) {
 		case verdictAccept:
+			watchdog.Reset(limit)
 			if err := s.deliverToken(event); err != nil {
 				return sessionEnd{kind: endCallerGone, cause: err}, false
 			}
