watch: one odd entry of the instance list costs only itself

Callers: on the product's own interface, one entry of another writer (nested deeply, a number where a text is due) made each read of the list fail, so that no instance noticed any more which backend servers leave; a list that is null made all servers count as gone.

Cause: the list was decoded as one value, and a failed read was logged at the debug level only. A peer address with any port became a seed. Ruled out: that such a list ends a process: it does not; seeds that cannot be sent to cost a failed send each. Change: the array is split without decoding, and its entries are decoded one by one. One that cannot be used is logged; if its name can be read, the server counts as leaving, as one in an unknown state does, so that the former state does not go on counting. Ports have to be between 1 and 65535. A response that is no whole array is an error, and errors are logged as warnings.

--- a/internal/watch/list.go
+++ b/internal/watch/list.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/member"
 )
 
@@ -21,7 +22,7 @@
 		}
 		entries, err := w.platform.readList(ctx)
 		if err != nil {
-			w.options.Logger.WithError(err).Debug("cannot read the instance list")
+			w.options.Logger.WithError(err).WithField(logs.Event, "listNotRead").Warn("cannot read the instance list; the last one stays in effect")
 		} else {
 			w.applyList(entries)
 		}
--- a/internal/watch/platform.go
+++ b/internal/watch/platform.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -12,7 +13,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
 
@@ -34,6 +37,7 @@
 	service string
 	list    string
 	client  *http.Client
+	log     logrus.FieldLogger
 }
 
 func newPlatformClient(options Options) *platformClient {
@@ -41,6 +45,7 @@
 		service: strings.TrimSuffix(options.ServiceURL, "/"),
 		list:    strings.TrimSuffix(options.ListURL, "/"),
 		client:  options.Client,
+		log:     options.Logger,
 	}
 }
 
@@ -109,8 +114,98 @@
 	if err != nil {
 		return nil, err
 	}
-	var entries []listEntry
-	return entries, errors.Wrap(json.Unmarshal(body, &entries), "decode instance list")
+	elements, err := splitArray(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode instance list")
+	}
+	entries := make([]listEntry, 0, len(elements))
+	for _, element := range elements {
+		entry, err := decodeListEntry(element)
+		if err != nil {
+			p.log.WithError(err).WithField(logs.Event, "listEntryRejected").Warn("an entry of the instance list cannot be used")
+			if entry.Name == "" {
+				continue
+			}
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
+// decodeListEntry decodes an entry of the instance list. With an error, the entry has at most a name: that of a server which is listed, but
+// whose state is not known.
+func decodeListEntry(element []byte) (listEntry, error) {
+	var entry listEntry
+	if err := json.Unmarshal(element, &entry); err != nil {
+		var named struct {
+			Name string `json:"name"`
+		}
+		if json.Unmarshal(element, &named) != nil {
+			named.Name = ""
+		}
+		return listEntry{Name: named.Name}, errors.Wrap(err, "decode an entry")
+	}
+	if entry.Kind != kindInstance {
+		if entry.Name == "" {
+			return listEntry{}, errors.New("the name is missing")
+		}
+		return entry, nil
+	}
+	if entry.PeerAddress == "" {
+		return entry, nil
+	}
+	_, port, err := net.SplitHostPort(entry.PeerAddress)
+	if err != nil {
+		return listEntry{}, errors.Wrap(err, "peer address")
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return listEntry{}, errors.Errorf("the port of the peer address %q is not between 1 and 65535", entry.PeerAddress)
+	}
+	return entry, nil
+}
+
+// splitArray returns the elements of a JSON array. Unlike json.Unmarshal it accepts elements of any depth, so that one that is nested too
+// deeply to be decoded does not hide the others.
+func splitArray(body []byte) ([][]byte, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.UseNumber() // A number that is too large is only its entry's fault.
+	if token, err := decoder.Token(); err != nil || token != json.Delim('[') {
+		return nil, errors.New("the response is no JSON array")
+	}
+	var elements [][]byte
+	for decoder.More() {
+		begin := decoder.InputOffset()
+		if err := skipValue(decoder); err != nil {
+			return nil, err
+		}
+		elements = append(elements, bytes.TrimLeft(body[begin:decoder.InputOffset()], ", \t\r\n"))
+	}
+	if _, err := decoder.Token(); err != nil {
+		return nil, errors.Wrap(err, "the array has no end")
+	}
+	if rest := bytes.TrimSpace(body[decoder.InputOffset():]); len(rest) > 0 {
+		return nil, errors.Errorf("%d bytes follow the array", len(rest))
+	}
+	return elements, nil
+}
+
+// skipValue reads the tokens of one value.
+func skipValue(decoder *json.Decoder) error {
+	for depth := 0; ; {
+		token, err := decoder.Token()
+		if err != nil {
+			return err
+		}
+		switch token {
+		case json.Delim('['), json.Delim('{'):
+			depth++
+		case json.Delim(']'), json.Delim('}'):
+			depth--
+		}
+		if depth == 0 {
+			return nil
+		}
+	}
 }
 
 // get returns the body of a response with status 200, or a nil body for 204 and 304.
