sched, relay, serve: show slow engines and where the longest pause of a stream was

Cause: the logs said how long the longest pause between two events was, but not at which engine, and nothing showed how many engines the home takes for slow. Change: `gapBackend` in `requestEnded`; the metric placement_engines_slow; `slow` for each engine in the status.

--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -117,6 +117,7 @@
 	Backend    string    `json:"backend"`
 	Accepting  bool      `json:"accepting"`
 	Avoided    bool      `json:"avoided"`
+	Slow       bool      `json:"slow"`
 	Running    int       `json:"running"`
 	Reserved   int       `json:"reserved"`
 	Usable     int       `json:"usable"`
@@ -150,6 +151,7 @@
 		Backend:    engine.Name,
 		Accepting:  engine.Accepting,
 		Avoided:    engine.Avoided,
+		Slow:       engine.Slow,
 		Running:    engine.Running,
 		Reserved:   engine.Reserved,
 		Usable:     engine.Usable,
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -65,6 +65,8 @@
 	// between two events, in milliseconds.
 	FirstEventMillis = "firstEventMillis"
 	MaxGapMillis     = "maxGapMillis"
+	// GapBackend is the backend server at which that time ended.
+	GapBackend = "gapBackend"
 	// Late tells what came later than the route's target: LateFirst, LateGap or LateAnswer. It is absent for an answer on
 	// time.
 	Late = "late"
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -51,9 +51,11 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	maxGap       time.Duration
-	moves        int
-	mover        *mover
-	stall        *stallTimer
+	// maxGapBackend is the engine at which maxGap ended.
+	maxGapBackend string
+	moves         int
+	mover         *mover
+	stall         *stallTimer
 
 	// mu protects the fields that the mover also reads.
 	mu      sync.Mutex
@@ -233,7 +235,9 @@
 	if s.firstEventAt.IsZero() {
 		s.firstEventAt = now
 	} else {
-		s.maxGap = max(s.maxGap, now.Sub(s.lastEventAt))
+		if gap := now.Sub(s.lastEventAt); gap > s.maxGap {
+			s.maxGap, s.maxGapBackend = gap, s.currentBackend().ID
+		}
 	}
 	s.lastEventAt = now
 	if s.events-s.eventsBefore == begunEvents {
@@ -247,6 +251,7 @@
 	fields[logs.Position] = s.x.run.position
 	fields[logs.Moves] = s.moves
 	fields[logs.MaxGapMillis] = s.maxGap.Milliseconds()
+	fields[logs.GapBackend] = s.maxGapBackend
 	if !s.firstEventAt.IsZero() {
 		fields[logs.FirstEventMillis] = s.firstEventAt.Sub(s.x.arrived).Milliseconds()
 	}
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -13,6 +13,8 @@
 	Reserved, Usable int
 	// Avoided counts the engines that are avoided or probed as stragglers.
 	Avoided int
+	// Slow counts the engines whose tokens take longer than those of the others by themselves; long requests avoid them.
+	Slow int
 }
 
 // Stats returns the current totals.
@@ -33,6 +35,9 @@
 		if e.straggler != stragglerNone {
 			stats.Avoided++
 		}
+		if e.slowBaseline {
+			stats.Slow++
+		}
 	}
 	return stats
 }
@@ -42,6 +47,7 @@
 	Name      string
 	Accepting bool
 	Avoided   bool
+	Slow      bool
 	Running   int
 	// Reserved, Usable and Reported are in tokens; Reported is the used memory in the engine's last load report.
 	Reserved, Usable, Reported int
@@ -59,6 +65,7 @@
 			Name:       name,
 			Accepting:  e.accepting,
 			Avoided:    e.straggler != stragglerNone,
+			Slow:       e.slowBaseline,
 			Running:    e.running,
 			Reserved:   e.reserved,
 			Usable:     e.usable,
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -24,6 +24,7 @@
 	waitingShort, waitingLong      int
 	running                        int
 	engines, avoidedEngines        int
+	slowEngines                    int
 	reservedTokens, usableTokens   int
 	droppedLogLines                int64
 	engineCrashes, unreached       int
@@ -63,6 +64,8 @@
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.engines) }},
 	{Name: "placement_engines_avoided", Help: "Engines that get no work because they are much slower than the others.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.avoidedEngines) }},
+	{Name: "placement_engines_slow", Help: "Engines whose tokens take longer than those of the others by themselves; long requests avoid them.",
+		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.slowEngines) }},
 	{Name: "placement_reserved_tokens", Help: "Engine memory that running generations are expected to need.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.reservedTokens) }},
 	{Name: "placement_usable_tokens", Help: "Engine memory that placement may use.",
@@ -133,6 +136,7 @@
 		stats.running += pool.Running
 		stats.engines += pool.Engines
 		stats.avoidedEngines += pool.Avoided
+		stats.slowEngines += pool.Slow
 		stats.reservedTokens += pool.Reserved
 		stats.usableTokens += pool.Usable
 	}
