--- a/internal/sched/baseline.go
+++ b/internal/sched/baseline.go
@@ -7,10 +7,6 @@
 	// Deployments mix engines, some of which take 1.3 times as long for a token.
 	slowBaselineRatio = 1.22
 
-	// normalBaselineRatio is the ratio below which a slow engine counts as normal again. Gaps grow with the requests in a batch, so at the
-	// crest of a wave the median comes close to the baseline of a slow engine with few requests.
-	normalBaselineRatio = 1.1
-
 	// baselineWindow is the length of the windows over which the smallest gaps are taken. It is longer than the
 	// disturbances by co-located work, which last up to a second.
 	baselineWindow = 2500 * time.Millisecond
@@ -25,13 +21,11 @@
 	minBaselineSamples = 8
 
 	// slowLongLoad is added to the load of a slow engine for outputs of slowFullLoadTokens and more, and proportionally
-	// less for shorter ones. An output of 100 tokens meets about one of the disturbances.
+	// less for shorter ones. slowShortLoad is added for short requests if long ones run there. An output of 100 tokens
+	// meets about one of the disturbances.
 	slowLongLoad       = 0.6
 	slowFullLoadTokens = 100
-
-	// slowPrefillLoad is added to the load of a slow engine with long runs for a request whose prompt has to be read: any engine with room
-	// goes before it.
-	slowPrefillLoad = 1.0
+	slowShortLoad      = 0.4
 )
 
 // baselineGap estimates the time between tokens of an engine without disturbances. Unlike the mean it excludes short
@@ -94,34 +88,20 @@
 	return smallest, smallest > 0
 }
 
-// updateSlowBaseline decides whether the engine counts as slow.
-func (e *engine) updateSlowBaseline(m medians) {
-	best, known := e.latency.baseline.best()
-	if !known || m.baselineEngines < minObservedEngines {
-		e.slowBaseline = false
-		return
-	}
-	limit := slowBaselineRatio
-	if e.slowBaseline {
-		limit = normalBaselineRatio
-	}
-	e.slowBaseline = float64(best) > limit*float64(m.baseline)
-}
-
 // slowEngineLoad is the additional load that keeps long requests and prefill apart on slow engines.
 //
-// Engines read prompts in chunks between the tokens of running requests, and co-located work makes them 2.5 times slower for moments. On
-// most engines both together stay within the allowed gap of 180 ms for an event of four tokens. On one that takes 1.3 times as long they
-// reach 200 ms, and every request that runs there is late. So the longer a request is expected to run, the more it prefers other engines,
-// and no prompt is read on a slow engine with long runs while another engine has room. Of 71 outputs with too long a gap on a calm day with
-// 51 engines, 44 were on engines known to be slow.
-func (e *engine) slowEngineLoad(r *request, prefill bool) float64 {
+// Engines emit no tokens for running requests while they prefill a prompt, and co-located work makes them 2.5 times
+// slower for moments. On most engines both together stay within the allowed gap of 180 ms for an event of four tokens.
+// On one that takes 1.3 times as long they reach 200 ms, and every request that runs there is late. So the longer a
+// request is expected to run, the more it prefers other engines, and requests of a few tokens, whose prefill also
+// causes pauses, prefer slow engines without long requests.
+func (e *engine) slowEngineLoad(r *request) float64 {
 	if !e.slowBaseline {
 		return 0
 	}
 	load := slowLongLoad * min(float64(r.predictedOutput)/slowFullLoadTokens, 1)
-	if prefill && e.runningLong > 0 {
-		load += slowPrefillLoad
+	if r.queue == queueShort && e.runningLong > 0 {
+		load += slowShortLoad
 	}
 	return load
 }
--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -110,7 +110,7 @@
 	if e.gapRatio > 1 {
 		load *= e.gapRatio
 	}
-	return load + e.slowEngineLoad(r, true), true
+	return load + e.slowEngineLoad(r), true
 }
 
 // allowedByState reports whether the engine is no straggler or may get its one probing request. A long request is used
--- a/internal/sched/moves.go
+++ b/internal/sched/moves.go
@@ -149,7 +149,7 @@
 		if e.gapRatio > 1 {
 			load *= e.gapRatio
 		}
-		load += e.slowEngineLoad(r, false)
+		load += e.slowEngineLoad(r)
 		if best == table.None || load < bestLoad {
 			best, bestLoad = candidate, load
 		}
--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -181,9 +181,9 @@
 	if s.medians.gap > 0 && now.Sub(stats.gapAt) < maxSampleAge {
 		e.gapRatio = max(float64(stats.gap)/float64(s.medians.gap), 1)
 	}
-	if !s.off(pond.MechanismSlowEngines) {
-		e.updateSlowBaseline(s.medians)
-	}
+	best, known := stats.baseline.best()
+	e.slowBaseline = known && !s.off(pond.MechanismSlowEngines) && s.medians.baselineEngines >= minObservedEngines &&
+		float64(best) > slowBaselineRatio*float64(s.medians.baseline)
 	if s.policy.StragglerRatio <= 0 {
 		return
 	}
