feed: the reader pauses after a response of the store with changes

Cause: each change of a backend server ended the reader's wait at the store, so each change cost a call of each reader. Ruled out: fewer readers: of two regions one reads for the other only if the nearer to the store is known; left. Change: after a response with changes the store is asked again 60 ms later, and gives all changes since then at once. The first change after a quiet time is not delayed; others by 60 ms at most, of a notice of 1.5 s.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -52,6 +52,11 @@
 	// startBackoff is the time for which a source is skipped after it failed during the start.
 	startBackoff = 100 * time.Millisecond
 
+	// storePause is the time after a response of the store with changes before it is asked for the next ones. Each question is charged, and
+	// with hundreds of backend servers that come and go, each one brought a single change. The first change after a time without one is
+	// not delayed.
+	storePause = 60 * time.Millisecond
+
 	// idleDelay is the time between two searches for a source while all of them are in backoff.
 	idleDelay = 100 * time.Millisecond
 
@@ -129,6 +134,8 @@
 	// failing is true if a source, the store included, failed or was stale since one last gave a current response.
 	failing       bool
 	currentSource string
+	// storePauseUntil is the time before which the store is not asked for changes.
+	storePauseUntil time.Time
 	// lacking is the name of the source that lacked numbered records in its last response, and lackingAbove the greatest number
 	// that it had.
 	lacking      string
@@ -161,10 +168,25 @@
 			continue
 		}
 		f.pullFirst(ctx, sources)
+		f.awaitStorePause(ctx)
 	}
 	return context.Cause(ctx)
 }
 
+// awaitStorePause waits until the store may be asked again.
+func (f *Feed) awaitStorePause(ctx context.Context) {
+	f.mu.Lock()
+	pause := f.storePauseUntil.Sub(f.options.Clock())
+	f.mu.Unlock()
+	if pause <= 0 || pause > storePause { // The clock may have been set.
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
 // nextSources returns the source to ask, or urgentSources of them if one has failed since the last current response.
 func (f *Feed) nextSources() []Upstream {
 	now := f.options.Clock()
@@ -303,11 +325,20 @@
 	} else {
 		f.clearFailures()
 		current = true
+		if upstream.IsStore && result == PullChanged && cursor.Revision > 0 {
+			f.pauseStore(now)
+		}
 	}
 	f.reportPull(upstream, result)
 	return current
 }
 
+func (f *Feed) pauseStore(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storePauseUntil = now.Add(storePause)
+}
+
 // applyInOrder applies a batch and passes its changes on before another batch is applied.
 func (f *Feed) applyInOrder(batch Batch) PullResult {
 	f.applyMu.Lock()
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -276,6 +276,81 @@
 	})
 }
 
+// TestFrequentChanges replays the engines of hundreds of machines that come and go. It guards against a question to the store for each
+// change, against changes that are told late, and against a pause before the first change after a quiet time.
+func TestFrequentChanges(t *testing.T) {
+	const (
+		latency      = 4 * time.Millisecond
+		busyInterval = 20 * time.Millisecond
+		busyTime     = 6 * time.Second
+		maxCalls     = 6 * 18                 // of 300 changes
+		maxDelay     = 100 * time.Millisecond // of a notice of 1.5 s
+	)
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		published := func(revision uint64) time.Time { return began.Add(time.Duration(revision) * busyInterval) }
+		current := func() uint64 { return uint64(time.Since(began) / busyInterval) }
+		quietFrom, lone := uint64(busyTime/busyInterval), false
+		calls := 0
+		store := SourceFunc(func(ctx context.Context, cursor Cursor) (Batch, error) {
+			time.Sleep(latency / 2)
+			defer time.Sleep(latency / 2)
+			calls++
+			revision := func() uint64 {
+				if lone {
+					return quietFrom + 1
+				}
+				return min(current(), quietFrom)
+			}
+			for askedAt := time.Now(); revision() <= cursor.Revision && time.Since(askedAt) < PullWait; {
+				time.Sleep(time.Millisecond)
+			}
+			batch := Batch{Position: at(revision()), ConfirmedAt: time.Now(), Snapshot: cursor.Revision == 0}
+			for r := cursor.Revision + 1; r <= batch.Revision; r++ {
+				batch.Records = append(batch.Records, record(fmt.Sprint("engine-", r), r))
+			}
+			return batch, nil
+		})
+		var worst time.Duration
+		var loneAt time.Time
+		f := New(Options{
+			Upstreams: func() []Upstream { return []Upstream{{Name: "store", Source: store, IsStore: true}} },
+			Clock:     time.Now, Log: discardLog(),
+			OnChange: func(records []Record) {
+				for _, r := range records {
+					if r.Revision <= quietFrom && r.Revision > 1 {
+						worst = max(worst, time.Since(published(r.Revision)))
+					} else if r.Revision > quietFrom {
+						worst = max(worst, time.Since(loneAt))
+					}
+				}
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := make(chan struct{})
+		time.Sleep(busyInterval)
+		go func() {
+			defer close(stopped)
+			_ = f.Run(ctx)
+		}()
+		time.Sleep(busyTime)
+		if calls > maxCalls {
+			t.Errorf("%d questions in %v, want at most %d", calls, busyTime, maxCalls)
+		}
+		time.Sleep(PullWait + storePause)
+		if worst > maxDelay {
+			t.Errorf("a change was told %v after it was published, want at most %v", worst, maxDelay)
+		}
+		worst, lone, loneAt = 0, true, time.Now()
+		time.Sleep(2 * PullWait)
+		if f.Revision() != quietFrom+1 || worst > 2*latency {
+			t.Errorf("revision %d, want %d; the first change after a quiet time was told after %v, want at most %v", f.Revision(), quietFrom+1, worst, 2*latency)
+		}
+		cancel()
+		<-stopped
+	})
+}
+
 // TestServe guards against followers that get a change late, and against responses that come after their timeout.
 func TestServe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
