sched, logs: two new requests in a row make an engine fail; errors that were passed on count as such

Cause: kept an engine off for half a second and a probing request after any single failure, also of a run in progress, and any engine loses single answers. explain -summary counted an error of a backend server that was passed on as an answer on time. Change: only new requests count, two in a row without one that was served; a single failure is forgotten as before. The summary takes a status from 500 on for a failure of the backend server.

--- a/internal/logs/summary.go
+++ b/internal/logs/summary.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -62,6 +63,7 @@
 	firstMs    float64
 	moved      bool
 	moveFailed bool
+	status     float64 // of the response; 0 without one
 }
 
 func (r *requestRecord) add(line Line) {
@@ -77,7 +79,7 @@
 		r.moveFailed = true
 	case "requestEnded":
 		r.outcome, r.reason, r.late = line.Field(Outcome), line.Field(Reason), line.Field(Late)
-		r.route, r.firstMs = line.Field(Route), line.number(FirstEventMillis)
+		r.route, r.firstMs, r.status = line.Field(Route), line.number(FirstEventMillis), line.number(Status)
 		if r.firstMs == 0 {
 			r.firstMs = line.number(ElapsedMillis)
 		}
@@ -95,6 +97,9 @@
 	case "":
 		return CauseInstanceGone
 	case "answered":
+		if r.status >= http.StatusInternalServerError {
+			return CauseBackendFailed // The response of the backend server was passed on.
+		}
 		return r.lateCause()
 	case "refused":
 		return CauseRefused
--- a/internal/logs/summary_test.go
+++ b/internal/logs/summary_test.go
@@ -25,6 +25,7 @@
 		{"caller left", []string{`"event":"requestEnded","outcome":"brokenOff","reason":"canceled"`}, CauseCallerLeft},
 		{"deadline", []string{`"event":"requestEnded","outcome":"failed","reason":"deadline"`}, CauseDeadline},
 		{"failed", []string{`"event":"requestEnded","outcome":"failed","reason":"backendFailed"`}, CauseBackendFailed},
+		{"error of a backend server", []string{`"event":"requestEnded","outcome":"answered","status":500`}, CauseBackendFailed},
 		{"refused", []string{`"event":"requestEnded","outcome":"refused","reason":"overloaded"`}, CauseRefused},
 		{"rejected", []string{`"event":"requestEnded","outcome":"rejected","reason":"notFound"`}, CauseRejected},
 		{"waited at the home", []string{
@@ -67,7 +68,7 @@
 	if err := all.Write(&out); err != nil {
 		t.Fatal(err)
 	}
-	if all.Malformed() != 1 || !strings.HasPrefix(out.String(), fmt.Sprintf("%d requests\n      2  lateEngine", len(tests))) {
+	if all.Malformed() != 1 || !strings.HasPrefix(out.String(), fmt.Sprintf("%d requests\n      2  backendFailed  \n      2  lateEngine", len(tests))) {
 		t.Errorf("%d malformed lines, summary\n%s", all.Malformed(), out.String())
 	}
 }
--- a/internal/sched/failure_test.go
+++ b/internal/sched/failure_test.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// TestSingleFailure guards against an engine that is left idle because it lost one answer while the others go on.
+func TestSingleFailure(t *testing.T) {
+	p := newFailingPool(t, 12)
+	name := testEngines(12, 34_000, 24)[0].Name
+	p.play(0, time.Second, func(string, int) bool { return false })
+	failedOnce := false
+	p.play(time.Second, 2*time.Second, func(engine string, _ int) bool {
+		fails := engine == name && !failedOnce
+		failedOnce = failedOnce || fails
+		return fails
+	})
+	row, _ := p.engines.Get(name)
+	if !failedOnce || row.straggler != stragglerNone || row.latency.failing() {
+		t.Errorf("failed %t, state %d, failing %t", failedOnce, row.straggler, row.latency.failing())
+	}
+}
+
 // TestErrorsOfAllEngines guards against a pool without engines because each of them fails a request now and then: the cause is not theirs,
 // and the others would have been served.
 func TestErrorsOfAllEngines(t *testing.T) {
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -195,6 +195,9 @@
 	if progress.Tokens <= r.emitted {
 		return
 	}
+	if r.emitted == 0 && !fromSource {
+		e.latency.failures = 0
+	}
 	e.used += progress.Tokens - r.emitted
 	s.drain.addTokens(r, progress.Tokens-r.emitted)
 	r.emitted = progress.Tokens
@@ -232,7 +235,7 @@
 		s.rates.addLoss(now.Sub(e.leavingAt))
 	}
 	if end.BackendFailed && s.policy.StragglerRatio > 0 {
-		e.recordFailure(now)
+		e.recordFailure(r, now)
 	}
 	s.stop(slot, now)
 	s.removeRequest(slot, now)
--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -29,7 +29,10 @@
 	// An avoided engine is evaluated by its running requests if their values are younger than this.
 	maxRunningSampleAge = time.Second
 
-	// If more than one engine in this many has failed requests, its running requests show whether an engine is sound.
+	// An engine fails if it failed this many new requests without serving one. Any engine loses single answers.
+	minFailures = 2
+
+	// If more than one engine in this many fails, the cause is probably not theirs.
 	commonFailureDivisor = 3
 
 	initialAvoidPeriod = 500 * time.Millisecond
@@ -61,8 +64,8 @@
 	probeUntil    time.Time
 	probingSince  time.Time
 	probeAnswered bool // the probing request has emitted tokens
-	// failed is true from a request that the engine failed until it has served a probing request.
-	failed bool
+	// failures counts the new requests that the engine has failed since it last served one.
+	failures int
 }
 
 func average(old, sample time.Duration, fresh bool) time.Duration {
@@ -114,13 +117,18 @@
 
 // recordFailure avoids an engine that failed a request. Failures while it is avoided already, such as those of all its runs at once, do not
 // prolong the period.
-func (e *engine) recordFailure(now time.Time) {
-	e.latency.failed = true
+func (e *engine) recordFailure(r *request, now time.Time) {
+	if r.emitted == 0 {
+		e.latency.failures++
+	}
 	if e.straggler != stragglerAvoided {
 		e.avoid(now)
 	}
 }
 
+// failing reports whether the engine fails new requests, whatever becomes of those that run.
+func (stats *latencyStats) failing() bool { return stats.failures >= minFailures }
+
 func (e *engine) avoid(now time.Time) {
 	stats := &e.latency
 	stats.avoidPeriod = min(max(2*stats.avoidPeriod, initialAvoidPeriod), maxAvoidPeriod)
@@ -133,7 +141,7 @@
 	gapEngines, firstTokenEngines int
 	baseline                      time.Duration
 	baselineEngines               int
-	// failuresCommon is true if so many engines have failed requests that the cause is probably not theirs.
+	// failuresCommon is true if so many engines fail that the cause is probably not theirs.
 	failuresCommon bool
 }
 
@@ -164,7 +172,7 @@
 		stats := &s.engines.At(slot).latency
 		if s.engines.At(slot).accepting {
 			engines++
-			if stats.failed {
+			if stats.failing() {
 				failed++
 			}
 		}
@@ -224,19 +232,19 @@
 }
 
 // updateAvoided ends or extends the avoidance of an engine by the latency of its running requests. Only an engine
-// without recent values needs a probing request, which would be slow if the engine still is, and one that failed requests: such an engine
-// may go on with the runs that it has. On a day of the users' benchmark with 130 engines, 11 of them returned errors for 7 s and had their
+// without recent values needs a probing request, which would be slow if the engine still is, and one that fails: such an engine may go on
+// with the runs that it has. On a day of the users' benchmark with 130 engines, 11 of them returned errors for 7 s and had their
 // requests of before in progress; up to 66 requests were sent to one, because these showed it to be fast.
 func (s *Scheduler) updateAvoided(e *engine, now time.Time) {
 	stats := &e.latency
 	observed := e.running > 0 && s.medians.gapEngines >= minObservedEngines &&
 		now.Sub(stats.gapAt) < maxRunningSampleAge
 	slow := stats.slowGap(s.medians, s.policy.StragglerRatio, now)
-	failing := stats.failed && !s.medians.failuresCommon
+	failing := stats.failing() && !s.medians.failuresCommon
 	switch {
 	case !failing && observed && !slow && now.Sub(stats.lastToken) < maxRunningSampleAge:
 		// The time to the first token was measured before the recovery.
-		e.straggler, stats.avoidPeriod, stats.firstTokenAt, stats.failed = stragglerNone, 0, time.Time{}, false
+		e.straggler, stats.avoidPeriod, stats.firstTokenAt = stragglerNone, 0, time.Time{}
 		s.dispatchDue = true
 	case now.Before(stats.avoidUntil):
 	case observed && slow:
@@ -252,7 +260,7 @@
 	switch {
 	case stats.probe == table.None:
 	case stats.probeAnswered && !stats.slow(s.medians, s.policy.StragglerRatio, now):
-		e.straggler, stats.probe, stats.avoidPeriod, stats.failed = stragglerNone, table.None, 0, false
+		e.straggler, stats.probe, stats.avoidPeriod = stragglerNone, table.None, 0
 		s.dispatchDue = true
 	case stats.probeAnswered || now.After(stats.probeUntil):
 		e.avoid(now)
