feed: no race in the test of frequent changes

My own slip: the package was not run with the race detector before. Change: atomics and a lock in the test. Measured: go test -race ./internal/feed -count 3 passes.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -290,14 +292,15 @@
 		began := time.Now()
 		published := func(revision uint64) time.Time { return began.Add(time.Duration(revision) * busyInterval) }
 		current := func() uint64 { return uint64(time.Since(began) / busyInterval) }
-		quietFrom, lone := uint64(busyTime/busyInterval), false
-		calls := 0
+		quietFrom := uint64(busyTime / busyInterval)
+		var lone atomic.Bool
+		var calls atomic.Int64
 		store := SourceFunc(func(ctx context.Context, cursor Cursor) (Batch, error) {
 			time.Sleep(latency / 2)
 			defer time.Sleep(latency / 2)
-			calls++
+			calls.Add(1)
 			revision := func() uint64 {
-				if lone {
+				if lone.Load() {
 					return quietFrom + 1
 				}
 				return min(current(), quietFrom)
@@ -311,12 +314,15 @@
 			}
 			return batch, nil
 		})
+		var mu sync.Mutex // protects worst and loneAt
 		var worst time.Duration
 		var loneAt time.Time
 		f := New(Options{
 			Upstreams: func() []Upstream { return []Upstream{{Name: "store", Source: store, IsStore: true}} },
 			Clock:     time.Now, Log: discardLog(),
 			OnChange: func(records []Record) {
+				mu.Lock()
+				defer mu.Unlock()
 				for _, r := range records {
 					if r.Revision <= quietFrom && r.Revision > 1 {
 						worst = max(worst, time.Since(published(r.Revision)))
@@ -334,18 +340,23 @@
 			_ = f.Run(ctx)
 		}()
 		time.Sleep(busyTime)
-		if calls > maxCalls {
-			t.Errorf("%d questions in %v, want at most %d", calls, busyTime, maxCalls)
+		if got := calls.Load(); got > maxCalls {
+			t.Errorf("%d questions in %v, want at most %d", got, busyTime, maxCalls)
 		}
 		time.Sleep(PullWait + storePause)
+		mu.Lock()
 		if worst > maxDelay {
 			t.Errorf("a change was told %v after it was published, want at most %v", worst, maxDelay)
 		}
-		worst, lone, loneAt = 0, true, time.Now()
+		worst, loneAt = 0, time.Now()
+		mu.Unlock()
+		lone.Store(true)
 		time.Sleep(2 * PullWait)
+		mu.Lock()
 		if f.Revision() != quietFrom+1 || worst > 2*latency {
 			t.Errorf("revision %d, want %d; the first change after a quiet time was told after %v, want at most %v", f.Revision(), quietFrom+1, worst, 2*latency)
 		}
+		mu.Unlock()
 		cancel()
 		<-stopped
 	})
