review: a replica that answers early gets other bytes of a long body

Cause: the transport and the server, which discards what is unread before it writes a response, read the same request body.

--- a/review/standin/client_test.go
+++ b/review/standin/client_test.go
@@ -38,16 +38,22 @@
 
 // generate sends a streaming request on a new connection and reads its answer.
 func (d *deployment) generate(id, address string, promptTokens, outputTokens int, deadline time.Duration) outcome {
+	return d.generateWith(id, address, promptTokens, outputTokens, deadline, strings.NewReader(bodyText(0, usualBodyBytes)), usualBodyBytes)
+}
+
+// generateWith sends a streaming request with a body.
+func (d *deployment) generateWith(
+	id, address string, promptTokens, outputTokens int, deadline time.Duration, body io.Reader, length int64,
+) outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	o := outcome{id: id, sentAt: time.Now()}
-	body := strings.Repeat("p", 600)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+longPrefix+"2f", strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+longPrefix+"2f", body)
 	if err != nil {
 		o.err = err
 		return o
 	}
-	req.Host = hostName
+	req.Host, req.ContentLength = hostName, length
 	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Model", "m")
 	req.Header.Set("X-Token-Count", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
@@ -57,7 +63,9 @@
 	d.record.add("client sends %s to %s (%d,%d tokens)", id, address, promptTokens, outputTokens)
 	patience := time.AfterFunc(streamPatience, cancel)
 	defer patience.Stop()
-	resp, err := (&http.Transport{DisableKeepAlives: true, DisableCompression: true}).RoundTrip(req)
+	transport := &http.Transport{DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
 	o.endAt, o.err = time.Now(), err
 	if err != nil {
 		o.gaveUp = ctx.Err() != nil
--- a/review/standin/engine_test.go
+++ b/review/standin/engine_test.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -25,6 +24,8 @@
 	pace, firstEvent time.Duration
 	// unframed answers have neither a length nor chunks and end with their connection.
 	unframed bool
+	// early answers begin before a long body has been read; the replica reads on later.
+	early bool
 }
 
 // engine is the stand-in of a model replica.
@@ -44,9 +45,10 @@
 type engines struct {
 	record *record
 	mu     sync.Mutex
-	runs   map[string]*run    // by X-Attempt-Id
-	copies map[string]*kvCopy // by IP:PORT/HANDLE
-	byAddr map[string]*engine // by IP:PORT
+	runs   map[string]*run       // by X-Attempt-Id
+	copies map[string]*kvCopy    // by IP:PORT/HANDLE
+	byAddr map[string]*engine    // by IP:PORT
+	bodies map[string]*bodyCheck // by X-Attempt-Id
 	serial int
 }
 
@@ -70,7 +72,7 @@
 }
 
 func newEngines(r *record) *engines {
-	return &engines{record: r, runs: make(map[string]*run), copies: make(map[string]*kvCopy), byAddr: make(map[string]*engine)}
+	return &engines{record: r, runs: make(map[string]*run), copies: make(map[string]*kvCopy), byAddr: make(map[string]*engine), bodies: make(map[string]*bodyCheck)}
 }
 
 func (f *engines) start(config engineConfig, address string) (*engine, error) {
@@ -157,9 +159,15 @@
 
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body := newBodyCheck(e.fleet.record, id)
+	if length := r.ContentLength; !e.early || length < earlyBytes {
+		if _, err := io.Copy(body, r.Body); err != nil {
+			return
+		}
+	} else if _, err := io.CopyN(body, r.Body, earlyBytes); err != nil {
 		return
 	}
+	e.fleet.addBody(id, body)
 	started, from, ok := e.begin(r, id)
 	if !ok {
 		e.reject(w, id, "no such copy")
@@ -170,7 +178,7 @@
 		panic(err)
 	}
 	defer conn.Close()
-	e.stream(started, from, conn, buffered)
+	e.stream(started, from, conn, body.rest(buffered, r.ContentLength))
 }
 
 // reject says that the replica has not run the request and never will.
@@ -214,12 +222,12 @@
 }
 
 // stream sends the events of a run until its end, until it is stopped or until its connection is closed.
-func (e *engine) stream(started *run, from int, conn net.Conn, buffered *bufio.ReadWriter) {
+func (e *engine) stream(started *run, from int, conn net.Conn, rest func() error) {
 	defer e.end(started)
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
-		_, _ = buffered.Reader.ReadByte() // The caller sends nothing more.
+		_ = rest() // It returns when the connection is closed: the caller sends nothing after the body.
 	}()
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + started.id + "\r\nX-Replica-Seal: seal-" + e.id +
 		"\r\nX-Weight-Versions: 1\r\nConnection: close\r\n"
