review: a silent connection to the store holds a configuration back

Cause: only the head of the store's answer is bounded by 1.5 s; an answer that has begun is waited for for 5 s, and nobody else is asked.

--- a/review/standin/client_test.go
+++ b/review/standin/client_test.go
@@ -41,6 +41,14 @@
 	return d.generateWith(id, address, promptTokens, outputTokens, deadline, strings.NewReader(bodyText(0, usualBodyBytes)), usualBodyBytes)
 }
 
+// path returns the path of the requests.
+func (d *deployment) path() string {
+	if d.prefix != "" {
+		return d.prefix + "2f"
+	}
+	return longPrefix + "2f"
+}
+
 // generateWith sends a streaming request with a body.
 func (d *deployment) generateWith(
 	id, address string, promptTokens, outputTokens int, deadline time.Duration, body io.Reader, length int64,
@@ -48,7 +56,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
 	o := outcome{id: id, sentAt: time.Now()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+longPrefix+"2f", body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+d.path(), body)
 	if err != nil {
 		o.err = err
 		return o
--- a/review/standin/deployment_test.go
+++ b/review/standin/deployment_test.go
@@ -61,6 +61,8 @@
 	engines   []*engine
 	instances []*instance
 	stopOnce  sync.Once
+	// prefix is that of the requests' path; empty for longPrefix.
+	prefix string
 }
 
 // instance is one process of the product.
@@ -92,7 +94,7 @@
 	if d.store, err = startStore(d.subnet + fmt.Sprintf(".1:%d", storePort)); err != nil {
 		return d, err
 	}
-	d.store.put("op/config", operatorConfig(1))
+	d.store.put("op/config", operatorConfig(1, longPrefix))
 	for n, engineConfig := range config.engines {
 		e, err := d.fleet.start(engineConfig, fmt.Sprintf("%s.%d:%d", d.subnet, 100+n, enginePort))
 		if err != nil {
@@ -138,15 +140,18 @@
 // publish writes the entry of a replica to the store.
 func (d *deployment) publish(e *engine) { d.store.put("servers/"+e.id, e.entry()) }
 
-// operatorConfig is what the operator publishes.
-func operatorConfig(version int) map[string]any {
-	return map[string]any{
-		"version": version,
-		"routes": []any{map[string]any{
-			"name": "r-long", "host": hostName, "prefix": longPrefix, "kind": "streaming", "timeoutMs": 39000, "targetLatencyMs": 4000,
+// operatorConfig is what the operator publishes: a route for each prefix.
+func operatorConfig(version int, prefixes ...string) map[string]any {
+	var routes []any
+	for n, prefix := range prefixes {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-%d", n), "host": hostName, "prefix": prefix, "kind": "streaming", "timeoutMs": 39000, "targetLatencyMs": 4000,
 			"priority": 1, "service": serviceName, "maxAttempts": 1, "authExempt": false, "sticky": true, "resumable": false,
 			"gapTargetMs": 180,
-		}},
+		})
+	}
+	return map[string]any{
+		"version": version, "routes": routes,
 		"services": []any{map[string]any{
 			"name": serviceName, "healthPath": "/health", "maxConnections": 252, "protocol": "h1", "tls": false,
 			"engine": map[string]any{
--- a/review/standin/store_test.go
+++ b/review/standin/store_test.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -20,8 +21,14 @@
 	changed  chan struct{}
 	server   *http.Server
 	address  string
+	// silentBefore is the time before which connections were opened that have gone silent, and watchedAt when a watch began last.
+	silentBefore, watchedAt time.Time
+	// begins makes the head of the answer to a watch come at once.
+	begins bool
 }
 
+type openedKey struct{}
+
 type item struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value,omitempty"`
@@ -36,7 +43,9 @@
 		return nil, err
 	}
 	s := &store{revision: 1, items: make(map[string]item), changed: make(chan struct{}), address: listener.Addr().String()}
-	s.server = &http.Server{Handler: s}
+	s.server = &http.Server{Handler: s, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, openedKey{}, time.Now())
+	}}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
 }
@@ -62,9 +71,35 @@
 	s.changed = make(chan struct{})
 }
 
+// silence makes all connections that are open go silent for good. New ones work.
+func (s *store) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentBefore = time.Now()
+}
+
+// lastWatch returns the time at which a watch began last.
+func (s *store) lastWatch() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchedAt
+}
+
+// awaitSilence does not return before the end of a request on a connection that has gone silent.
+func (s *store) awaitSilence(r *http.Request) {
+	opened, _ := r.Context().Value(openedKey{}).(time.Time)
+	s.mu.Lock()
+	silent := opened.Before(s.silentBefore)
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
+	s.awaitSilence(r)
 	w.Header().Set("Content-Type", "application/json")
 	switch r.URL.Path {
 	case "/kv-range":
@@ -72,7 +107,16 @@
 	case "/kv-watch":
 		after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(query.Get("waitMs"))
-		_ = json.NewEncoder(w).Encode(s.watch(r, query.Get("prefix"), after, time.Duration(wait)*time.Millisecond))
+		s.mu.Lock()
+		s.watchedAt = time.Now()
+		begins := s.begins
+		s.mu.Unlock()
+		if begins {
+			_ = http.NewResponseController(w).Flush()
+		}
+		answer := s.watch(r, query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
+		s.awaitSilence(r)
+		_ = json.NewEncoder(w).Encode(answer)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
