--- a/review/standin/engine_test.go
+++ b/review/standin/engine_test.go
@@ -230,11 +230,13 @@
 		_ = rest() // It returns when the connection is closed: the caller sends nothing after the body.
 	}()
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + started.id + "\r\nX-Replica-Seal: seal-" + e.id +
-		"\r\nX-Weight-Versions: 1\r\nConnection: close\r\n"
+		"\r\nX-Weight-Versions: 1\r\n"
 	if limit := e.limitNow(); limit != "" {
 		head += "Server-Limit: " + limit + "\r\n"
 	}
-	if !e.unframed {
+	if e.unframed {
+		head += "Connection: close\r\n"
+	} else {
 		head += "Transfer-Encoding: chunked\r\n"
 	}
 	if _, err := io.WriteString(conn, head+"\r\n"); err != nil {
