relay, serve: logs and metrics tell which requests a shutdown cuts off, and why they were accepted

Cause: requestsCut gave a number. Change: a line requestCut for each, with its stage, the last backend server and the times since its arrival and its send; a counter by stage; a line shutdownAdmission for each decision during a shutdown; instanceLeaving says when the exit is. No decision changes.

--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -83,6 +83,8 @@
 	// Peer is the name of another instance, and State its state as this instance sees it.
 	Peer  = "peer"
 	State = "state"
+	// Stage is how far a request in progress has come.
+	Stage = "stage"
 	// Former is the value before a change.
 	Former = "former"
 	// Home is the instance that makes the placement decisions for a pool.
--- a/internal/metric/requests.go
+++ b/internal/metric/requests.go
@@ -26,6 +26,7 @@
 	pauseTime         prometheus.Histogram
 	limited           *prometheus.CounterVec
 	backoffs          *prometheus.CounterVec
+	cuts              *prometheus.CounterVec
 	accounts          labelSet
 }
 
@@ -88,10 +89,11 @@
 		limited: newCounter("limited_requests_total", "Requests for backend servers that name a limit, by service and outcome.",
 			"service", "outcome"),
 		backoffs: newCounter("backoffs_total", "Back-offs that backend servers asked for, and requests under them, by service and event.", "service", "event"),
+		cuts:     newCounter("requests_cut_total", "Requests that the end of a shutdown cut off, by the stage that they had reached.", "stage"),
 		accounts: labelSet{limit: maxAccounts, other: otherAccounts},
 	}
 	m.registry.MustRegister(
-		r.ended, r.duration, r.durationByAccount, r.firstEventTime, r.moves, r.moveDelay, r.copyTime, r.pauseTime, r.limited, r.backoffs)
+		r.ended, r.duration, r.durationByAccount, r.firstEventTime, r.moves, r.moveDelay, r.copyTime, r.pauseTime, r.limited, r.backoffs, r.cuts)
 	return r
 }
 
@@ -123,6 +125,9 @@
 	r.pauseTime.Observe(pause.Seconds())
 }
 
+// CountCut counts a request that the end of a shutdown cut off, by the stage that it had reached.
+func (r *Requests) CountCut(stage string) { r.cuts.WithLabelValues(stage).Inc() }
+
 // CountBackoff counts an event of back-offs that backend servers ask for.
 func (r *Requests) CountBackoff(service, event string) {
 	r.backoffs.WithLabelValues(service, event).Inc()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -364,10 +364,14 @@
 		}
 	}}))
 	sentAt := x.relay.options.Clock()
+	x.progress.recordSend(d.Backend.ID, time.Now())
 	resp, err := x.relay.transport.Send(req)
 	if err != nil {
 		var failure *engine.Error
 		notSent := errors.As(err, &failure) && failure.Outcome() == pond.OutcomeNotSent
+		if notSent {
+			x.progress.advance(StageWaiting)
+		}
 		return attempt{notRun: notSent, leaving: false, err: err}
 	}
 	distance := x.relay.options.Fleet.Distance(x.relay.options.DataCentre, d.Backend.DataCentre)
@@ -381,6 +385,7 @@
 	}
 	switch {
 	case reply.NotRun || reply.AddressReassigned:
+		x.progress.advance(StageWaiting)
 		_ = resp.Body.Close()
 		return attempt{notRun: true, leaving: reply.AddressReassigned, resp: resp, err: errors.New("the backend server did not run the request")}
 	case !reply.Genuine:
@@ -452,7 +457,7 @@
 	} else if a.resp.ContentLength >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
-	x.responding.Store(true)
+	x.progress.advance(StageResponding)
 	x.w.WriteHeader(a.resp.StatusCode)
 	_, err := x.w.Write(a.buffered)
 	if a.rest != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,7 +85,7 @@
 	transport *engine.Transport
 	replicas  *replicaTable
 	seed      maphash.Seed
-	open      atomic.Int64
+	open      *openRequests
 	serial    atomic.Uint64
 	history   *drain.History
 	shutdown  *shutdown
@@ -98,13 +98,14 @@
 		transport: engine.NewUnpooledTransport(options.Dial),
 		replicas:  newReplicaTable(),
 		seed:      maphash.MakeSeed(),
+		open:      newOpenRequests(),
 		history:   drain.NewHistory(),
 		shutdown:  newShutdown(),
 	}
 }
 
 // Open returns the number of requests in progress.
-func (r *Relay) Open() int { return int(r.open.Load()) }
+func (r *Relay) Open() int { return r.open.count() }
 
 // exchange is one caller's request in progress.
 type exchange struct {
@@ -134,20 +135,20 @@
 	// unreached is true if the last attempt failed because no backend server can be reached.
 	unreached bool
 	// stream is the response stream of a generation; nil without one.
-	stream *stream
-	// responding is true when the head of the response is sent.
-	responding atomic.Bool
+	stream   *stream
+	progress progress
 }
 
 // Serve handles one request.
 func (r *Relay) Serve(w http.ResponseWriter, in *http.Request, call *Call) {
-	r.open.Add(1)
-	defer r.open.Add(-1)
 	x := &exchange{relay: r, w: w, in: in, call: call, arrived: time.Now()}
 	x.log = r.options.Log.WithField(logs.Request, call.ID)
+	r.open.add(x)
+	defer r.open.remove(x)
 	if !x.prepare() {
 		return
 	}
+	x.progress.advance(StageWaiting)
 	ctx, cancel := context.WithDeadline(in.Context(), x.deadline)
 	defer cancel()
 	defer x.endWithShutdown(cancel)()
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -8,7 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/dragonflypond/dragonflypond/internal/drain"
+	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
@@ -92,7 +95,21 @@
 		return false
 	}
 	latest, known := x.relay.latestStart(x.workload())
-	return !known || time.Now().After(latest)
+	tooLate := !known || time.Now().After(latest)
+	x.logAdmission(latest, known, !tooLate)
+	return tooLate
+}
+
+// logAdmission logs whether a request may be sent during the shutdown, and how much later it might still be.
+func (x *exchange) logAdmission(latest time.Time, known, admitted bool) {
+	fields := logrus.Fields{
+		logs.Event: "shutdownAdmission", "admitted": admitted,
+		logs.RemainingMillis: time.Until(x.relay.shutdown.plan.Load().ExitAt()).Milliseconds(),
+	}
+	if known {
+		fields["slackMillis"] = time.Until(latest).Milliseconds()
+	}
+	x.log.WithFields(fields).Info("a request arrived or waits during the shutdown")
 }
 
 // whileStartable returns a context that ends when the request can no longer be sent in time because the instance stops.
@@ -117,7 +134,7 @@
 // endWithShutdown calls cancel shortly before the instance stops if no response has begun by then, so that the caller gets a final answer.
 func (x *exchange) endWithShutdown(cancel context.CancelFunc) (release func()) {
 	stop := context.AfterFunc(x.relay.shutdown.ending, func() {
-		if !x.responding.Load() {
+		if !x.progress.responding() {
 			cancel()
 		}
 	})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -295,7 +295,7 @@
 		return
 	}
 	s.headerWritten = true
-	s.x.responding.Store(true)
+	s.x.progress.advance(StageResponding)
 	copyHeader(s.x.w.Header(), s.head)
 	s.x.w.WriteHeader(http.StatusOK)
 	_, _ = s.x.w.Write(s.comments) // The write of the event that follows reports an error.
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -509,7 +509,9 @@
 	i.relay.Leave(exitAt)
 	i.front.leave()
 	i.members.Leave()
-	i.log.WithFields(logrus.Fields{logs.Event: "instanceLeaving", "open": i.relay.Open(), "carried": i.tunnels.Carried()}).
+	i.log.WithFields(logrus.Fields{
+		logs.Event: "instanceLeaving", "open": i.relay.Open(), "carried": i.tunnels.Carried(), "exitMillis": time.Until(exitAt).Milliseconds(),
+	}).
 		Info("instance leaves")
 	handedOver := i.handOver(ctx, exitAt)
 	callersGoneAt := began.Add(lookupRetentionFactor * i.lookupValidity())
@@ -523,6 +525,7 @@
 	i.relay.Stop()
 	i.awaitEnds(ctx, exitAt)
 	open := i.relay.Open() + i.tunnels.Carried()
+	i.relay.RecordCuts()
 	ctx, cancel := context.WithDeadline(ctx, exitAt)
 	defer cancel()
 	if err := i.front.shutdown(ctx); err != nil || open > 0 {
