serve: a request that has begun to arrive is read and answered when connections are closed

Cause: at the end of a shutdown net/http closes the connections that it takes for idle or new. It takes them for that until it has parsed a head, so that a busy machine closes connections whose request it has read and not parsed yet. Change: callerConn, around each caller's connection, ends the wait for another request and lets one go on of which a byte has been read. The front waits for the last connection by its own count instead of http.Server.Shutdown, which also polled for up to 0.5 s.

--- a/internal/serve/front.go
+++ b/internal/serve/front.go
@@ -47,12 +47,14 @@
 	queue    *connQueue
 	replaced []*http.Server
 	closing  bool
-	// unread holds the connections on which no request has been read yet.
-	unread map[net.Conn]struct{}
+	conns    map[*callerConn]struct{} // open ones
+	// closed is closed when no connection is open any more after closing.
+	closed     chan struct{}
+	closedOnce sync.Once
 }
 
 func newFrontServer(listener net.Listener, handler http.Handler, log logrus.FieldLogger) *frontServer {
-	f := &frontServer{listener: listener, log: log, unread: make(map[net.Conn]struct{})}
+	f := &frontServer{listener: listener, log: log, conns: make(map[*callerConn]struct{}), closed: make(chan struct{})}
 	f.handler = http.HandlerFunc(func(w http.ResponseWriter, in *http.Request) {
 		if f.leaving.Load() {
 			w.Header().Set("Connection", "close")
@@ -80,7 +82,7 @@
 	f.queue = &connQueue{conns: make(chan net.Conn), done: make(chan struct{}), address: f.listener.Addr()}
 	f.server = &http.Server{
 		Handler:           f.handler,
-		ConnState:         f.trackUnread,
+		ConnState:         f.trackConn,
 		MaxHeaderBytes:    defaultHeaderBytes,
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
@@ -120,12 +122,11 @@
 }
 
 // dispatch passes a connection to the current server. After the shutdown it closes the connection, on which nothing has been read.
-func (f *frontServer) dispatch(conn net.Conn) {
+func (f *frontServer) dispatch(accepted net.Conn) {
+	conn := &callerConn{Conn: accepted}
 	for {
-		f.mu.Lock()
-		queue, closing := f.queue, f.closing
-		f.mu.Unlock()
-		if closing {
+		queue, ok := f.admit(conn)
+		if !ok {
 			_ = conn.Close() // The caller sees the end in any case.
 			return
 		}
@@ -137,20 +138,44 @@
 	}
 }
 
+// admit returns the queue of the current server and counts the connection as open. It returns false after the shutdown has begun to close
+// connections.
+func (f *frontServer) admit(conn *callerConn) (*connQueue, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closing {
+		delete(f.conns, conn)
+		f.reportClosed()
+		return nil, false
+	}
+	f.conns[conn] = struct{}{}
+	return f.queue, true
+}
+
 // leave closes each connection after its next response. An idle connection stays open, because a request may be on its way.
 func (f *frontServer) leave() { f.leaving.Store(true) }
 
-// trackUnread implements http.Server.ConnState.
-func (f *frontServer) trackUnread(conn net.Conn, state http.ConnState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if state != http.StateNew {
-		delete(f.unread, conn)
+// trackConn implements http.Server.ConnState.
+func (f *frontServer) trackConn(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
 		return
 	}
-	f.unread[conn] = struct{}{}
-	if f.closing {
-		_ = conn.Close() // The server reports the end.
+	switch state {
+	case http.StateIdle:
+		c.end()
+	case http.StateClosed, http.StateHijacked:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.conns, c)
+		f.reportClosed()
+	}
+}
+
+// reportClosed closes the channel closed if the shutdown has begun and no connection is left. The lock must be held.
+func (f *frontServer) reportClosed() {
+	if f.closing && len(f.conns) == 0 {
+		f.closedOnce.Do(func() { close(f.closed) })
 	}
 }
 
@@ -159,23 +184,22 @@
 	f.mu.Lock()
 	f.closing = true
 	servers := append(f.replaced, f.server)
-	for conn := range f.unread {
-		// net/http leaves new connections open for seconds and would serve a request on them.
-		_ = conn.Close()
+	for conn := range f.conns {
+		conn.stopReading()
 	}
+	f.queue.stop()
+	f.reportClosed()
 	f.mu.Unlock()
 	err := f.listener.Close()
-	var group sync.WaitGroup
-	failures := make([]error, len(servers))
-	for n, server := range servers {
-		group.Go(func() {
-			if failures[n] = server.Shutdown(ctx); failures[n] != nil {
-				_ = server.Close()
-			}
-		})
+	select {
+	case <-f.closed:
+	case <-ctx.Done():
+		err = cmp.Or(context.Cause(ctx), err)
+	}
+	for _, server := range servers {
+		err = cmp.Or(err, server.Close())
 	}
-	group.Wait()
-	return cmp.Or(append(failures, err)...)
+	return err
 }
 
 // connQueue is a net.Listener whose connections are accepted elsewhere and sent to conns.
--- a/internal/serve/front_test.go
+++ b/internal/serve/front_test.go
@@ -117,3 +117,81 @@
 		t.Error(err)
 	}
 }
+
+// TestStopReading guards against a connection that is closed although part of a request has been read on it, and against one on which another
+// request is read after the shutdown has begun to close connections.
+func TestStopReading(t *testing.T) {
+	tests := []struct {
+		name       string
+		sentBefore string // before no further request is to be read
+		sentAfter  string
+		want       string // the status line of the answer, "" for none
+	}{
+		{"nothing sent", "", "", ""},
+		{"half of a head", "GET / HTTP/1.1\r\nHost: a.", "example\r\n\r\n", "HTTP/1.1 200 OK\r\n"},
+		{"whole", "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n", "", "HTTP/1.1 200 OK\r\n"},
+		{"half of a body", "POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nab", "cd", "HTTP/1.1 200 OK\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var front *frontServer
+			front = newFrontServer(listener, http.HandlerFunc(func(_ http.ResponseWriter, in *http.Request) {
+				_, _ = io.Copy(io.Discard, in.Body)
+				<-front.queueDone()
+			}), logrus.New())
+			front.leave()
+			go func() { _ = front.acceptLoop() }()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, test.sentBefore); err != nil {
+				t.Fatal(err)
+			}
+			front.awaitConn(t, test.sentBefore != "")
+			ended := make(chan error, 1)
+			go func() { ended <- front.shutdown(context.Background()) }()
+			<-front.queueDone()
+			if _, err := io.WriteString(conn, test.sentAfter); err != nil && test.want != "" {
+				t.Fatal(err)
+			}
+			line, err := bufio.NewReader(conn).ReadString('\n')
+			if line != test.want {
+				t.Errorf("got %q and the error %v, want %q", line, err, test.want)
+			}
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// awaitConn waits until the only connection is accepted and, if begun is true, part of a request has been read.
+func (f *frontServer) awaitConn(t *testing.T, begun bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		for conn := range f.conns {
+			conn.mu.Lock()
+			reached := conn.begun || !begun
+			conn.mu.Unlock()
+			if reached {
+				f.mu.Unlock()
+				return
+			}
+		}
+		f.mu.Unlock()
+	}
+	t.Fatal("the connection is not served")
+}
+
+func (f *frontServer) queueDone() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.queue.done
+}
