drain: a backend server that becomes slow or silent changes what a stopping instance expects

Cause: only answered requests were recorded, so that a service that fell silent, or whose requests ended at their timeout, never changed the expectation, and one that became slow changed it only with its first slow answer. An instance that was told to stop went on to send requests that may run once, which its final answers then ended as 504 although a refusal would have been true. Change: the history also knows the requests without an answer. One that is open for longer than the answered ones took is expected to take as long again; one that was given up counts with the time it had.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -41,29 +41,78 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			h := NewHistory()
-			h.RecordCall("other", time.Hour)
+			h, now := NewHistory(), time.Unix(1000, 0)
+			h.BeginCall("other", now.Add(-time.Hour)).Answered(now)
 			for _, took := range test.took {
-				h.RecordCall("a", took)
+				h.BeginCall("a", now.Add(-took)).Answered(now)
+			}
+			if got := h.Call("a", now); got != test.want {
+				t.Errorf("a request is expected to take %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestUnanswered guards against expectations that ignore requests without an answer, or that one of them changes beside many answers.
+func TestUnanswered(t *testing.T) {
+	const usual = 20 * time.Millisecond
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name     string
+		answered int
+		at       time.Time // of the answers
+		open     []time.Duration
+		givenUp  []time.Duration
+		notRun   []time.Duration
+		want     time.Duration
+	}{
+		{"open for a short time", 100, now, repeated(50, usual/2), nil, nil, usual},
+		{"one of a hundred is overdue", 100, now, repeated(1, time.Second), nil, nil, usual},
+		{"one in ten is overdue", 90, now, repeated(10, time.Second), nil, nil, 2 * time.Second},
+		{"overdue beside old answers", 100, now.Add(-time.Minute), repeated(1, time.Second), nil, nil, 2 * time.Second},
+		{"overdue without any answer", 0, now, repeated(1, 3*time.Second), nil, nil, 6 * time.Second},
+		{"open without any answer", 0, now, repeated(1, time.Second), nil, nil, defaultCall},
+		{"given up at the timeout", 90, now, nil, repeated(10, 3*time.Second), nil, 3 * time.Second},
+		{"given up early", 10, now, nil, repeated(100, usual/2), nil, usual},
+		{"not run", 10, now, nil, nil, repeated(100, time.Second), usual},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := NewHistory()
+			for range test.answered {
+				h.BeginCall("a", test.at.Add(-usual)).Answered(test.at)
 			}
-			if got := h.Call("a"); got != test.want {
+			for _, took := range test.open {
+				h.BeginCall("a", now.Add(-took))
+			}
+			for _, took := range test.givenUp {
+				h.BeginCall("a", now.Add(-took)).GivenUp(now)
+			}
+			for _, took := range test.notRun {
+				h.BeginCall("a", now.Add(-took)).NotRun()
+			}
+			if got := h.Call("a", now); got != test.want {
 				t.Errorf("a request is expected to take %v, want %v", got, test.want)
 			}
 		})
 	}
 }
 
-// TestGeneration guards against an expectation that does not follow the pace of the engines.
+// TestGeneration guards against an expectation that does not follow the pace of the engines, or engines that send no first event.
 func TestGeneration(t *testing.T) {
-	h := NewHistory()
-	if got, want := h.Generation("a", 100), defaultFirstEvent+100*defaultPace; got != want {
+	h, now := NewHistory(), time.Unix(1000, 0)
+	if got, want := h.Generation("a", 100, now), defaultFirstEvent+100*defaultPace; got != want {
 		t.Errorf("%v is expected without a record, want %v", got, want)
 	}
-	h.RecordGeneration("a", 200*time.Millisecond)
+	h.BeginGeneration("a", now.Add(-200*time.Millisecond)).Answered(now)
 	h.RecordPace("a", 40*time.Millisecond)
-	if got, want := h.Generation("a", 100), 4200*time.Millisecond; got != want {
+	if got, want := h.Generation("a", 100, now), 4200*time.Millisecond; got != want {
 		t.Errorf("%v is expected of a slow engine, want %v", got, want)
 	}
+	h.BeginGeneration("a", now.Add(-time.Second))
+	if got, want := h.Generation("a", 100, now), 6*time.Second; got != want {
+		t.Errorf("%v is expected of a silent engine, want %v", got, want)
+	}
 }
 
 func repeated(n int, took time.Duration) []time.Duration {
--- a/internal/drain/history.go
+++ b/internal/drain/history.go
@@ -18,7 +18,7 @@
 	defaultPace       = 15 * time.Millisecond
 )
 
-// History keeps how long the latest requests to each service took. It is safe for concurrent use.
+// History keeps how long the latest requests to each service took, and which ones have no answer yet. It is safe for concurrent use.
 type History struct {
 	mu       sync.Mutex
 	services map[string]*serviceHistory
@@ -26,26 +26,26 @@
 
 // serviceHistory holds the requests to one service.
 type serviceHistory struct {
-	calls       *window[time.Duration]
-	firstEvents *window[time.Duration]
-	paces       *window[time.Duration]
+	calls       *answers
+	firstEvents *answers
+	paces       *ring[time.Duration]
 }
 
 // NewHistory returns an empty history.
 func NewHistory() *History { return &History{services: make(map[string]*serviceHistory)} }
 
-// RecordCall records how long a backend server took to answer a plain request.
-func (h *History) RecordCall(service string, took time.Duration) {
+// BeginCall records that a plain request is sent to a backend server of a service.
+func (h *History) BeginCall(service string, at time.Time) *Send {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.service(service).calls.add(took)
+	return h.service(service).calls.begin(h, at)
 }
 
-// RecordGeneration records how long an engine took from the request to the first event of its stream.
-func (h *History) RecordGeneration(service string, firstEvent time.Duration) {
+// BeginGeneration records that a generation is sent to an engine of a service. The first event of its stream is its answer.
+func (h *History) BeginGeneration(service string, at time.Time) *Send {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.service(service).firstEvents.add(firstEvent)
+	return h.service(service).firstEvents.begin(h, at)
 }
 
 // RecordPace records the time per token of a part of a stream.
@@ -55,19 +55,20 @@
 	h.service(service).paces.add(perToken)
 }
 
-// Call returns the time that a plain request to a service is expected to take.
-func (h *History) Call(service string) time.Duration {
+// Call returns the time that a plain request to a service is expected to take if it is sent now.
+func (h *History) Call(service string, now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.service(service).calls.quantile(expectedQuantile, defaultCall)
+	return h.service(service).calls.expected(now, defaultCall)
 }
 
-// Generation returns the time that a generation of a number of tokens is expected to take from the request to an engine to its end.
-func (h *History) Generation(service string, tokens int) time.Duration {
+// Generation returns the time that a generation of a number of tokens is expected to take from the request to an engine to its end, if it is
+// sent now.
+func (h *History) Generation(service string, tokens int, now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	s := h.service(service)
-	return s.firstEvents.quantile(expectedQuantile, defaultFirstEvent) + time.Duration(tokens)*s.paces.quantile(expectedQuantile, defaultPace)
+	return s.firstEvents.expected(now, defaultFirstEvent) + time.Duration(tokens)*quantile(s.paces.values, expectedQuantile, defaultPace)
 }
 
 // service returns the history of a service. The lock must be held.
@@ -75,9 +76,9 @@
 	s, ok := h.services[name]
 	if !ok {
 		s = &serviceHistory{
-			calls:       newWindow[time.Duration](historySize),
-			firstEvents: newWindow[time.Duration](historySize),
-			paces:       newWindow[time.Duration](historySize),
+			calls:       newAnswers(),
+			firstEvents: newAnswers(),
+			paces:       newRing[time.Duration](historySize),
 		}
 		h.services[name] = s
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/drain"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
@@ -63,6 +64,18 @@
 
 func (a attempt) ok() bool { return a.err == nil && a.resp.StatusCode < http.StatusInternalServerError }
 
+// endSend records in the history how long the backend server took.
+func (a attempt) endSend(sent *drain.Send) {
+	switch {
+	case a.notRun:
+		sent.NotRun()
+	case a.err != nil:
+		sent.GivenUp(time.Now())
+	default:
+		sent.Answered(time.Now())
+	}
+}
+
 // forward serves a request to a service without engines.
 func (x *exchange) forward(ctx context.Context) {
 	var tried []string
@@ -296,19 +309,18 @@
 		deadline = sentAt.Add(deadline.Sub(sentAt) / 2)
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
+	sent := x.relay.history.BeginCall(x.service.Name, sentAt)
 	a := x.send(ctx, Dispatch{Backend: backend, Account: x.account, Deadline: deadline})
 	if a.err == nil {
 		a.buffer()
 	}
+	a.endSend(sent)
 	if a.rest == nil {
 		cancel()
 	} else {
 		a.rest = &cancelingBody{ReadCloser: a.rest, cancel: cancel}
 	}
 	x.leaveReplica(backend.ID, a)
-	if a.err == nil && !a.notRun {
-		x.relay.history.RecordCall(x.service.Name, time.Since(sentAt))
-	}
 	if a.err != nil || a.resp.StatusCode >= http.StatusInternalServerError {
 		x.logAttempt(backend.ID, attemptNumber, a)
 	}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/drain"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/reach"
 	"github.com/dragonflypond/dragonflypond/internal/route"
@@ -50,7 +51,7 @@
 	placement pond.Placement
 	backend   route.Backend
 	attempt   attempt
-	sentAt    time.Time
+	sent      *drain.Send // whose answer is the first event
 	// stall cancels the attempt if no event arrives for a while; nil if the attempt is the last one.
 	stall *stallTimer
 }
@@ -179,11 +180,18 @@
 	if urgent, ok := placement.(pond.UrgentPlacement); ok {
 		dispatch.Urgent = urgent.Urgent()
 	}
-	run.sentAt = time.Now()
+	run.sent = x.relay.history.BeginGeneration(x.service.Name, time.Now())
 	run.attempt = x.send(ctx, dispatch)
 	if !run.attempt.notRun {
 		x.run.runs++
 	}
+	switch {
+	case run.attempt.err == nil && run.attempt.resp.StatusCode == http.StatusOK:
+	case run.attempt.err != nil:
+		run.attempt.endSend(run.sent)
+	default:
+		run.sent.NotRun()
+	}
 	if run.attempt.rest == nil {
 		run.stall.stop()
 	} else if !isLast {
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -77,14 +77,14 @@
 // latestStart returns the time after which work is not expected to end before the instance stops. It returns false for work of unknown
 // length, which may not be started at all.
 func (r *Relay) latestStart(w workload) (time.Time, bool) {
-	plan := r.shutdown.plan.Load()
+	plan, now := r.shutdown.plan.Load(), time.Now()
 	switch w.tokens {
 	case 0:
 		return time.Time{}, false
 	case plainWork:
-		return plan.LatestStart(r.history.Call(w.service)), true
+		return plan.LatestStart(r.history.Call(w.service, now)), true
 	default:
-		return plan.LatestStart(r.history.Generation(w.service, w.tokens)), true
+		return plan.LatestStart(r.history.Generation(w.service, w.tokens, now)), true
 	}
 }
 
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -119,10 +121,10 @@
 			bed := newTestBed(t, route.KindStream, test.engine, backend)
 			bed.maxOutput = test.maxOutput
 			if test.call > 0 {
-				bed.relay.history.RecordCall(service, test.call)
+				bed.relay.history.BeginCall(service, time.Now()).Answered(time.Now().Add(test.call))
 			}
 			if test.pace > 0 {
-				bed.relay.history.RecordGeneration(service, 300*time.Millisecond)
+				bed.relay.history.BeginGeneration(service, time.Now()).Answered(time.Now().Add(300 * time.Millisecond))
 				bed.relay.history.RecordPace(service, test.pace)
 			}
 			bed.relay.Leave(time.Now().Add(test.left))
@@ -134,6 +136,67 @@
 	}
 }
 
+// TestAdmissionToSilentService guards against an instance that stops and sends requests to backend servers that have stopped to answer, so
+// that their callers get a failure of unknown outcome instead of a refusal.
+func TestAdmissionToSilentService(t *testing.T) {
+	const (
+		timeout = 800 * time.Millisecond // of the route
+		left    = 2100 * time.Millisecond
+	)
+	tests := []struct {
+		name       string
+		kind       route.Kind
+		engine     *route.EngineSpec
+		silent     int           // requests that are sent before the shutdown and get no answer
+		wait       time.Duration // from these to the shutdown
+		wantStatus int
+	}{
+		{"at most once, quick", route.KindAtMostOnce, nil, 0, 0, 200},
+		{"at most once, open", route.KindAtMostOnce, nil, 3, 700 * time.Millisecond, 503},
+		{"at most once, given up", route.KindAtMostOnce, nil, 3, 900 * time.Millisecond, 503},
+		{"idempotent, given up", route.KindIdempotent, nil, 3, 900 * time.Millisecond, 503},
+		{"generation, quick", route.KindStream, &route.EngineSpec{Slots: 4}, 0, 0, 200},
+		{"generation, open", route.KindStream, &route.EngineSpec{Slots: 4}, 3, 700 * time.Millisecond, 503},
+		{"generation, given up", route.KindStream, &route.EngineSpec{Slots: 4}, 3, 900 * time.Millisecond, 503},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var silent atomic.Bool
+			respond := respondOK
+			if test.engine != nil {
+				respond = respondEvents
+			}
+			bed := newTestBed(t, test.kind, test.engine, newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				if silent.Load() {
+					respondNever(w, r)
+					return
+				}
+				respond(w, r)
+			}))
+			bed.maxOutput = 1
+			bed.setRouteTimeout(t, timeout)
+			for range 20 {
+				if status, _ := bed.post(t, "key"); status != http.StatusOK {
+					t.Fatalf("status %d of a backend server that answers", status)
+				}
+			}
+			silent.Store(true)
+			var group sync.WaitGroup
+			for range test.silent {
+				group.Go(func() { bed.post(t, "key") })
+			}
+			time.Sleep(test.wait)
+			silent.Store(false)
+			bed.relay.Leave(time.Now().Add(left))
+			if status, _ := bed.post(t, "key"); status != test.wantStatus {
+				t.Errorf("status %d, want %d", status, test.wantStatus)
+			}
+			group.Wait()
+		})
+	}
+}
+
 // TestRefusedPlacementDuringShutdown guards against callers who return at once to a pool that is overloaded, and against callers who are kept
 // away although only this instance has too little time for them.
 func TestRefusedPlacementDuringShutdown(t *testing.T) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/drain"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
@@ -52,7 +53,7 @@
 	headerWritten bool
 	// comments holds the comments that came before the first event.
 	comments     []byte
-	sentAt       time.Time
+	sent         *drain.Send // of the current run, until its first event
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	// paceSince is the time of the event from which the pace is measured next.
@@ -74,7 +75,7 @@
 	s := &stream{
 		x:             x,
 		placement:     run.placement,
-		sentAt:        run.sentAt,
+		sent:          run.sent,
 		head:          run.attempt.resp.Header,
 		flusher:       http.NewResponseController(x.w),
 		stall:         run.stall,
@@ -117,6 +118,7 @@
 	s.mover = newMover(s, ctx)
 	end := pond.PlacementEnd{}
 	defer func() {
+		s.sent.GivenUp(time.Now())
 		s.mover.stop()
 		_ = s.currentBody().Close()
 		if s.placement != nil {
@@ -246,9 +248,12 @@
 // recordEvent counts a forwarded event and measures the gap since the previous one.
 func (s *stream) recordEvent(now time.Time) {
 	s.events++
+	if s.sent != nil {
+		s.sent.Answered(now)
+		s.sent = nil
+	}
 	if s.firstEventAt.IsZero() {
 		s.firstEventAt, s.paceSince = now, now
-		s.x.relay.history.RecordGeneration(s.x.service.Name, now.Sub(s.sentAt))
 	} else {
 		if gap := now.Sub(s.lastEventAt); gap > s.maxGap {
 			s.maxGap, s.maxGapBackend = gap, s.currentBackend().ID
@@ -384,6 +389,7 @@
 		return false
 	}
 	failed := s.currentBackend()
+	s.sent.GivenUp(time.Now())
 	s.comments = nil
 	s.mover.stop()
 	_ = s.currentBody().Close()
@@ -399,7 +405,7 @@
 	if respond != nil {
 		return false
 	}
-	s.placement, s.stall = run.placement, run.stall
+	s.placement, s.stall, s.sent = run.placement, run.stall, run.sent
 	s.setBackend(run.backend, run.attempt)
 	s.mover = newMover(s, ctx)
 	return true
