front: calls in progress at the end of a drain get an answer

Cause: on the product's own interface Front.Drain left calls without an answer to the executor when the drain limit ended, and the connections were closed 2 s later: the caller of a silent service saw a closed connection. Change: the end of the drain ends these calls with 502, run state unknown, unless the executor says that they did not run; the drain waits up to 1 s for it.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 
@@ -23,8 +24,13 @@
 	// readHeaderTimeout closes connections whose caller sends its header too slowly.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// finalAnswerTime bounds the time for the answers to the calls that are in progress at the end of a drain.
+	finalAnswerTime = time.Second
 )
 
+// errLeaving ends the calls that are in progress at the end of a drain.
+var errLeaving = errors.New("the instance is leaving")
+
 // RunKeyIssuer issues run key prefixes for calls that may not be repeated.
 type RunKeyIssuer interface {
 	Issue(account string, now time.Time) string
@@ -182,13 +188,17 @@
 func (f *Front) InProgress() int { return f.relay.Open() + f.calls.Open() }
 
 // Drain waits until all generations and calls have been answered. If ctx ends first, streams get a move event with
-// their cursor, requests without a token are refused, and calls in progress are left to the executor's own drain.
+// their cursor, requests without a token are refused, and calls in progress are answered with their run state unknown.
 func (f *Front) Drain(ctx context.Context) error {
 	err := f.relay.Drain(ctx)
-	if !f.calls.Wait(ctx.Done()) {
-		return ctx.Err()
+	if f.calls.Wait(ctx.Done()) {
+		return err
 	}
-	return err
+	f.calls.Stop(errLeaving)
+	answerCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finalAnswerTime)
+	defer cancel()
+	f.calls.Wait(answerCtx.Done())
+	return ctx.Err()
 }
 
 func (f *Front) routes() {
--- a/internal/front/services.go
+++ b/internal/front/services.go
@@ -97,7 +97,11 @@
 func executorError(ctx context.Context, err error) error {
 	var refusal *pond.Refusal
 	switch {
-	case errors.As(err, &refusal):
+	case errors.As(err, &refusal) && refusal.Run() == pond.RunNo:
+		return executorRefusal{refusal}
+	case errors.Is(context.Cause(ctx), errLeaving):
+		return pond.NewRefusal(pond.ReasonExecutorGone, pond.RunUnknown, zeroTime, "the shutdown of this instance ended before the answer")
+	case refusal != nil:
 		return executorRefusal{refusal}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return pond.NewRefusal(pond.ReasonDeadline, pond.RunUnknown, zeroTime, "the deadline passed before the answer")
