front: a request whose body arrives during the drain is refused

Cause: the product's own interface asked whether it accepts new work when a head arrived, and not again when the body had been read, up to 30 s later. A drain that found nothing open ended before; the request was then sent on and cut when the connections were closed 2 s later. Change: it asks again when the body has been read; a call is registered before that, so that either the drain waits for it or it is refused. Measured: go test ./internal/front -run TestBodyArrivesDuringDrain. Conclusion: for generations a window of microseconds between that question and their registration in package stream is left.

--- a/internal/front/drain_test.go
+++ b/internal/front/drain_test.go
@@ -1,11 +1,15 @@
 package front
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,3 +68,63 @@
 		t.Errorf("status %d, run %q, error %v; want status %d, run %q", got.status, got.run, got.err, http.StatusBadGateway, pond.RunUnknown)
 	}
 }
+
+// TestBodyArrivesDuringDrain guards against a request that is accepted because it began before the drain, is sent on after it and is cut when the
+// connections are closed.
+func TestBodyArrivesDuringDrain(t *testing.T) {
+	tests := []struct{ name, head, body string }{
+		{"call", "GET /services/portal/schedule/1", "{}"},
+		{"call that may run once", "POST /services/portal/confirm", "{}"},
+		{"generation", "POST /v1/completions", `{"model":"letters","prompt":"hello","stream":true}`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			options := testOptions(t, 1)
+			var sent atomic.Int32
+			options.Executor = pond.HandlerFunc[pond.Call, pond.Answer](func(context.Context, pond.Call) (pond.Answer, error) {
+				sent.Add(1)
+				return pond.Answer{Status: http.StatusOK}, nil
+			})
+			place := options.Placer
+			options.Placer = pond.PlacerFunc(func(ctx context.Context, req pond.PlaceRequest) (pond.Placement, error) {
+				sent.Add(1)
+				return place.Place(ctx, req)
+			})
+			var draining atomic.Bool
+			asked := make(chan struct{}, 10)
+			options.Accepting = func() bool {
+				defer func() { asked <- struct{}{} }()
+				return !draining.Load()
+			}
+			f := New(options)
+			server := httptest.NewServer(f)
+			defer server.Close()
+			conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			half := len(test.body) / 2
+			if _, err := fmt.Fprintf(conn, "%s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nIdempotency-Key: p:1\r\nContent-Length: %d\r\n\r\n%s",
+				test.head, testAPIKey, len(test.body), test.body[:half]); err != nil {
+				t.Fatal(err)
+			}
+			<-asked
+			draining.Store(true)
+			if err := f.Drain(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := fmt.Fprint(conn, test.body[half:]); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusServiceUnavailable || sent.Load() > 0 {
+				t.Errorf("status %d, sent on %d times", resp.StatusCode, sent.Load())
+			}
+		})
+	}
+}
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -27,6 +27,9 @@
 		if err != nil {
 			return err
 		}
+		if err := f.checkAccepting(); err != nil {
+			return err
+		}
 		prompt := body.Prompt
 		if format == formatChat {
 			prompt = chatPrompt(body.Messages)
--- a/internal/front/handler.go
+++ b/internal/front/handler.go
@@ -62,13 +62,22 @@
 // requireAccepting refuses requests once the instance accepts no new work.
 func (f *Front) requireAccepting(next handler) handler {
 	return func(w http.ResponseWriter, r *request) error {
-		if !f.options.Accepting() {
-			return refuseWithRetry(pond.ReasonLeaving, r.arrived.Add(leavingRetryDelay), "this instance is leaving")
+		if err := f.checkAccepting(); err != nil {
+			return err
 		}
 		return next(w, r)
 	}
 }
 
+// checkAccepting returns a refusal once the instance accepts no new work. It is called again when the body of a request has been read, which may
+// take longer than the drain.
+func (f *Front) checkAccepting() error {
+	if f.options.Accepting() {
+		return nil
+	}
+	return refuseWithRetry(pond.ReasonLeaving, time.Now().Add(leavingRetryDelay), "this instance is leaving")
+}
+
 // requireConfirmed refuses new work while the manifest is not confirmed. Resuming an answer is not new work.
 func (f *Front) requireConfirmed(next handler) handler {
 	return func(w http.ResponseWriter, r *request) error {
--- a/internal/front/services.go
+++ b/internal/front/services.go
@@ -70,6 +70,9 @@
 	}
 	ctx, leave := f.calls.Enter(r.Context())
 	defer leave()
+	if err := f.checkAccepting(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	answer, err := f.options.Executor.Handle(ctx, pond.Call{
