drain: a single overdue request changes nothing beside the latest answers

Cause: with the latest 16 answers of a quiet service, one overdue request was above the quantile, also for its own repetition at another replica. Change: the latest 20 answers count at any age, so that two overdue requests are needed.

--- a/internal/drain/answers.go
+++ b/internal/drain/answers.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	// recentTime is the age up to which answers count. The latest minAnswers count at any age.
+	// recentTime is the age up to which answers count. The latest minAnswers count at any age; beside so many, a single overdue request changes
+	// nothing.
 	recentTime = 10 * time.Second
-	minAnswers = 16
+	minAnswers = 20
 
 	// openFactor is the time that an overdue request is expected to take in all, as a multiple of the time for which it has been open.
 	openFactor = 2
