relay: no try ends for another one that the shutdown does not permit

Cause: half of the remaining time of a request that may be repeated is reserved for another backend server. During a shutdown the silent try was ended at that time, and then the instance found that it was too late for another one: the caller got 502 after half of the time, 0.8 s for a request sent 1.9 s before the exit, less than the 1.5 s for which a sound server may be silent. A try also ended by its own deadline at the moment of the final answers, so that the status was 502 or 504 by chance. Change: at that time the relay asks whether another try could still end before the instance does, and lets the try go on if not, for plain requests and streams. The deadline of a try no longer holds for an answer that its caller receives already. Measured: go test ./internal/relay -run 'TestFailedTryDuringShutdown|TestStalledStreamDuringShutdown'.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -304,11 +304,21 @@
 // tryReplica sends the request to a replica and buffers its response.
 func (x *exchange) tryReplica(ctx context.Context, backend route.Backend, attemptNumber, runs int) attempt {
 	deadline, sentAt := x.answerBy(), time.Now()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() { cancelCause(nil) }
 	if x.route.Kind == route.KindIdempotent && runs+1 < x.route.MaxAttempts {
-		// Half of the remaining time is reserved for another replica, in case this one does not respond.
-		deadline = sentAt.Add(deadline.Sub(sentAt) / 2)
+		// Half of the remaining time is reserved for another replica, in case this one does not respond, if another one can answer in time.
+		work, giveUpAt := x.workload(), sentAt.Add(deadline.Sub(sentAt)/2)
+		if !x.relay.tooLate(work, giveUpAt) {
+			deadline = giveUpAt
+			timer := time.AfterFunc(time.Until(giveUpAt), func() {
+				if !x.relay.tooLate(work, time.Now()) {
+					cancelCause(context.DeadlineExceeded)
+				}
+			})
+			defer timer.Stop()
+		}
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
 	sent := x.relay.history.BeginCall(x.service.Name, sentAt)
 	a := x.send(ctx, Dispatch{Backend: backend, Account: x.account, Deadline: deadline})
 	if a.err == nil {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -174,7 +174,8 @@
 	run := startedRun{placement: placement, backend: backend}
 	isLast := x.run.runs+1 >= x.maxRuns()
 	if !isLast {
-		ctx, run.stall = newStallTimer(ctx, x.deadline)
+		work := x.workload()
+		ctx, run.stall = newStallTimer(ctx, x.deadline, func() bool { return !x.relay.tooLate(work, time.Now()) })
 	}
 	dispatch := x.dispatch(backend, nil)
 	if urgent, ok := placement.(pond.UrgentPlacement); ok {
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -88,6 +88,15 @@
 	}
 }
 
+// tooLate reports whether work that is started at a time is not expected to end before the instance stops.
+func (r *Relay) tooLate(w workload, at time.Time) bool {
+	if !r.shutdown.begun() {
+		return false
+	}
+	latest, known := r.latestStart(w)
+	return !known || at.After(latest)
+}
+
 // endsTooLate reports whether the request, if it were sent now, is not expected to end before the instance stops. It is called directly
 // before each send, because the request may have waited.
 func (x *exchange) endsTooLate() bool {
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -197,6 +197,21 @@
 	}
 }
 
+// TestSilentTryDuringShutdown guards against a request that is not tried at another replica while its instance stops, though there is time.
+func TestSilentTryDuringShutdown(t *testing.T) {
+	first, second := newFakeBackend(t, respondNever), newFakeBackend(t, respondOK)
+	bed := newTestBed(t, route.KindIdempotent, nil, first, second)
+	bed.setRouteTimeout(t, 2*time.Second)
+	sent := time.Now()
+	for range 20 {
+		bed.relay.history.BeginCall("s", sent).Answered(sent.Add(time.Millisecond))
+	}
+	bed.relay.Leave(sent.Add(7 * time.Second))
+	if status, _ := bed.post(t, "key"); status != http.StatusOK || second.requestCount() != 1 {
+		t.Errorf("status %d after %d requests to the second replica", status, second.requestCount())
+	}
+}
+
 // TestRefusedPlacementDuringShutdown guards against callers who return at once to a pool that is overloaded, and against callers who are kept
 // away although only this instance has too little time for them.
 func TestRefusedPlacementDuringShutdown(t *testing.T) {
@@ -266,3 +281,94 @@
 		})
 	}
 }
+
+// TestFailedTryDuringShutdown guards against a request that is repeated without enough time before its instance stops, or although it may not
+// be, and against a caller who gets less than the answer to the first try.
+func TestFailedTryDuringShutdown(t *testing.T) {
+	const (
+		left  = 2300 * time.Millisecond // 0.5 s until the latest start of a quick request
+		spent = 700 * time.Millisecond
+	)
+	after := func(delay time.Duration, respond http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(delay)
+			respond(w, r)
+		}
+	}
+	tests := []struct {
+		name          string
+		kind          route.Kind
+		first, second http.HandlerFunc
+		wantStatus    int
+		wantRuns      int // requests that reach the second replica
+	}{
+		{"at most once, error", route.KindAtMostOnce, respondError, respondOK, 500, 0},
+		{"at most once, reset", route.KindAtMostOnce, resetConnection, respondOK, 502, 0},
+		{"at most once, silent", route.KindAtMostOnce, respondNever, respondOK, 504, 0},
+		{"at most once, not run, too late", route.KindAtMostOnce, after(spent, respondNotRun), respondOK, 503, 0},
+		{"idempotent, error in time", route.KindIdempotent, respondError, respondOK, 200, 1},
+		{"idempotent, error too late", route.KindIdempotent, after(spent, respondError), respondOK, 500, 0},
+		{"idempotent, reset too late", route.KindIdempotent, after(spent, resetConnection), respondOK, 502, 0},
+		{"idempotent, error, then silent", route.KindIdempotent, respondError, respondNever, 500, 1},
+		{"idempotent, silent", route.KindIdempotent, respondNever, respondOK, 504, 0},
+		{"idempotent, silent for longer than half of the time", route.KindIdempotent, after(1400*time.Millisecond, respondOK), respondOK, 200, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			first, second := newFakeBackend(t, test.first), newFakeBackend(t, test.second)
+			bed := newTestBed(t, test.kind, nil, first, second)
+			bed.callerWait = callerPatience
+			bed.setRouteTimeout(t, callerPatience)
+			sent := time.Now()
+			for range 20 {
+				bed.relay.history.BeginCall("s", sent).Answered(sent.Add(time.Millisecond))
+			}
+			exitAt := sent.Add(left)
+			bed.relay.Leave(exitAt)
+			status, _ := bed.post(t, "key")
+			if status != test.wantStatus || second.requestCount() != test.wantRuns || first.requestCount() != 1 {
+				t.Errorf("status %d after %d and %d requests to the replicas, want %d after 1 and %d", status, first.requestCount(), second.requestCount(),
+					test.wantStatus, test.wantRuns)
+			}
+			if time.Now().After(exitAt) {
+				t.Errorf("the answer came %v after the exit", time.Since(exitAt))
+			}
+		})
+	}
+}
+
+// TestStalledStreamDuringShutdown guards against a stream that is broken off because its engine is silent, for the sake of another engine that it
+// cannot be sent to any more.
+func TestStalledStreamDuringShutdown(t *testing.T) {
+	tests := []struct {
+		name     string
+		left     time.Duration // until the exit
+		wantRuns int           // at the second engine
+	}{
+		{"time for another engine", 7 * time.Second, 1},
+		{"no time for another engine", 2500 * time.Millisecond, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			first := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(1300 * time.Millisecond)
+				respondEvents(w, r)
+			})
+			second := newFakeBackend(t, respondEvents)
+			bed := newTestBed(t, route.KindStream, &route.EngineSpec{Slots: 4}, first, second)
+			bed.placer.spread, bed.maxOutput = true, 3
+			bed.setResumable(2*time.Second, 2)
+			now := time.Now()
+			for range 20 {
+				bed.relay.history.BeginGeneration("s", now).Answered(now.Add(time.Millisecond))
+				bed.relay.history.RecordPace("s", time.Millisecond)
+			}
+			bed.relay.Leave(now.Add(test.left))
+			if status, _ := bed.post(t, "key"); status != http.StatusOK || second.requestCount() != test.wantRuns {
+				t.Errorf("status %d after %d requests to the second engine, want %d", status, second.requestCount(), test.wantRuns)
+			}
+		})
+	}
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -6,16 +6,21 @@
 )
 
 // stallTimer cancels an attempt whose engine sends nothing for half of the time that is left until the deadline, so that
-// the other half remains for another engine. Its methods do nothing on nil.
+// the other half remains for another engine, if the run may still be repeated. Its methods do nothing on nil.
 type stallTimer struct {
 	timer  *time.Timer
 	cancel context.CancelFunc
 }
 
 // newStallTimer returns a running timer and the context of the attempt.
-func newStallTimer(ctx context.Context, deadline time.Time) (context.Context, *stallTimer) {
+func newStallTimer(ctx context.Context, deadline time.Time, repeatable func() bool) (context.Context, *stallTimer) {
 	ctx, cancel := context.WithCancel(ctx)
-	return ctx, &stallTimer{timer: time.AfterFunc(time.Until(deadline)/2, cancel), cancel: cancel}
+	timer := time.AfterFunc(time.Until(deadline)/2, func() {
+		if repeatable() {
+			cancel()
+		}
+	})
+	return ctx, &stallTimer{timer: timer, cancel: cancel}
 }
 
 // reset restarts the timer after an event.
