relay: test that an answer on its way is not cut for another try

Measured: go test ./internal/relay -run TestLongAnswer. Conclusion: this one happened at any time, not only at a stop: a lookup whose long answer pauses past half of its time.

--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -372,3 +372,41 @@
 		})
 	}
 }
+
+// TestLongAnswer guards against an answer that is cut while its caller receives it, at the time that is reserved for a try at another replica or for
+// final answers.
+func TestLongAnswer(t *testing.T) {
+	const part = responseBufferLimit
+	tests := []struct {
+		name    string
+		timeout time.Duration // of the route
+		leave   time.Duration // from the request to the exit; 0 for no shutdown
+		pause   time.Duration // in the middle of the answer
+	}{
+		{"pause beyond half of the time", 2 * time.Second, 0, 1300 * time.Millisecond},
+		{"pause beyond the time of final answers", callerPatience, 2200 * time.Millisecond, 1950 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			bed := newTestBed(t, route.KindIdempotent, nil, newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, part+1))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(test.pause)
+				_, _ = w.Write(make([]byte, part))
+			}), newFakeBackend(t, respondOK))
+			bed.callerWait = callerPatience
+			bed.setRouteTimeout(t, test.timeout)
+			now := time.Now()
+			for range 20 {
+				bed.relay.history.BeginCall("s", now).Answered(now.Add(time.Millisecond))
+			}
+			if test.leave > 0 {
+				bed.relay.Leave(now.Add(test.leave))
+			}
+			if status, body := bed.post(t, "key"); status != http.StatusOK || len(body) != 2*part+1 {
+				t.Errorf("status %d with %d bytes, want %d", status, len(body), 2*part+1)
+			}
+		})
+	}
+}
