--- a/internal/front/services.go
+++ b/internal/front/services.go
@@ -70,6 +70,9 @@
 	}
 	ctx, leave := f.calls.Enter(r.Context())
 	defer leave()
+	if err := f.checkAccepting(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	answer, err := f.options.Executor.Handle(ctx, pond.Call{
@@ -97,7 +100,11 @@
 func executorError(ctx context.Context, err error) error {
 	var refusal *pond.Refusal
 	switch {
-	case errors.As(err, &refusal):
+	case errors.As(err, &refusal) && refusal.Run() == pond.RunNo:
+		return executorRefusal{refusal}
+	case errors.Is(context.Cause(ctx), errLeaving):
+		return pond.NewRefusal(pond.ReasonExecutorGone, pond.RunUnknown, zeroTime, "the shutdown of this instance ended before the answer")
+	case refusal != nil:
 		return executorRefusal{refusal}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return pond.NewRefusal(pond.ReasonDeadline, pond.RunUnknown, zeroTime, "the deadline passed before the answer")
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -77,17 +77,26 @@
 // latestStart returns the time after which work is not expected to end before the instance stops. It returns false for work of unknown
 // length, which may not be started at all.
 func (r *Relay) latestStart(w workload) (time.Time, bool) {
-	plan := r.shutdown.plan.Load()
+	plan, now := r.shutdown.plan.Load(), time.Now()
 	switch w.tokens {
 	case 0:
 		return time.Time{}, false
 	case plainWork:
-		return plan.LatestStart(r.history.Call(w.service)), true
+		return plan.LatestStart(r.history.Call(w.service, now)), true
 	default:
-		return plan.LatestStart(r.history.Generation(w.service, w.tokens)), true
+		return plan.LatestStart(r.history.Generation(w.service, w.tokens, now)), true
 	}
 }
 
+// tooLate reports whether work that is started at a time is not expected to end before the instance stops.
+func (r *Relay) tooLate(w workload, at time.Time) bool {
+	if !r.shutdown.begun() {
+		return false
+	}
+	latest, known := r.latestStart(w)
+	return !known || at.After(latest)
+}
+
 // endsTooLate reports whether the request, if it were sent now, is not expected to end before the instance stops. It is called directly
 // before each send, because the request may have waited.
 func (x *exchange) endsTooLate() bool {
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -119,10 +121,10 @@
 			bed := newTestBed(t, route.KindStream, test.engine, backend)
 			bed.maxOutput = test.maxOutput
 			if test.call > 0 {
-				bed.relay.history.RecordCall(service, test.call)
+				bed.relay.history.BeginCall(service, time.Now()).Answered(time.Now().Add(test.call))
 			}
 			if test.pace > 0 {
-				bed.relay.history.RecordGeneration(service, 300*time.Millisecond)
+				bed.relay.history.BeginGeneration(service, time.Now()).Answered(time.Now().Add(300 * time.Millisecond))
 				bed.relay.history.RecordPace(service, test.pace)
 			}
 			bed.relay.Leave(time.Now().Add(test.left))
@@ -134,6 +136,82 @@
 	}
 }
 
+// TestAdmissionToSilentService guards against an instance that stops and sends requests to backend servers that have stopped to answer, so
+// that their callers get a failure of unknown outcome instead of a refusal.
+func TestAdmissionToSilentService(t *testing.T) {
+	const (
+		timeout = 800 * time.Millisecond // of the route
+		left    = 2100 * time.Millisecond
+	)
+	tests := []struct {
+		name       string
+		kind       route.Kind
+		engine     *route.EngineSpec
+		silent     int           // requests that are sent before the shutdown and get no answer
+		wait       time.Duration // from these to the shutdown
+		wantStatus int
+	}{
+		{"at most once, quick", route.KindAtMostOnce, nil, 0, 0, 200},
+		{"at most once, open", route.KindAtMostOnce, nil, 3, 700 * time.Millisecond, 503},
+		{"at most once, given up", route.KindAtMostOnce, nil, 3, 900 * time.Millisecond, 503},
+		{"idempotent, given up", route.KindIdempotent, nil, 3, 900 * time.Millisecond, 503},
+		{"generation, quick", route.KindStream, &route.EngineSpec{Slots: 4}, 0, 0, 200},
+		{"generation, open", route.KindStream, &route.EngineSpec{Slots: 4}, 3, 700 * time.Millisecond, 503},
+		{"generation, given up", route.KindStream, &route.EngineSpec{Slots: 4}, 3, 900 * time.Millisecond, 503},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var silent atomic.Bool
+			respond := respondOK
+			if test.engine != nil {
+				respond = respondEvents
+			}
+			bed := newTestBed(t, test.kind, test.engine, newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				if silent.Load() {
+					respondNever(w, r)
+					return
+				}
+				respond(w, r)
+			}))
+			bed.maxOutput = 1
+			bed.setRouteTimeout(t, timeout)
+			for range 20 {
+				if status, _ := bed.post(t, "key"); status != http.StatusOK {
+					t.Fatalf("status %d of a backend server that answers", status)
+				}
+			}
+			silent.Store(true)
+			var group sync.WaitGroup
+			for range test.silent {
+				group.Go(func() { bed.post(t, "key") })
+			}
+			time.Sleep(test.wait)
+			silent.Store(false)
+			bed.relay.Leave(time.Now().Add(left))
+			if status, _ := bed.post(t, "key"); status != test.wantStatus {
+				t.Errorf("status %d, want %d", status, test.wantStatus)
+			}
+			group.Wait()
+		})
+	}
+}
+
+// TestSilentTryDuringShutdown guards against a request that is not tried at another replica while its instance stops, though there is time.
+func TestSilentTryDuringShutdown(t *testing.T) {
+	first, second := newFakeBackend(t, respondNever), newFakeBackend(t, respondOK)
+	bed := newTestBed(t, route.KindIdempotent, nil, first, second)
+	bed.setRouteTimeout(t, 2*time.Second)
+	sent := time.Now()
+	for range 20 {
+		bed.relay.history.BeginCall("s", sent).Answered(sent.Add(time.Millisecond))
+	}
+	bed.relay.Leave(sent.Add(7 * time.Second))
+	if status, _ := bed.post(t, "key"); status != http.StatusOK || second.requestCount() != 1 {
+		t.Errorf("status %d after %d requests to the second replica", status, second.requestCount())
+	}
+}
+
 // TestRefusedPlacementDuringShutdown guards against callers who return at once to a pool that is overloaded, and against callers who are kept
 // away although only this instance has too little time for them.
 func TestRefusedPlacementDuringShutdown(t *testing.T) {
@@ -203,3 +281,132 @@
 		})
 	}
 }
+
+// TestFailedTryDuringShutdown guards against a request that is repeated without enough time before its instance stops, or although it may not
+// be, and against a caller who gets less than the answer to the first try.
+func TestFailedTryDuringShutdown(t *testing.T) {
+	const (
+		left  = 2300 * time.Millisecond // 0.5 s until the latest start of a quick request
+		spent = 700 * time.Millisecond
+	)
+	after := func(delay time.Duration, respond http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(delay)
+			respond(w, r)
+		}
+	}
+	tests := []struct {
+		name          string
+		kind          route.Kind
+		first, second http.HandlerFunc
+		wantStatus    int
+		wantRuns      int // requests that reach the second replica
+	}{
+		{"at most once, error", route.KindAtMostOnce, respondError, respondOK, 500, 0},
+		{"at most once, reset", route.KindAtMostOnce, resetConnection, respondOK, 502, 0},
+		{"at most once, silent", route.KindAtMostOnce, respondNever, respondOK, 504, 0},
+		{"at most once, not run, too late", route.KindAtMostOnce, after(spent, respondNotRun), respondOK, 503, 0},
+		{"idempotent, error in time", route.KindIdempotent, respondError, respondOK, 200, 1},
+		{"idempotent, error too late", route.KindIdempotent, after(spent, respondError), respondOK, 500, 0},
+		{"idempotent, reset too late", route.KindIdempotent, after(spent, resetConnection), respondOK, 502, 0},
+		{"idempotent, error, then silent", route.KindIdempotent, respondError, respondNever, 500, 1},
+		{"idempotent, silent", route.KindIdempotent, respondNever, respondOK, 504, 0},
+		{"idempotent, silent for longer than half of the time", route.KindIdempotent, after(1400*time.Millisecond, respondOK), respondOK, 200, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			first, second := newFakeBackend(t, test.first), newFakeBackend(t, test.second)
+			bed := newTestBed(t, test.kind, nil, first, second)
+			bed.callerWait = callerPatience
+			bed.setRouteTimeout(t, callerPatience)
+			sent := time.Now()
+			for range 20 {
+				bed.relay.history.BeginCall("s", sent).Answered(sent.Add(time.Millisecond))
+			}
+			exitAt := sent.Add(left)
+			bed.relay.Leave(exitAt)
+			status, _ := bed.post(t, "key")
+			if status != test.wantStatus || second.requestCount() != test.wantRuns || first.requestCount() != 1 {
+				t.Errorf("status %d after %d and %d requests to the replicas, want %d after 1 and %d", status, first.requestCount(), second.requestCount(),
+					test.wantStatus, test.wantRuns)
+			}
+			if time.Now().After(exitAt) {
+				t.Errorf("the answer came %v after the exit", time.Since(exitAt))
+			}
+		})
+	}
+}
+
+// TestStalledStreamDuringShutdown guards against a stream that is broken off because its engine is silent, for the sake of another engine that it
+// cannot be sent to any more.
+func TestStalledStreamDuringShutdown(t *testing.T) {
+	tests := []struct {
+		name     string
+		left     time.Duration // until the exit
+		wantRuns int           // at the second engine
+	}{
+		{"time for another engine", 7 * time.Second, 1},
+		{"no time for another engine", 2500 * time.Millisecond, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			first := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(1300 * time.Millisecond)
+				respondEvents(w, r)
+			})
+			second := newFakeBackend(t, respondEvents)
+			bed := newTestBed(t, route.KindStream, &route.EngineSpec{Slots: 4}, first, second)
+			bed.placer.spread, bed.maxOutput = true, 3
+			bed.setResumable(2*time.Second, 2)
+			now := time.Now()
+			for range 20 {
+				bed.relay.history.BeginGeneration("s", now).Answered(now.Add(time.Millisecond))
+				bed.relay.history.RecordPace("s", time.Millisecond)
+			}
+			bed.relay.Leave(now.Add(test.left))
+			if status, _ := bed.post(t, "key"); status != http.StatusOK || second.requestCount() != test.wantRuns {
+				t.Errorf("status %d after %d requests to the second engine, want %d", status, second.requestCount(), test.wantRuns)
+			}
+		})
+	}
+}
+
+// TestLongAnswer guards against an answer that is cut while its caller receives it, at the time that is reserved for a try at another replica or for
+// final answers.
+func TestLongAnswer(t *testing.T) {
+	const part = responseBufferLimit
+	tests := []struct {
+		name    string
+		timeout time.Duration // of the route
+		leave   time.Duration // from the request to the exit; 0 for no shutdown
+		pause   time.Duration // in the middle of the answer
+	}{
+		{"pause beyond half of the time", 2 * time.Second, 0, 1300 * time.Millisecond},
+		{"pause beyond the time of final answers", callerPatience, 2200 * time.Millisecond, 1950 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			bed := newTestBed(t, route.KindIdempotent, nil, newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write(make([]byte, part+1))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(test.pause)
+				_, _ = w.Write(make([]byte, part))
+			}), newFakeBackend(t, respondOK))
+			bed.callerWait = callerPatience
+			bed.setRouteTimeout(t, test.timeout)
+			now := time.Now()
+			for range 20 {
+				bed.relay.history.BeginCall("s", now).Answered(now.Add(time.Millisecond))
+			}
+			if test.leave > 0 {
+				bed.relay.Leave(now.Add(test.leave))
+			}
+			if status, body := bed.post(t, "key"); status != http.StatusOK || len(body) != 2*part+1 {
+				t.Errorf("status %d with %d bytes, want %d", status, len(body), 2*part+1)
+			}
+		})
+	}
+}
