calls: a head without an end is read up to 16 KB, not 10 MB or without a limit

Cause: the client of idempotent calls had net/http's own limit of 10 MB for a head, and at-most-once calls read the head from their connection with http.ReadResponse, which has no limit; informational responses count anew each time there. At-most-once calls still write to their own connection, once.

--- /dev/null
+++ b/internal/bound/doc.go
@@ -0,0 +1,18 @@
+// Package bound limits what is read from other processes. A faulty one may send bytes without an end, in a head or in a body, until the
+// reader closes the connection.
+//
+// Every HTTP client of the product uses NewTransport, which limits the heads of responses, and reads bodies with ReadAll or in parts of
+// limited size. ReadResponse is for a connection that no transport manages. A limit for each body does not limit the sum of many: a Budget
+// does, for bodies that are kept in memory until they are complete.
+//
+// # Usage
+//
+//	client := &http.Client{Transport: bound.NewTransport(dial)}
+//	resp, err := client.Do(req)
+//	body, err := bound.ReadAll(resp.Body, maxBytes)
+//
+//	budget := bound.NewBudget(16 << 20)
+//	holding := budget.Open(address, cancel) // cancel ends the read if another body needs the memory
+//	defer holding.Close()                   // when the body is no longer kept
+//	body, err := holding.ReadAll(resp.Body, maxBytes)
+package bound
--- /dev/null
+++ b/internal/bound/http.go
@@ -0,0 +1,81 @@
+package bound
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// MaxHeadBytes bounds the head of a response, with those of the informational responses before it.
+	MaxHeadBytes = 16 << 10
+
+	dialTimeout = time.Second
+)
+
+var (
+	// ErrHeadTooLarge is returned for a head of more than MaxHeadBytes.
+	ErrHeadTooLarge = errors.Errorf("the head of the response exceeds %d bytes", MaxHeadBytes)
+	// ErrTooLarge is wrapped by the error for a body above its limit.
+	ErrTooLarge = errors.New("the body is too large")
+)
+
+// NewTransport returns a transport that reads heads of at most MaxHeadBytes. Nil connects directly, within a second.
+func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: MaxHeadBytes}
+}
+
+// ReadAll reads a body of at most limit bytes. The error for a longer one wraps ErrTooLarge.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(content)) > limit {
+		return nil, tooLarge(limit)
+	}
+	return content, nil
+}
+
+func tooLarge(limit int64) error { return errors.Wrapf(ErrTooLarge, "more than %d bytes", limit) }
+
+// ReadResponse reads the response to a request that was written to a connection. It skips informational responses.
+func ReadResponse(conn io.Reader, req *http.Request) (*http.Response, error) {
+	head := &headReader{conn: conn, left: MaxHeadBytes}
+	reader := bufio.NewReader(head)
+	for {
+		response, err := http.ReadResponse(reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			head.left = math.MaxInt64 // The reader of the body limits the rest.
+			return response, nil
+		}
+	}
+}
+
+// headReader reads at most left bytes.
+type headReader struct {
+	conn io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
+	r.left -= int64(n)
+	return n, err
+}
--- a/internal/calls/executor.go
+++ b/internal/calls/executor.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
@@ -219,7 +220,7 @@
 	switch {
 	case errors.As(err, &refusal):
 		return result{refusal: refusal}, true
-	case errors.Is(err, errTooLarge):
+	case errors.Is(err, bound.ErrTooLarge):
 		return result{refusal: refuseTooLarge(err)}, true
 	case outcome == pond.OutcomeAnswered:
 		return result{answer: answer}, true
--- a/internal/calls/idempotent.go
+++ b/internal/calls/idempotent.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
@@ -28,13 +29,12 @@
 
 // newClient returns the HTTP client for idempotent calls, which reuses connections.
 func newClient() *http.Client {
+	transport := bound.NewTransport(nil)
+	transport.MaxIdleConnsPerHost = maxIdlePerReplica
+	transport.IdleConnTimeout = idleTimeout
+	transport.DisableCompression = true
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdlePerReplica,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -113,7 +113,7 @@
 			if res.err == nil {
 				return res.answer, nil
 			}
-			if errors.Is(res.err, errTooLarge) {
+			if errors.Is(res.err, bound.ErrTooLarge) {
 				return pond.Answer{}, refuseTooLarge(res.err)
 			}
 			h.maybeSent = h.maybeSent || res.outcome != pond.OutcomeNotSent
--- a/internal/calls/send.go
+++ b/internal/calls/send.go
@@ -1,10 +1,8 @@
 package calls
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -23,9 +22,6 @@
 	dialTimeout = time.Second
 )
 
-// errTooLarge is returned for an answer body of more than maxAnswerBodyBytes bytes. The call has run.
-var errTooLarge = errors.Errorf("answer exceeds %d bytes", maxAnswerBodyBytes)
-
 // sender sends a call to one replica. check is called on an established connection directly before the first byte is
 // written; its error prevents the send. The outcome is OutcomeNotSent only if no byte was written, that is, after an
 // error before the send such as a failed dial or check.
@@ -72,13 +68,13 @@
 	if err := req.Write(conn); err != nil {
 		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "write request")
 	}
-	response, err := readFinalResponse(bufio.NewReader(conn), req)
+	response, err := bound.ReadResponse(conn, req)
 	if err != nil {
 		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "read answer")
 	}
 	defer response.Body.Close()
 	answer, err := readAnswer(response)
-	if errors.Is(err, errTooLarge) {
+	if errors.Is(err, bound.ErrTooLarge) { // The call has run.
 		return pond.Answer{}, pond.OutcomeAnswered, err
 	}
 	if err != nil {
@@ -87,27 +83,11 @@
 	return answer, pond.OutcomeAnswered, nil
 }
 
-// readFinalResponse skips informational responses.
-func readFinalResponse(reader *bufio.Reader, req *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, req)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
-}
-
 func readAnswer(response *http.Response) (pond.Answer, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBodyBytes+1))
+	body, err := bound.ReadAll(response.Body, maxAnswerBodyBytes)
 	if err != nil {
 		return pond.Answer{}, errors.Wrap(err, "read answer body")
 	}
-	if len(body) > maxAnswerBodyBytes {
-		return pond.Answer{}, errTooLarge
-	}
 	header := response.Header.Clone()
 	removeHopByHopHeaders(header)
 	return pond.Answer{Status: response.StatusCode, Header: header, Body: body}, nil
