order: the head of an engine's answer is read up to 16 KB, and a state with bytes after it is none

Cause: the client had net/http's own limit of 10 MB for a head. The state was decoded from the start of the body, so one that goes on without an end was taken for whole. Change: the client is made by internal/bound, and the body is read with its limit before it is decoded.

--- a/internal/order/http.go
+++ b/internal/order/http.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
@@ -28,7 +28,8 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: engineTimeout}).DialContext
 	}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: dialWithCheck(dial)}
+	transport := bound.NewTransport(dialWithCheck(dial))
+	transport.DisableKeepAlives = true
 	return &HTTPEngineClient{client: &http.Client{Transport: transport}}
 }
 
@@ -69,8 +70,12 @@
 	if response.StatusCode != http.StatusOK {
 		return Report{}, errors.Errorf("read engine state: status %d", response.StatusCode)
 	}
+	body, err := bound.ReadAll(response.Body, maxStateBytes)
+	if err != nil {
+		return Report{}, errors.Wrap(err, "read engine state")
+	}
 	var report Report
-	err = json.NewDecoder(io.LimitReader(response.Body, maxStateBytes)).Decode(&report)
+	err = json.Unmarshal(body, &report)
 	return report, errors.Wrap(err, "decode engine state")
 }
 
