--- a/internal/watch/platform.go
+++ b/internal/watch/platform.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -15,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
@@ -60,7 +60,7 @@
 			Count:    keepAliveCount,
 		},
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}}
+	return &http.Client{Transport: bound.NewTransport(dialer.DialContext)}
 }
 
 // readManifest performs a Read. A response with status 204 or 304 means that there is no later revision.
@@ -226,12 +226,9 @@
 	default:
 		return nil, nil, errors.Errorf("read platform: status %d", resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	body, err := bound.ReadAll(resp.Body, limit)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "read platform")
 	}
-	if int64(len(body)) > limit {
-		return nil, nil, errors.Errorf("read platform: response exceeds %d bytes", limit)
-	}
 	return body, resp.Header, nil
 }
