dragonflypond: status and lookup read a document of at most 16 MB

Cause: the commands used http.DefaultClient, with heads up to 10 MB, and read the body whole. Change: a client of internal/bound and its limit for bodies.

--- a/cmd/dragonflypond/fetch.go
+++ b/cmd/dragonflypond/fetch.go
@@ -10,9 +10,15 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 )
 
-const fetchTimeout = 5 * time.Second
+const (
+	fetchTimeout = 5 * time.Second
+	// maxDocumentBytes bounds a document. The status of an instance grows with the instances and the engines that it knows.
+	maxDocumentBytes = 16 << 20
+)
 
 // apiKeyVariable is the environment variable with the API key of the client account. A flag would show the key in
 // process lists.
@@ -29,12 +35,15 @@
 	if key := os.Getenv(apiKeyVariable); key != "" {
 		request.Header.Set("Authorization", "Bearer "+key)
 	}
-	response, err := http.DefaultClient.Do(request)
+	transport := bound.NewTransport(nil)
+	transport.Proxy = http.ProxyFromEnvironment
+	defer transport.CloseIdleConnections()
+	response, err := (&http.Client{Transport: transport}).Do(request)
 	if err != nil {
 		return errors.Wrap(err, "send request to instance")
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
+	body, err := bound.ReadAll(response.Body, maxDocumentBytes)
 	if err != nil {
 		return errors.Wrap(err, "read response")
 	}
