pondload: the manifest is read up to 2 MB

Cause: the tool used http.DefaultClient, with heads up to 10 MB, and read the body whole. Change: a client of internal/bound and its limit for bodies.

--- a/cmd/pondload/options.go
+++ b/cmd/pondload/options.go
@@ -13,12 +13,17 @@
 	"github.com/google/subcommands"
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/load"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
 
-// manifestTimeout bounds the request for the manifest.
-const manifestTimeout = 5 * time.Second
+const (
+	// manifestTimeout bounds the request for the manifest.
+	manifestTimeout = 5 * time.Second
+	// maxManifestBytes is above the size of any value of the configuration service.
+	maxManifestBytes = 2 << 20
+)
 
 // addressList is a flag value that holds a comma-separated list of IP:PORT.
 type addressList []string
@@ -120,12 +125,15 @@
 	if err != nil {
 		return errors.Wrap(err, "read manifest")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	transport := bound.NewTransport(nil)
+	transport.Proxy = http.ProxyFromEnvironment
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Do(req)
 	if err != nil {
 		return errors.Wrap(err, "read manifest")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := bound.ReadAll(resp.Body, maxManifestBytes)
 	if err != nil {
 		return errors.Wrap(err, "read manifest")
 	}
