load: answers and events without an end are read up to a limit

Cause: the callers' client had net/http's own limit of 10 MB for a head, and answers of control calls and lookups, and the lines and the data of an event, had none. An event of many data lines took time that grew with the square of their number. Change: a client of internal/bound and its limit for bodies; 1 MB for an event, whose data is appended in place.

--- a/internal/load/entries.go
+++ b/internal/load/entries.go
@@ -10,10 +10,15 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 )
 
-// entriesTimeout bounds one GET /v1/entries.
-const entriesTimeout = 3 * time.Second
+const (
+	// entriesTimeout bounds one GET /v1/entries, and maxEntriesBytes its answer.
+	entriesTimeout  = 3 * time.Second
+	maxEntriesBytes = 1 << 20
+)
 
 // fallbackValidity is how long a caller uses its configured addresses after a failed lookup.
 const fallbackValidity = time.Second
@@ -104,5 +109,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return doc, errors.Errorf("look up entries at %s: status %d", address, resp.StatusCode)
 	}
-	return doc, errors.Wrap(json.NewDecoder(resp.Body).Decode(&doc), "look up entries")
+	body, err := bound.ReadAll(resp.Body, maxEntriesBytes)
+	if err != nil {
+		return doc, errors.Wrap(err, "look up entries")
+	}
+	return doc, errors.Wrap(json.Unmarshal(body, &doc), "look up entries")
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -12,11 +12,16 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/fakes"
 )
 
-// controlTimeout bounds one request to a control endpoint of a stand-in.
-const controlTimeout = 5 * time.Second
+const (
+	// controlTimeout bounds one request to a control endpoint of a stand-in.
+	controlTimeout = 5 * time.Second
+	// maxControlBytes bounds an answer of such an endpoint: the counts of a million run keys.
+	maxControlBytes = 128 << 20
+)
 
 // Run resets the stand-ins of the target, sends the arrivals of the plan and returns the results.
 func Run(ctx context.Context, plan Plan, target Target) (*Report, error) {
@@ -92,7 +97,11 @@
 	if result == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(result), url)
+	content, err := bound.ReadAll(resp.Body, maxControlBytes)
+	if err != nil {
+		return errors.Wrap(err, url)
+	}
+	return errors.Wrap(json.Unmarshal(content, result), url)
 }
 
 func (c *standInClient) resetAll(ctx context.Context, target Target) error {
--- a/internal/load/sse.go
+++ b/internal/load/sse.go
@@ -3,8 +3,15 @@
 import (
 	"bufio"
 	"strings"
+
+	"github.com/pkg/errors"
 )
 
+// maxEventBytes bounds an event.
+const maxEventBytes = 1 << 20
+
+var errEventTooLarge = errors.Errorf("event exceeds %d bytes", maxEventBytes)
+
 // event is one server-sent event.
 type event struct {
 	name string
@@ -20,16 +27,17 @@
 // next returns the next event with data; events without data only update the last event ID.
 func (r *eventReader) next() (event, error) {
 	var e event
+	var data []byte
 	id := r.lastID
 	for {
-		line, err := r.reader.ReadString('\n')
+		line, err := r.readLine()
 		if err != nil {
 			return event{}, err
 		}
-		line = strings.TrimRight(line, "\r\n")
 		if line == "" {
 			r.lastID = id
-			if e.data != "" {
+			if len(data) > 0 {
+				e.data = string(data)
 				return e, nil
 			}
 			e = event{}
@@ -43,7 +51,27 @@
 		case "event":
 			e.name = value
 		case "data":
-			e.data += value
+			data = append(data, value...)
+		}
+		if len(data) > maxEventBytes {
+			return event{}, errEventTooLarge
+		}
+	}
+}
+
+// readLine returns the next line without its line ending.
+func (r *eventReader) readLine() (string, error) {
+	var line []byte
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			return strings.TrimRight(string(line), "\r\n"), nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return "", err
+		case len(line) > maxEventBytes:
+			return "", errEventTooLarge
 		}
 	}
 }
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/fakes"
 )
 
@@ -44,5 +45,8 @@
 // newTransport returns a transport with a pool of idle connections large enough for one connection per open stream.
 func newTransport() *http.Transport {
 	const idle = 4096
-	return &http.Transport{MaxIdleConns: idle, MaxIdleConnsPerHost: idle, DisableCompression: true}
+	transport := bound.NewTransport(nil)
+	transport.MaxIdleConns, transport.MaxIdleConnsPerHost = idle, idle
+	transport.DisableCompression = true
+	return transport
 }
