naive: an answer without an end is read up to 2 MB

Cause: the client had net/http's own limit of 10 MB for a head, and the body was read whole. Change: a client of internal/bound and its limit for bodies. The executor stays naive in what it compares with: retries and ownership. Measured: go test ./internal/naive -run TestEndlessAnswers: 7 of 9 cases failed before, none after.

--- a/internal/naive/calls.go
+++ b/internal/naive/calls.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -12,10 +11,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
 
+// maxAnswerBytes bounds the body of one answer.
+const maxAnswerBytes = 2 << 20
+
 // Executor is the naive pond.Executor. It picks the owner of a call's key by rendezvous hashing over its own list of
 // live instances and forwards the call to it; the owner remembers which keys ran. Instances whose lists differ run a
 // key twice. The retries of net/http stay enabled; they repeat a call with an Idempotency-Key when a reused connection
@@ -37,7 +40,7 @@
 		manifests: manifests,
 		directory: directory,
 		forward:   forward,
-		client:    &http.Client{Transport: &http.Transport{}},
+		client:    &http.Client{Transport: bound.NewTransport(nil)},
 		table:     NewCallTable(),
 	}
 }
@@ -123,7 +126,7 @@
 		return pond.Answer{}, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := bound.ReadAll(response.Body, maxAnswerBytes)
 	return pond.Answer{Status: response.StatusCode, Header: response.Header, Body: body}, err
 }
 
