--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -11,16 +11,16 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 const (
-	dialTimeout            = time.Second
-	idleConnTimeout        = 30 * time.Second
-	maxIdleConnsPerHost    = 64
-	transportBufferBytes   = 2 << 10
-	maxResponseHeaderBytes = 16 << 10
-	maxErrorBodyBytes      = 1 << 10
+	dialTimeout          = time.Second
+	idleConnTimeout      = 30 * time.Second
+	maxIdleConnsPerHost  = 64
+	transportBufferBytes = 2 << 10
+	maxErrorBodyBytes    = 1 << 10
 
 	// LeavingHeader is set to "true" on a 503 response of a backend server that takes no new work.
 	LeavingHeader = "X-Leaving"
@@ -48,22 +48,20 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &Transport{pooled: !disableKeepAlives, base: &http.Transport{
-		DisableKeepAlives: disableKeepAlives,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, &dialError{cause: err}
-			}
-			return conn, nil
-		},
-		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
-		IdleConnTimeout:        idleConnTimeout,
-		DisableCompression:     true,
-		ReadBufferSize:         transportBufferBytes,
-		WriteBufferSize:        transportBufferBytes,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}
+	base := bound.NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, &dialError{cause: err}
+		}
+		return conn, nil
+	})
+	base.DisableKeepAlives = disableKeepAlives
+	base.MaxIdleConnsPerHost = maxIdleConnsPerHost
+	base.IdleConnTimeout = idleConnTimeout
+	base.DisableCompression = true
+	base.ReadBufferSize = transportBufferBytes
+	base.WriteBufferSize = transportBufferBytes
+	return &Transport{pooled: !disableKeepAlives, base: base}
 }
 
 // Close closes idle connections.
--- a/internal/fakes/order.go
+++ b/internal/fakes/order.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 )
 
 // EngineOrder is the desired state in the body of POST /v1/orders.
@@ -87,7 +89,7 @@
 // fetchWeights requests the weights from the store and then begins the load. If the store fails, the engine stays in
 // the state "loading" until weightTimeout or an order for another model or version.
 func (e *Engine) fetchWeights(order EngineOrder) {
-	client := http.Client{Timeout: weightTimeout}
+	client := http.Client{Timeout: weightTimeout, Transport: bound.NewTransport(nil)}
 	response, err := client.Get("http://" + e.config.WeightStore + "/v1/weights/" + order.Model + "-" + order.Version)
 	if err != nil {
 		return
