bound, calls: the answers of all calls share one memory; the largest of the replica that takes most is dropped

Cause: a body had a limit of 2 MB, but hundreds of them together had none: an instance held 300 answers just below the limit. Change: bound.Budget limits the sum of the bodies that are held, beyond 16 KB for each that is always granted. When it is used up, the largest body of the source whose bodies take most is dropped, so that a large sound answer beside a faulty replica stays. What it took is given to others only when its reader has let it go. The decision (ledger) is apart from I/O. Calls hold an answer until it is written to its caller (pond.Answer.Release), or until the table of records counts it; a dropped one is refused with "overloaded", run unknown. A caller that stops reading for 30 s while its answer is written loses its connection. Setting -answer-memory, half of it for this and half for the records, as before 8 MB by default. Log answerDropped, metrics held_answer_bytes and answers_dropped_total.

--- a/internal/calls/executor.go
+++ b/internal/calls/executor.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dragonflypond/dragonflypond/internal/bound"
+	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
@@ -21,6 +22,8 @@
 	logger  logrus.FieldLogger
 	keys    *keyIssuer
 	sender  sender
+	// answers limits the answers that are read from replicas or written to callers.
+	answers *bound.Budget
 
 	mu      sync.Mutex
 	machine *stateMachine
@@ -41,13 +44,15 @@
 func New(options Options) *Executor {
 	options = options.withDefaults()
 	self := options.Directory.Self().Ref()
+	answers := bound.NewBudget(options.MaxReadBytes)
 	keys := &keyIssuer{ref: self, macKey: options.MACKey, started: options.Clock(), validity: options.KeyValidity}
 	return &Executor{
 		options: options,
 		self:    self,
 		logger:  options.Logger,
 		keys:    keys,
-		sender:  newUnpooledSender(options.Dial),
+		sender:  newUnpooledSender(options.Dial, answers),
+		answers: answers,
 		machine: &stateMachine{
 			keys:           keys,
 			table:          newRecordTable(),
@@ -177,6 +182,9 @@
 		ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 		defer cancel()
 		res := e.sendToReplicas(ctx, call, r, deadline)
+		answer := res.answer
+		defer answer.Release() // The table counts it.
+		res.answer = answer.OnRelease(nil)
 		e.mu.Lock()
 		e.machine.finish(r, res)
 		e.mu.Unlock()
@@ -207,6 +215,9 @@
 		answer, outcome, err := e.sender.send(ctx, replica.Address(), call, check)
 		endCall()
 		targets.reportOutcome(outcome)
+		if errors.Is(err, bound.ErrNoRoom) {
+			e.logDropped(replica.Name())
+		}
 		if res, ok := finalResult(answer, outcome, err); ok {
 			return res
 		}
@@ -220,8 +231,8 @@
 	switch {
 	case errors.As(err, &refusal):
 		return result{refusal: refusal}, true
-	case errors.Is(err, bound.ErrTooLarge):
-		return result{refusal: refuseTooLarge(err)}, true
+	case refuseUnkept(err) != nil:
+		return result{refusal: refuseUnkept(err)}, true
 	case outcome == pond.OutcomeAnswered:
 		return result{answer: answer}, true
 	default:
@@ -229,6 +240,13 @@
 	}
 }
 
+// logDropped logs that the answer of a replica was dropped.
+func (e *Executor) logDropped(backend string) {
+	held, dropped := e.answers.Usage()
+	e.logger.WithFields(logrus.Fields{logs.Event: "answerDropped", logs.Backend: backend, "heldBytes": held, "dropped": dropped}).
+		Warn("the answer of a replica was dropped, because the answers that are held take the memory for them")
+}
+
 // errNotAccepting makes the run try another replica.
 var errNotAccepting = errors.New("the replica accepts no new work")
 
--- a/internal/calls/forward.go
+++ b/internal/calls/forward.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		return &peerpb.ExecuteResponse{Refusal: encodeRefusal(asRefusal(err), e.options.Clock())}, nil
 	}
+	defer answer.Release()
 	return &peerpb.ExecuteResponse{
 		Status: int32(answer.Status),
 		Header: encodeHeader(answer.Header),
--- a/internal/calls/idempotent.go
+++ b/internal/calls/idempotent.go
@@ -102,6 +102,7 @@
 }
 
 func (h *hedgedCall) run(ctx context.Context) (pond.Answer, error) {
+	defer h.releaseRest()
 	h.startAttempt(ctx)
 	hedge := time.NewTimer(h.hedgeDelay.current())
 	defer hedge.Stop()
@@ -113,8 +114,8 @@
 			if res.err == nil {
 				return res.answer, nil
 			}
-			if errors.Is(res.err, bound.ErrTooLarge) {
-				return pond.Answer{}, refuseTooLarge(res.err)
+			if refusal := refuseUnkept(res.err); refusal != nil {
+				return pond.Answer{}, refusal
 			}
 			h.maybeSent = h.maybeSent || res.outcome != pond.OutcomeNotSent
 			if h.inFlight > 0 {
@@ -137,6 +138,18 @@
 	}
 }
 
+// releaseRest releases the answers of the attempts that go on, which nobody waits for.
+func (h *hedgedCall) releaseRest() {
+	if h.inFlight == 0 {
+		return
+	}
+	go func() {
+		for range h.inFlight {
+			(<-h.results).answer.Release()
+		}
+	}()
+}
+
 func (h *hedgedCall) mayRetry(ctx context.Context) bool {
 	return ctx.Err() == nil && h.attempts < maxAttempts && h.executor.retries.withdraw()
 }
@@ -172,6 +185,8 @@
 	answer, outcome, err := e.sendPooled(ctx, replica.Address(), h.call)
 	if err == nil {
 		h.hedgeDelay.observe(e.options.Clock().Sub(startedAt))
+	} else if errors.Is(err, bound.ErrNoRoom) {
+		e.logDropped(replica.Name())
 	} else if ctx.Err() == nil {
 		e.logger.WithError(err).WithField("backend", replica.Name()).Warn("idempotent call to plain service failed")
 	}
@@ -187,7 +202,9 @@
 	// The transport repeats a request when a reused connection fails, so a dial error may follow an earlier send.
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	req, err := newRequest(httptrace.WithClientTrace(ctx, trace), address, call)
+	ctx, cancel := context.WithCancel(httptrace.WithClientTrace(ctx, trace))
+	defer cancel()
+	req, err := newRequest(ctx, address, call)
 	if err != nil {
 		return pond.Answer{}, pond.OutcomeNotSent, err
 	}
@@ -201,7 +218,7 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBodyBytes))
 		return pond.Answer{}, pond.OutcomeAnswered, errUnavailable
 	}
-	answer, err := readAnswer(response)
+	answer, err := readAnswer(response, e.answers.Open(address, cancel))
 	return answer, pond.OutcomeAnswered, err
 }
 
@@ -225,8 +242,16 @@
 	return pond.NewRefusal(pond.ReasonBackendFailed, run, time.Time{}, "no replica of the service answered")
 }
 
-func refuseTooLarge(err error) *pond.Refusal {
-	return pond.NewRefusal(pond.ReasonTooLarge, pond.RunYes, time.Time{}, err.Error())
+// refuseUnkept returns the refusal for an answer whose body could not be kept, or nil.
+func refuseUnkept(err error) *pond.Refusal {
+	switch {
+	case errors.Is(err, bound.ErrTooLarge):
+		return pond.NewRefusal(pond.ReasonTooLarge, pond.RunYes, time.Time{}, err.Error())
+	case errors.Is(err, bound.ErrNoRoom):
+		return refuseRunUnknown(pond.ReasonOverloaded, "the answer was dropped: "+err.Error())
+	default:
+		return nil
+	}
 }
 
 // asRefusal returns the refusal in err, or one with an unknown run state.
--- a/internal/calls/options.go
+++ b/internal/calls/options.go
@@ -18,6 +18,8 @@
 	// DefaultMaxAnswerBytes limits the stored answers of one instance. With 20,000 records, the default of the
 	// manifest, the records take 9 MB without their answers, and as many tombstones 7 MB.
 	DefaultMaxAnswerBytes = 8 << 20
+	// DefaultMaxReadBytes limits the answers that are read from replicas or written to callers, beyond a small share for each.
+	DefaultMaxReadBytes = 8 << 20
 
 	// answerRetention is how long the answer is kept for repeats after the key has expired.
 	answerRetention = 10 * time.Minute
@@ -48,6 +50,9 @@
 	KeyValidity time.Duration
 	// MaxAnswerBytes limits the stored answers; zero means DefaultMaxAnswerBytes. New calls are refused above it.
 	MaxAnswerBytes int64
+	// MaxReadBytes limits the answers that are read from replicas or written to callers, beyond a small share for each; zero means
+	// DefaultMaxReadBytes. Above it, the largest answer of the replica whose answers take most is dropped.
+	MaxReadBytes int64
 }
 
 func (o Options) withDefaults() Options {
@@ -63,5 +68,8 @@
 	if o.MaxAnswerBytes == 0 {
 		o.MaxAnswerBytes = DefaultMaxAnswerBytes
 	}
+	if o.MaxReadBytes == 0 {
+		o.MaxReadBytes = DefaultMaxReadBytes
+	}
 	return o
 }
--- a/internal/calls/send.go
+++ b/internal/calls/send.go
@@ -31,14 +31,17 @@
 
 // unpooledSender opens a new connection for each call and writes the request itself. http.Transport is not used because
 // it repeats a request with an Idempotency-Key when a reused connection fails.
-type unpooledSender struct{ dial engine.DialFunc }
+type unpooledSender struct {
+	dial    engine.DialFunc
+	answers *bound.Budget
+}
 
-// newUnpooledSender returns a sender that uses the dial function. Nil connects directly.
-func newUnpooledSender(dial engine.DialFunc) *unpooledSender {
+// newUnpooledSender returns a sender that uses the dial function and holds answers within a budget. Nil connects directly.
+func newUnpooledSender(dial engine.DialFunc, answers *bound.Budget) *unpooledSender {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &unpooledSender{dial: dial}
+	return &unpooledSender{dial: dial, answers: answers}
 }
 
 func (s *unpooledSender) send(
@@ -60,11 +63,11 @@
 	if err := check(); err != nil {
 		return pond.Answer{}, pond.OutcomeNotSent, err
 	}
-	return exchange(conn, req)
+	return s.exchange(conn, req, address)
 }
 
 // exchange writes the request and reads the answer. After an error, the replica may have received the request.
-func exchange(conn net.Conn, req *http.Request) (pond.Answer, pond.Outcome, error) {
+func (s *unpooledSender) exchange(conn net.Conn, req *http.Request, address string) (pond.Answer, pond.Outcome, error) {
 	if err := req.Write(conn); err != nil {
 		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "write request")
 	}
@@ -73,8 +76,8 @@
 		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "read answer")
 	}
 	defer response.Body.Close()
-	answer, err := readAnswer(response)
-	if errors.Is(err, bound.ErrTooLarge) { // The call has run.
+	answer, err := readAnswer(response, s.answers.Open(address, func() { _ = conn.Close() }))
+	if errors.Is(err, bound.ErrTooLarge) || errors.Is(err, bound.ErrNoRoom) { // The replica has answered.
 		return pond.Answer{}, pond.OutcomeAnswered, err
 	}
 	if err != nil {
@@ -83,14 +86,17 @@
 	return answer, pond.OutcomeAnswered, nil
 }
 
-func readAnswer(response *http.Response) (pond.Answer, error) {
-	body, err := bound.ReadAll(response.Body, maxAnswerBodyBytes)
+// readAnswer reads the body of a response. The holding is closed when the answer is released.
+func readAnswer(response *http.Response, holding *bound.Holding) (pond.Answer, error) {
+	body, err := holding.ReadAll(response.Body, maxAnswerBodyBytes)
 	if err != nil {
+		holding.Close()
 		return pond.Answer{}, errors.Wrap(err, "read answer body")
 	}
 	header := response.Header.Clone()
 	removeHopByHopHeaders(header)
-	return pond.Answer{Status: response.StatusCode, Header: header, Body: body}, nil
+	answer := pond.Answer{Status: response.StatusCode, Header: header, Body: body}
+	return answer.OnRelease(holding.Close), nil
 }
 
 // newRequest builds the request to a replica. It has no GetBody, so that no transport can repeat it with its body.
--- a/internal/calls/send_test.go
+++ b/internal/calls/send_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/naive"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -194,7 +195,7 @@
 	}()
 	failed := errors.New("check failed")
 	call := chargeCall("key", "body")
-	_, outcome, err := newUnpooledSender(nil).send(t.Context(), ln.Addr().String(), &call, func() error { return failed })
+	_, outcome, err := newUnpooledSender(nil, bound.NewBudget(0)).send(t.Context(), ln.Addr().String(), &call, func() error { return failed })
 	if outcome != pond.OutcomeNotSent || !errors.Is(err, failed) {
 		t.Errorf("outcome %s, error %v", outcome, err)
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,7 +21,13 @@
 // EnvPrefix is the prefix of the environment variables.
 const EnvPrefix = "DRAGONFLYPOND"
 
-const defaultDrainLimit = 10 * time.Minute
+const (
+	defaultDrainLimit = 10 * time.Minute
+
+	defaultAnswerMegabytes = 16
+	minAnswerMegabytes     = 4
+	maxAnswerMegabytes     = 4096
+)
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
@@ -41,6 +48,7 @@
 	drainLimit    time.Duration
 	placer        string
 	sourceIP      string
+	answerMemory  int
 }
 
 // Register defines a flag for each setting.
@@ -60,6 +68,8 @@
 	flags.DurationVar(&s.drainLimit, "drain-limit", defaultDrainLimit, "time after which a shutdown hands streams over")
 	flags.StringVar(&s.sourceIP, "backend-source-ip", "",
 		"`IP` address from which the instance connects to backend servers, on a machine with several; empty lets the system choose")
+	flags.IntVar(&s.answerMemory, "answer-memory", defaultAnswerMegabytes,
+		"`megabytes` for answers of plain services: half for those that are read or written, half for those that are kept for repeats")
 	flags.StringVar(&s.placer, "placer", "home", "home (shared decisions) or naive (round robin, for comparisons)")
 }
 
@@ -124,6 +134,8 @@
 		{"log-format", s.logFormat, "json or text", s.logFormat == "json" || s.logFormat == "text"},
 		{"drain-limit", s.drainLimit.String(), "a duration of at least 0s", s.drainLimit >= 0},
 		{"backend-source-ip", s.sourceIP, "an IP address or empty", s.sourceIP == "" || net.ParseIP(s.sourceIP) != nil},
+		{"answer-memory", strconv.Itoa(s.answerMemory), fmt.Sprintf("%d to %d megabytes", minAnswerMegabytes, maxAnswerMegabytes),
+			s.answerMemory >= minAnswerMegabytes && s.answerMemory <= maxAnswerMegabytes},
 		{"placer", s.placer, "home or naive", s.placer == "home" || s.placer == "naive"},
 	}
 	for _, r := range rules {
@@ -183,6 +195,12 @@
 // SourceIP returns the IP address from which the instance connects to backend servers; empty lets the system choose.
 func (s *Settings) SourceIP() string { return s.sourceIP }
 
+// ReadAnswerBytes returns the memory for answers that are read or written, beyond a small share for each.
+func (s *Settings) ReadAnswerBytes() int64 { return int64(s.answerMemory) << 20 / 2 }
+
+// KeptAnswerBytes returns the memory for answers that are kept for repeats.
+func (s *Settings) KeptAnswerBytes() int64 { return int64(s.answerMemory) << 20 / 2 }
+
 // DrainLimit returns the time that a shutdown waits for streams to end before it hands them over.
 func (s *Settings) DrainLimit() time.Duration { return s.drainLimit }
 
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -32,6 +32,8 @@
 		{name: "unknown format", arg: "-log-format=xml", flag: "-log-format"},
 		{name: "no source address", arg: "-backend-source-ip=here", flag: "-backend-source-ip"},
 		{name: "negative limit", arg: "-drain-limit=-1s", flag: "-drain-limit"},
+		{name: "too little memory", arg: "-answer-memory=1", flag: "-answer-memory"},
+		{name: "too much memory", arg: "-answer-memory=100000", flag: "-answer-memory"},
 		{name: "unknown placer", arg: "-placer=best", flag: "-placer"},
 	}
 	for _, test := range tests {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -224,6 +224,9 @@
 		Dial:      e.dialer.DialContext,
 		MACKey:    e.network.MACKey(),
 		Logger:    e.log,
+
+		MaxAnswerBytes: e.settings.KeptAnswerBytes(),
+		MaxReadBytes:   e.settings.ReadAnswerBytes(),
 	})
 	e.reconciler = order.New(order.Options{
 		Source:    e.watch,
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -21,7 +21,7 @@
 		},
 		Instances: []InstanceStatus{{State: pond.InstanceLive}, {State: pond.InstanceLeaving}},
 		Closed:    []string{"a", "b"},
-		Work:      WorkStatus{OpenGenerations: 6, CallRecords: 8, CallTombstones: 9},
+		Work:      WorkStatus{OpenGenerations: 6, CallRecords: 8, CallTombstones: 9, AnswerBytes: 12, AnswersDropped: 13},
 		Bytes:     MembershipTraffic{Sent: 10, Received: 11},
 	}
 	tests := []struct {
@@ -39,6 +39,8 @@
 		{name: "open_generations", want: 6},
 		{name: "call_records", want: 8},
 		{name: "call_tombstones", want: 9},
+		{name: "held_answer_bytes", want: 12},
+		{name: "answers_dropped_total", want: 13},
 		{name: "membership_sent_bytes_total", want: 10},
 		{name: "membership_received_bytes_total", want: 11},
 	}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -59,6 +59,10 @@
 	CallRecords     int `json:"callRecords"`
 	CallTombstones  int `json:"callTombstones"`
 	CallsRunning    int `json:"callsRunning"`
+	// AnswerBytes is the memory of the answers of plain services that are read or written, beyond a small share for each, and
+	// AnswersDropped the number of those that were dropped for want of room.
+	AnswerBytes    int64  `json:"answerBytes"`
+	AnswersDropped uint64 `json:"answersDropped"`
 }
 
 // MembershipTraffic counts the bytes of membership datagrams since the start.
@@ -72,6 +76,7 @@
 	members := e.members.Snapshot()
 	manifest := e.watch.Snapshot()
 	records, tombstones, running := e.executor.Counts()
+	answerBytes, answersDropped := e.executor.Answers()
 	return Status{
 		Instance: e.members.Self().Ref().String(),
 		Phase:    e.Phase(),
@@ -94,6 +99,8 @@
 			CallRecords:     records,
 			CallTombstones:  tombstones,
 			CallsRunning:    running,
+			AnswerBytes:     answerBytes,
+			AnswersDropped:  answersDropped,
 		},
 		Bytes:    MembershipTraffic{Sent: members.SentBytes, Received: members.ReceivedBytes},
 		Pools:    poolStatuses(e.placer.Pools()),
--- a/internal/front/services.go
+++ b/internal/front/services.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
@@ -13,7 +15,12 @@
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
 )
 
-const servicesPrefix = "/services/"
+const (
+	servicesPrefix = "/services/"
+	// answerPartTimeout is how long a caller may take to read each part of an answer, so that one that stops reading does not hold it in memory.
+	answerPartTimeout = 30 * time.Second
+	answerPartBytes   = 64 << 10
+)
 
 // executorRefusal is a refusal by the executor. Only the executor may answer "not run" for a call with an idempotency
 // key.
@@ -84,15 +91,29 @@
 	if err != nil {
 		return executorError(ctx, err)
 	}
+	defer answer.Release()
 	header := w.Header()
 	for name, values := range engine.EndToEndHeader(answer.Header, "Content-Length") {
 		header[name] = values
 	}
 	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body)
+	writeAnswer(w, answer.Body)
 	return nil
 }
 
+// writeAnswer writes a body to a caller until it is done or the caller stops reading.
+func writeAnswer(w http.ResponseWriter, body []byte) {
+	control := http.NewResponseController(w)
+	// A deadline that stays set would end the connection while the next answer is written.
+	defer func() { _ = control.SetWriteDeadline(zeroTime) }()
+	for part := range slices.Chunk(body, answerPartBytes) {
+		_ = control.SetWriteDeadline(time.Now().Add(answerPartTimeout))
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+	}
+}
+
 // executorError marks a refusal by the executor. Any other error of the executor proves nothing about the call.
 func executorError(ctx context.Context, err error) error {
 	var refusal *pond.Refusal
--- a/pkg/pond/call.go
+++ b/pkg/pond/call.go
@@ -22,6 +22,21 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	release func()
+}
+
+// OnRelease returns the answer with a function that Release calls.
+func (a Answer) OnRelease(f func()) Answer {
+	a.release = f
+	return a
+}
+
+// Release tells the executor that the answer is no longer needed. Whoever receives an answer from an Executor calls it once.
+func (a Answer) Release() {
+	if a.release != nil {
+		a.release()
+	}
 }
 
 // Executor runs calls to plain services.
