--- a/cmd/dragonflypond/serve.go
+++ b/cmd/dragonflypond/serve.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -37,6 +38,7 @@
 }
 
 func (c *serveCommand) run(ctx context.Context) error {
+	debug.SetGCPercent(gcPercent)
 	log, err := c.settings.NewLogger()
 	if err != nil {
 		return err
