engine: an event of at most 64 KB, not 1 MB

Cause: a line and the data of an event could take 1 MB each; hundreds of events without an end took hundreds of MB. Change: 64 KB, as the relay on the users' platform has it.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -267,6 +267,8 @@
 		{name: "stream ends inside an event", body: "data: {\"generation\":\"g\",\"offset\":0,\"text\":\"a\"}\n"},
 		{name: "not JSON", body: "data: [\n\n", err: true},
 		{name: "endless line", body: "data: " + strings.Repeat("x", 2*maxEventBytes), err: true},
+		{name: "line above 64 KB", body: "data: {\"text\":\"" + strings.Repeat("x", 64<<10) + "\"}\n\n", err: true},
+		{name: "lines above 64 KB", body: strings.Repeat("data: [0,\n", 16<<10), err: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -11,8 +11,8 @@
 
 const (
 	eventBufferBytes = 2 << 10
-	// maxEventBytes bounds the memory that an instance uses for an event of a faulty engine.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds the memory that an instance uses for an event of a faulty engine. An event holds some tokens.
+	maxEventBytes = 64 << 10
 )
 
 var errEventTooLarge = errors.Errorf("event exceeds %d bytes", maxEventBytes)
