--- a/internal/calls/send.go
+++ b/internal/calls/send.go
@@ -1,10 +1,8 @@
 package calls
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -23,9 +22,6 @@
 	dialTimeout = time.Second
 )
 
-// errTooLarge is returned for an answer body of more than maxAnswerBodyBytes bytes. The call has run.
-var errTooLarge = errors.Errorf("answer exceeds %d bytes", maxAnswerBodyBytes)
-
 // sender sends a call to one replica. check is called on an established connection directly before the first byte is
 // written; its error prevents the send. The outcome is OutcomeNotSent only if no byte was written, that is, after an
 // error before the send such as a failed dial or check.
@@ -35,14 +31,17 @@
 
 // unpooledSender opens a new connection for each call and writes the request itself. http.Transport is not used because
 // it repeats a request with an Idempotency-Key when a reused connection fails.
-type unpooledSender struct{ dial engine.DialFunc }
+type unpooledSender struct {
+	dial    engine.DialFunc
+	answers *bound.Budget
+}
 
-// newUnpooledSender returns a sender that uses the dial function. Nil connects directly.
-func newUnpooledSender(dial engine.DialFunc) *unpooledSender {
+// newUnpooledSender returns a sender that uses the dial function and holds answers within a budget. Nil connects directly.
+func newUnpooledSender(dial engine.DialFunc, answers *bound.Budget) *unpooledSender {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &unpooledSender{dial: dial}
+	return &unpooledSender{dial: dial, answers: answers}
 }
 
 func (s *unpooledSender) send(
@@ -64,21 +63,21 @@
 	if err := check(); err != nil {
 		return pond.Answer{}, pond.OutcomeNotSent, err
 	}
-	return exchange(conn, req)
+	return s.exchange(conn, req, address)
 }
 
 // exchange writes the request and reads the answer. After an error, the replica may have received the request.
-func exchange(conn net.Conn, req *http.Request) (pond.Answer, pond.Outcome, error) {
+func (s *unpooledSender) exchange(conn net.Conn, req *http.Request, address string) (pond.Answer, pond.Outcome, error) {
 	if err := req.Write(conn); err != nil {
 		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "write request")
 	}
-	response, err := readFinalResponse(bufio.NewReader(conn), req)
+	response, err := bound.ReadResponse(conn, req)
 	if err != nil {
 		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "read answer")
 	}
 	defer response.Body.Close()
-	answer, err := readAnswer(response)
-	if errors.Is(err, errTooLarge) {
+	answer, err := readAnswer(response, s.answers.Open(address, func() { _ = conn.Close() }))
+	if errors.Is(err, bound.ErrTooLarge) || errors.Is(err, bound.ErrNoRoom) { // The replica has answered.
 		return pond.Answer{}, pond.OutcomeAnswered, err
 	}
 	if err != nil {
@@ -87,30 +86,17 @@
 	return answer, pond.OutcomeAnswered, nil
 }
 
-// readFinalResponse skips informational responses.
-func readFinalResponse(reader *bufio.Reader, req *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(reader, req)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
-}
-
-func readAnswer(response *http.Response) (pond.Answer, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBodyBytes+1))
+// readAnswer reads the body of a response. The holding is closed when the answer is released.
+func readAnswer(response *http.Response, holding *bound.Holding) (pond.Answer, error) {
+	body, err := holding.ReadAll(response.Body, maxAnswerBodyBytes)
 	if err != nil {
+		holding.Close()
 		return pond.Answer{}, errors.Wrap(err, "read answer body")
 	}
-	if len(body) > maxAnswerBodyBytes {
-		return pond.Answer{}, errTooLarge
-	}
 	header := response.Header.Clone()
 	removeHopByHopHeaders(header)
-	return pond.Answer{Status: response.StatusCode, Header: header, Body: body}, nil
+	answer := pond.Answer{Status: response.StatusCode, Header: header, Body: body}
+	return answer.OnRelease(holding.Close), nil
 }
 
 // newRequest builds the request to a replica. It has no GetBody, so that no transport can repeat it with its body.
