soak: checks of requests lost beside configurations, after SIGHUP and on kept connections

Cause: rule LOST counts cuts around a configuration that may be in force, cuts after a SIGHUP, and, at any time, kept connections closed without an answer after the request was sent on. TestSoak checked none of these; the tests of stops count incomplete answers, but do not tell which connections were kept, and their settings never change. Callers record whether their connection was kept and the request written (httptrace); backend servers record which of them ran a request, and proxies when they were impaired. SIGHUPs in the tests of stops come with other seeds. A run of TestSoak ends with 3 s of the same, after all that was checked before. The check counts unanswered kept connections of all instances together, the stricter reading.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -40,6 +40,7 @@
 	totalEvents     int
 	crashes         *crashPart // the part of its prompt that crashes engines; nil for none
 	runningOn       *backend   // the backend server that runs it now; nil for none
+	ranOn           []*backend // all that have run it
 	handles         map[string]bool
 	releasedAt      time.Time // when a backend server last stopped generating it
 }
@@ -235,7 +236,7 @@
 		}
 		delete(state.handles, handle)
 		lastEventID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-		state.generatedEvents, state.runningOn = lastEventID, b
+		state.generatedEvents, state.runningOn, state.ranOn = lastEventID, b, append(state.ranOn, b)
 		return state, true
 	}
 	crashes := b.recorder.recordCrashPart(id, r.Header.Get("X-Prompt-Prefix"), body)
@@ -248,7 +249,7 @@
 		b.recorder.requests[id] = state
 	}
 	state.starts++
-	state.runningOn = b
+	state.runningOn, state.ranOn = b, append(state.ranOn, b)
 	return state, true
 }
 
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -34,6 +34,9 @@
 	sentAt   time.Time
 	status   int // 0 if no response arrived
 	complete bool
+	answered bool      // a response with another status than 200 arrived whole
+	kept     bool      // the connection had carried a request before
+	written  bool      // the whole request
 	address  string    // front address of the instance that received the request
 	firstAt  time.Time // of the first event of a stream
 	endedAt  time.Time
@@ -133,7 +136,9 @@
 	if o.kind == kindLookup {
 		method = http.MethodGet
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+paths[o.kind],
+	var use connUse
+	defer func() { o.kept, o.written = use.kept.Load(), use.written.Load() }()
+	req, err := http.NewRequestWithContext(use.trace(ctx), method, "http://"+address+paths[o.kind],
 		strings.NewReader(cmp.Or(o.body, "body of "+o.id)))
 	if err != nil {
 		return
@@ -154,7 +159,8 @@
 	defer resp.Body.Close()
 	o.status = resp.StatusCode
 	if resp.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, resp.Body)
+		_, err = io.Copy(io.Discard, resp.Body)
+		o.answered = err == nil
 		return
 	}
 	if o.kind == kindStream {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -58,6 +58,7 @@
 	partitions    []*partition
 	version       int
 	published     []publication
+	reloads       []reload
 	storeFaults   []*disturbance
 	storeReturns  []time.Time // from an older copy
 	revoked       map[string]time.Time
@@ -73,6 +74,8 @@
 	settingsPath string
 	storeProxy   *proxy
 	log          *os.File
+	// settingsChanges counts the changes of the settings. Protected by the cluster's mu.
+	settingsChanges int
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -83,6 +86,11 @@
 // disturbance is the time of a fault of one instance.
 type disturbance struct{ from, until time.Time }
 
+// touches reports whether the fault has lasted in a span. The zero time stands for a fault that goes on.
+func (d disturbance) touches(since, until time.Time) bool {
+	return d.from.Before(until) && (d.until.IsZero() || d.until.After(since))
+}
+
 // disturb records a fault of an instance that lasts until the returned function is called.
 func (c *cluster) disturb(i *instance) (end func()) { return c.disturbAddress(i.ip + frontPort) }
 
@@ -168,7 +176,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.version += versionStep
-	defer func() { c.published = append(c.published, publication{c.version, time.Now()}) }()
+	sentAt := time.Now()
+	defer func() { c.published = append(c.published, publication{c.version, sentAt, time.Now()}) }()
 	var keys []string
 	for _, key := range c.keys {
 		if c.revoked[key].IsZero() {
@@ -285,10 +294,20 @@
 	if i.storeProxy, err = newProxy("127.0.0.1:0", strings.TrimPrefix(c.storeHTTP.URL, "http://")); err != nil {
 		c.t.Fatal(err)
 	}
-	home := c.site.dataCentre(number)
-	dir := c.t.TempDir()
-	i.settingsPath = filepath.Join(dir, "node.toml")
-	text := fmt.Sprintf(`nodeName = %q
+	i.settingsPath = filepath.Join(c.t.TempDir(), "node.toml")
+	if err := os.WriteFile(i.settingsPath, []byte(c.settings(i, graceLimit, 0, 1)), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	if i.log, err = os.Create(filepath.Join(logDir(c.t, c.seed), i.name+".log")); err != nil {
+		c.t.Fatal(err)
+	}
+	c.instances = append(c.instances, i)
+}
+
+// settings returns the settings of an instance, with the numbers of two instances as seeds.
+func (c *cluster) settings(i *instance, grace time.Duration, firstSeed, secondSeed int) string {
+	home := c.site.dataCentre(i.number)
+	return fmt.Sprintf(`nodeName = %q
 ip = %q
 zone = %q
 region = %q
@@ -313,16 +332,9 @@
 ttl_max_s = 5
 [platform]
 address = %q
-`, i.name, i.ip, home.name, home.region, firstPeerPort, firstPeerPort+10, c.subnet, firstHostNumber, c.subnet, firstHostNumber+1, c.site.regions(),
-		i.ip+frontPort, i.ip+readyPort, i.ip+resolvePort,
-		int(graceLimit.Seconds()), revokeLimit.Milliseconds(), i.storeProxy.address())
-	if err := os.WriteFile(i.settingsPath, []byte(text), 0o600); err != nil {
-		c.t.Fatal(err)
-	}
-	if i.log, err = os.Create(filepath.Join(logDir(c.t, c.seed), i.name+".log")); err != nil {
-		c.t.Fatal(err)
-	}
-	c.instances = append(c.instances, i)
+`, i.name, i.ip, home.name, home.region, firstPeerPort, firstPeerPort+10, c.subnet, firstHostNumber+firstSeed, c.subnet, firstHostNumber+secondSeed,
+		c.site.regions(), i.ip+frontPort, i.ip+readyPort, i.ip+resolvePort,
+		int(grace.Seconds()), revokeLimit.Milliseconds(), i.storeProxy.address())
 }
 
 // supervise runs the process of an instance and restarts it after a short delay whenever it ends, as the platform does.
--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -17,9 +17,10 @@
 // that has been without a fault for contactLimit, as the store has.
 const configLimit = 3 * time.Second
 
-// publication is a version of the configuration and the time at which the store acknowledged it.
+// publication is a version of the configuration and the times at which it was sent to the store and acknowledged.
 type publication struct {
 	version int
+	sentAt  time.Time
 	at      time.Time
 }
 
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -18,6 +19,7 @@
 	paused          bool
 	responsesPaused bool // only the bytes that the target sends are held back
 	delay           time.Duration
+	harms           []disturbance // all resets, pauses and delays so far
 	// cut returns how the connections of a client's IP address are cut; nil for a proxy whose clients are never cut off.
 	cut func(ip string) cutKind
 }
@@ -149,6 +151,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.paused, p.delay = paused, delay
+	p.recordHarm()
 }
 
 // pauseResponses holds back what the target sends, on all connections, until it is called again.
@@ -156,10 +159,36 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.responsesPaused = paused
+	p.recordHarm()
+}
+
+// recordHarm records whether the connections are impaired from now on. The lock must be held.
+func (p *proxy) recordHarm() {
+	impaired, last := p.paused || p.responsesPaused || p.delay > 0, len(p.harms)-1
+	lasts := last >= 0 && p.harms[last].until.IsZero()
+	switch {
+	case impaired && !lasts:
+		p.harms = append(p.harms, disturbance{from: time.Now()})
+	case !impaired && lasts:
+		p.harms[last].until = time.Now()
+	}
+}
+
+// harmedIn reports whether the connections have been impaired or reset in a span.
+func (p *proxy) harmedIn(since, until time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.harms, func(d disturbance) bool { return d.touches(since, until) })
 }
 
 // resetAll resets the open connections.
-func (p *proxy) resetAll() { p.resetFrom("") }
+func (p *proxy) resetAll() {
+	now := time.Now()
+	p.mu.Lock()
+	p.harms = slices.Insert(p.harms, 0, disturbance{now, now}) // The last may go on.
+	p.mu.Unlock()
+	p.resetFrom("")
+}
 
 // resetFrom resets the open connections of the clients with an IP address, or all if it is empty.
 func (p *proxy) resetFrom(ip string) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -178,6 +178,7 @@
 	time.Sleep(settleTime)
 	measureStart := time.Now()
 	time.Sleep(measureTime)
+	c.changeOften(rand.New(rand.NewPCG(seed, 3)), seriesTime)
 	stop()
 	group.Wait()
 	checkOutcomes(t, c, load, measureStart)
@@ -282,7 +283,7 @@
 		time.Sleep(time.Duration(200+random.IntN(7000)) * time.Millisecond)
 		i.signal(syscall.SIGCONT)
 	}},
-	{"reload", func(c *cluster, random *rand.Rand) { c.anyInstance(random).signal(syscall.SIGHUP) }},
+	{"reload", func(c *cluster, random *rand.Rand) { c.reload(c.anyInstance(random)) }},
 	{"store down", func(c *cluster, random *rand.Rand) {
 		defer c.disturbStore()()
 		c.store.setStatus(http.StatusServiceUnavailable)
@@ -420,11 +421,13 @@
 	checkPartitions(t, c, load)
 	checkBackoffs(t, c)
 	checkBrittle(t, c)
+	exchanges := make([]exchange, 0, len(load.outcomes))
 	served, sent, late := 0, 0, 0
 	counts := make(map[int]int)
 	for _, o := range load.outcomes {
 		counts[o.status]++
 		state := c.recorder.requests[o.id]
+		exchanges = append(exchanges, o.exchange(c, state))
 		if o.kind != kindLookup && state != nil && state.starts > 1 {
 			t.Errorf("request %s was started %d times", o.id, state.starts)
 		}
@@ -443,6 +446,7 @@
 			}
 		}
 	}
+	c.checkLost(t, exchanges)
 	t.Logf("%d requests, by status %v, %d over the time limit of callers; after the faults %d of %d served",
 		len(load.outcomes), counts, late, served, sent)
 	if float64(served) < minServedShare*float64(sent) || sent == 0 {
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -59,6 +58,8 @@
 	endedAt  time.Time
 	status   int
 	complete bool
+	kept     bool // the connection had carried a request before
+	written  bool // the whole request
 	err      error
 }
 
@@ -77,7 +78,8 @@
 	l.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), r.limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address+r.path+"x", strings.NewReader("body of "+r.id))
+	var use connUse
+	req, err := http.NewRequestWithContext(use.trace(ctx), http.MethodPost, "http://"+r.address+r.path+"x", strings.NewReader("body of "+r.id))
 	if err != nil {
 		return
 	}
@@ -104,7 +106,7 @@
 		}
 		_ = resp.Body.Close()
 	}
-	r.endedAt = time.Now()
+	r.endedAt, r.kept, r.written = time.Now(), use.kept.Load(), use.written.Load()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.requests = append(l.requests, r)
@@ -167,14 +169,14 @@
 	}
 }
 
-// change publishes configurations with other limits for callers' connections and has instances read their settings again, one after the
+// change publishes configurations with other limits for callers' connections and has instances read settings with other seeds, one after the
 // other.
 func (c *cluster) change(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
 		if random.IntN(2) == 0 {
 			c.publish()
 		} else {
-			c.anyInstance(random).signal(syscall.SIGHUP)
+			c.reloadChanged(c.anyInstance(random), graceLimit)
 		}
 		time.Sleep(time.Duration(300+random.IntN(1500)) * time.Millisecond)
 	}
@@ -233,6 +235,14 @@
 // startStopLoad starts a cluster that is ready, callers who keep their addresses, backend servers that fall silent, and changes of
 // configurations and settings. The returned function ends all of it and reports lost requests.
 func startStopLoad(t *testing.T, site site, instances int, random *rand.Rand) (c *cluster, end func(stops []stop)) {
+	return startCallers(t, site, instances, random, (*cluster).silence, (*cluster).change)
+}
+
+// startCallers starts a cluster that is ready, callers who keep their addresses, and what else happens until the returned function is called,
+// which reports lost requests.
+func startCallers(
+	t *testing.T, site site, instances int, random *rand.Rand, others ...func(*cluster, context.Context, *rand.Rand),
+) (c *cluster, end func(stops []stop)) {
 	c = newSiteCluster(t, site, buildReleases(t), 0, instances)
 	if !c.waitReady(10 * time.Second) {
 		t.Fatal("not every instance is ready within 10 s")
@@ -241,10 +251,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	load.start(ctx, &group, random)
-	silenceRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
-	group.Go(func() { c.silence(ctx, silenceRandom) })
-	changeRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
-	group.Go(func() { c.change(ctx, changeRandom) })
+	for _, run := range others {
+		ownRandom := rand.New(rand.NewPCG(random.Uint64(), 0))
+		group.Go(func() { run(c, ctx, ownRandom) })
+	}
 	time.Sleep(4 * time.Second) // The engines are full.
 	return c, func(stops []stop) {
 		cancel()
@@ -264,12 +274,14 @@
 	for _, text := range recorder.violations {
 		t.Error(text)
 	}
+	var exchanges []exchange
 	lost, served, refused, failed := 0, 0, 0, 0
 	for _, r := range l.requests {
 		if r.endedAt.After(closedAt) {
 			continue
 		}
 		told := termAt(stops, r)
+		exchanges = append(exchanges, r.exchange(told, recorder.requests[r.id]))
 		if late := !told.IsZero() && r.sentAt.After(told); late && r.complete {
 			switch r.status {
 			case http.StatusOK:
@@ -287,6 +299,7 @@
 	}
 	t.Logf("%d requests beside %d stops, %d lost; of those sent to an instance that stops %d were served, %d refused and %d failed with 504", len(l.requests),
 		len(stops), lost, served, refused, failed)
+	l.cluster.checkLost(t, exchanges)
 }
 
 // TestStopsBesideFullEngines guards against requests that a planned stop loses: those that wait for an engine, those that come late in the
