soak: import what the merged checks use

Cause: both sides of the merge changed the imports of stop_test.go. Change: the import of syscall. Measured: go vet ./internal/soak.

--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
