serve, member: lookups name an instance that has started only once it is ready

Cause: lookups named other instances by their membership state alone. A restarted instance is live for the others some 90 ms before it has a configuration; seconds at a common start. Ruled out: no second failure in the two logs: both requests are refused at revision 0, and nothing is cut. Change: an entry of the membership table says that its instance is starting, until it is ready for the first time (configuration, keys confirmed). Not set means ready when live, as before. Also the metric instances_starting and the line instanceReady. Steady state: no byte; 2 per entry while it starts (TestReadinessAddsFewBytes).

--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -247,6 +247,17 @@
 	return m.takeOutgoing()
 }
 
+// AnnounceReady tells all members that this instance is ready for callers, with the datagrams that are sent anyway. It has no effect if it is known.
+func (m *Machine) AnnounceReady() {
+	if !m.self.instance.Starting() {
+		return
+	}
+	m.self.instance = m.self.instance.WithStarting(false)
+	m.self.version++
+	m.changes++
+	m.queueMember(m.self, true)
+}
+
 // AnnounceManifest sets the manifest version that all datagrams carry. A version that differs from the previous one is
 // pushed at once.
 func (m *Machine) AnnounceManifest(v *peerpb.ManifestVersion) []Outgoing {
--- a/internal/member/machine_test.go
+++ b/internal/member/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -231,3 +232,207 @@
 		}
 	}
 }
+
+// TestStarting guards against an instance that has just started and passes for ready, because the report that says so is lost on the way or comes from a
+// former release, which drops it; and against one that is ready and passes for starting.
+func TestStarting(t *testing.T) {
+	live := func(version uint64, starting bool) *peerpb.Member {
+		e := report(5, version, pond.InstanceLive)
+		e.Starting = starting
+		return e
+	}
+	compact := func(e *peerpb.Member) *peerpb.Member {
+		return &peerpb.Member{Id: e.GetId(), Incarnation: e.GetIncarnation(), Version: e.GetVersion(), State: e.GetState(), Starting: e.GetStarting()}
+	}
+	suspect := report(5, 1, pond.InstanceSuspect)
+	restarted := report(6, 1, pond.InstanceLive)
+	restarted.Starting = true
+	tests := []struct {
+		name      string
+		reports   []*peerpb.Member
+		directAck bool
+		want      bool
+	}{
+		{name: "former release", reports: []*peerpb.Member{live(1, false)}},
+		{name: "starting", reports: []*peerpb.Member{live(1, true)}, want: true},
+		{name: "ready", reports: []*peerpb.Member{live(1, true), live(2, false)}},
+		{name: "ready, told in short", reports: []*peerpb.Member{live(1, true), compact(live(2, false))}},
+		{name: "late report", reports: []*peerpb.Member{live(2, false), live(1, true)}},
+		{name: "a former release tells it first", reports: []*peerpb.Member{live(1, false), live(1, true)}, want: true},
+		{name: "a former release tells it later", reports: []*peerpb.Member{live(1, true), live(1, false)}, want: true},
+		{name: "a former release suspects it", reports: []*peerpb.Member{live(1, true), suspect}, want: true},
+		{name: "suspected and then told", reports: []*peerpb.Member{suspect, live(1, true)}, want: true},
+		{name: "refutes a suspicion", reports: []*peerpb.Member{live(1, true), suspect, live(2, true)}, want: true},
+		{name: "restart", reports: []*peerpb.Member{live(2, false), restarted}, directAck: true, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newTestMachine()
+			for _, e := range test.reports {
+				before, changes := m.starting("other"), m.Changes()
+				m.merge(testStart, e, test.directAck)
+				if m.starting("other") != before && m.Changes() == changes {
+					t.Error("a change is not counted")
+				}
+			}
+			if got := m.starting("other"); got != test.want {
+				t.Errorf("starting is %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// starting reports whether a member that is not gone is known to be starting.
+func (m *Machine) starting(id pond.InstanceID) bool {
+	return slices.ContainsFunc(m.Instances(), func(i pond.Instance) bool { return i.ID() == id && i.Starting() })
+}
+
+// TestAnnounceReady guards against an instance that is ready and is not known to be, against messages beside those that are sent anyway, and against
+// more than one new version of its record for each start.
+func TestAnnounceReady(t *testing.T) {
+	m := newStartingMachine("self", 1)
+	m.merge(testStart, report(5, 1, pond.InstanceLive), false)
+	if !m.Self().Starting() || !m.SyncRequest().GetMembers()[0].GetStarting() {
+		t.Fatal("the instance does not say that it is starting")
+	}
+	version, changes := m.self.version, m.Changes()
+	for range 3 {
+		m.AnnounceReady()
+	}
+	if len(m.outgoing) > 0 {
+		t.Errorf("%d datagrams, want none", len(m.outgoing))
+	}
+	if m.Self().Starting() || m.self.version != version+1 || m.Changes() == changes {
+		t.Errorf("starting %v, version %d, want not starting and one version after %d", m.Self().Starting(), m.self.version, version)
+	}
+	m.Leave()
+	m.AnnounceReady()
+	if m.Self().State() != pond.InstanceLeaving {
+		t.Errorf("an instance that leaves is %s", m.Self().State())
+	}
+}
+
+// TestReadinessAddsFewBytes guards against entries that are larger while instances are ready.
+func TestReadinessAddsFewBytes(t *testing.T) {
+	m := newStartingMachine("self", 1)
+	starting := proto.Size(m.self.encodeCompact())
+	m.AnnounceReady()
+	if ready := proto.Size(m.self.encodeCompact()); starting != ready+2 {
+		t.Errorf("an entry has %d bytes while the instance starts and %d when it is ready, want 2 more", starting, ready)
+	}
+}
+
+// TestReadinessSpreads guards against readiness that takes much longer to be known than the instance itself, and against one that crowds out
+// other updates when a whole site starts at once.
+func TestReadinessSpreads(t *testing.T) {
+	tests := []struct {
+		name string
+		// readyAt returns when an instance becomes ready after the start of the site; 0 for before.
+		readyAt func(instance int) time.Duration
+		limit   time.Duration // from the last one's readiness to the time when all know it of all
+	}{
+		{"one is ready late", func(instance int) time.Duration {
+			if instance > 0 {
+				return 0
+			}
+			return 5 * time.Second
+		}, 5 * time.Second},
+		{"all start at once", func(instance int) time.Duration { return time.Second + time.Duration(instance)*10*time.Millisecond }, 5 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const size = 295
+			s := newTestSite(size)
+			last := time.Duration(0)
+			for number := range s.machines {
+				if at := test.readyAt(number); at > last {
+					last = at
+				}
+			}
+			for now := time.Duration(0); ; now += TickInterval {
+				for number, m := range s.machines {
+					if now >= test.readyAt(number) {
+						m.AnnounceReady()
+					}
+				}
+				s.step(testStart.Add(now))
+				known := s.knownReady()
+				if now >= last && known == size*(size-1) {
+					t.Logf("all know all %v after the last one is ready; %.0f bytes a second sent by each", now-last, float64(s.sentBytes)/size/(now.Seconds()+0.1))
+					return
+				}
+				if now >= last+test.limit {
+					t.Fatalf("%d of %d known %v after the last one is ready", known, size*(size-1), test.limit)
+				}
+			}
+		})
+	}
+}
+
+// testSite is a site of machines that exchange datagrams without loss, and tables as Member does.
+type testSite struct {
+	machines  []*Machine
+	byAddress map[string]*Machine
+	sentBytes int
+}
+
+func newStartingMachine(name string, number int) *Machine {
+	ref := pond.InstanceRef{ID: pond.InstanceID(name), Incarnation: 1}
+	self := pond.NewInstance(ref, pond.InstanceLive, fmt.Sprintf("127.0.%d.%d:8740", number/250, number%250), fmt.Sprintf("127.0.%d.%d:7200", number/250, number%250),
+		"norte-1", "norte").WithStarting(true)
+	return NewMachine(self, rand.New(rand.NewPCG(uint64(number), 1)), testStart)
+}
+
+// newTestSite returns a site whose instances know the first three as seeds.
+func newTestSite(size int) *testSite {
+	s := &testSite{byAddress: make(map[string]*Machine)}
+	var seeds []string
+	for number := range size {
+		m := newStartingMachine(fmt.Sprintf("instance-%03d", number), number)
+		s.machines = append(s.machines, m)
+		s.byAddress[m.self.address()] = m
+		if len(seeds) < 3 {
+			seeds = append(seeds, m.self.address())
+		}
+	}
+	for _, m := range s.machines {
+		m.SetSeeds(seeds)
+	}
+	return s
+}
+
+// step runs all machines for a tick. Datagrams arrive at once.
+func (s *testSite) step(now time.Time) {
+	for _, m := range s.machines {
+		s.deliver(now, m, m.Tick(now))
+		address, due := m.SyncDue(now)
+		if !due {
+			continue
+		}
+		resp, out := s.byAddress[address].HandleSync(now, m.SyncRequest())
+		s.deliver(now, s.byAddress[address], out)
+		s.deliver(now, m, m.ApplySyncResponse(now, address, resp))
+	}
+}
+
+func (s *testSite) deliver(now time.Time, from *Machine, out []Outgoing) {
+	for _, o := range out {
+		s.sentBytes += proto.Size(o.Datagram)
+		if to := s.byAddress[o.Address]; to != nil {
+			s.deliver(now, to, to.Receive(now, from.self.address(), proto.Clone(o.Datagram).(*peerpb.Datagram)))
+		}
+	}
+}
+
+// knownReady returns the number of pairs of instances of which the first knows that the second is ready.
+func (s *testSite) knownReady() int {
+	known := 0
+	for _, m := range s.machines {
+		for _, r := range m.members {
+			if r.state() == pond.InstanceLive && !r.instance.Starting() {
+				known++
+			}
+		}
+	}
+	return known
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -144,6 +144,15 @@
 // Leave announces to all members that this instance is shutting down.
 func (m *Member) Leave() { m.step(func(machine *Machine) []Outgoing { return machine.Leave() }) }
 
+// AnnounceReady tells all members that this instance, which Options.Self describes as starting, is ready for callers. An instance that is not ready any
+// more cannot take it back: during an outage of the store all would at once, and lookups have nobody else to name.
+func (m *Member) AnnounceReady() {
+	m.step(func(machine *Machine) []Outgoing {
+		machine.AnnounceReady()
+		return nil
+	})
+}
+
 // AnnounceManifest tells all members which manifest version is in effect on this instance.
 func (m *Member) AnnounceManifest(v *peerpb.ManifestVersion) {
 	m.step(func(machine *Machine) []Outgoing { return machine.AnnounceManifest(v) })
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -137,7 +137,13 @@
 		return false
 	}
 	if e.GetVersion() > r.version {
-		return m.mergeNewerVersion(now, r, e.GetVersion(), state)
+		return m.mergeNewerVersion(now, r, e)
+	}
+	if e.GetStarting() && !r.instance.Starting() {
+		// The earlier report of this version came by way of a former release, which drops the field.
+		r.instance = r.instance.WithStarting(true)
+		m.changes++
+		m.queueMember(r, true)
 	}
 	if precedence(state) <= precedence(r.state()) {
 		m.handleWeakerReport(now, r, state, directAck)
@@ -160,9 +166,12 @@
 }
 
 // mergeNewerVersion applies a report with a greater version of the record.
-func (m *Machine) mergeNewerVersion(now time.Time, r *record, version uint64, state pond.InstanceState) bool {
+func (m *Machine) mergeNewerVersion(now time.Time, r *record, e *peerpb.Member) bool {
+	state := pond.InstanceState(e.GetState())
 	returned := r.state() == pond.InstanceGone
-	r.version = version
+	becameReady := r.instance.Starting() && !e.GetStarting()
+	r.version = e.GetVersion()
+	r.instance = r.instance.WithStarting(e.GetStarting())
 	r.disputed = false
 	if state == pond.InstanceGone && !returned {
 		// This instance missed a refutation, and others have marked the member gone since. It probes the member itself.
@@ -170,6 +179,10 @@
 		m.queueConflictProbe(now, r, "")
 	}
 	m.applyState(now, r, state)
+	if becameReady {
+		// It follows the report of the start closely and takes its place in the queue, so members that do not know the instance need its addresses.
+		m.queueMember(r, true)
+	}
 	if returned && state != pond.InstanceGone {
 		m.scheduleSync(now, r)
 	}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -82,12 +82,13 @@
 		Incarnation: uint64(r.incarnation()),
 		Version:     r.version,
 		State:       uint32(r.state()),
+		Starting:    r.instance.Starting(),
 	}
 }
 
 func decodeInstance(e *peerpb.Member) pond.Instance {
 	return pond.NewInstance(refOf(e), pond.InstanceState(e.GetState()), e.GetHttpAddress(), e.GetPeerAddress(),
-		e.GetDataCentre(), e.GetRegion()).WithCapacity(e.GetCapacity())
+		e.GetDataCentre(), e.GetRegion()).WithCapacity(e.GetCapacity()).WithStarting(e.GetStarting())
 }
 
 func refOf(e *peerpb.Member) pond.InstanceRef {
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -152,5 +152,6 @@
 	if e == nil {
 		return r.state() == pond.InstanceGone
 	}
-	return r.instance.Ref() == refOf(e) && r.version == e.GetVersion() && uint32(r.state()) == e.GetState()
+	return r.instance.Ref() == refOf(e) && r.version == e.GetVersion() && uint32(r.state()) == e.GetState() &&
+		(e.GetStarting() || !r.instance.Starting())
 }
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -171,7 +171,7 @@
 		Incarnation: pond.Incarnation(binary.LittleEndian.Uint64(incarnation[:])),
 	}
 	self := pond.NewInstance(ref, pond.InstanceLive, i.settings.FrontAddress, i.settings.PeerAddress,
-		i.settings.DataCentre, i.settings.Region).WithCapacity(i.settings.capacity())
+		i.settings.DataCentre, i.settings.Region).WithCapacity(i.settings.capacity()).WithStarting(true)
 	var err error
 	i.members, err = member.New(member.Options{
 		Self: self, Network: i.network, Conn: i.sockets.datagram, Seeds: i.settings.Seeds, Logger: i.log,
@@ -462,6 +462,7 @@
 	defer i.dialer.Close()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return i.members.Run(ctx) })
+	group.Go(func() error { return i.announceReady(ctx) })
 	group.Go(func() error { return i.logPeers(ctx) })
 	group.Go(func() error { return i.feed.Run(ctx) })
 	group.Go(func() error { return i.placer.Run(ctx) })
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -20,6 +20,7 @@
 	ready                          bool
 	openRequests                   int
 	liveInstances                  int
+	startingInstances              int
 	otherReleases                  int
 	waitingShort, waitingLong      int
 	running                        int
@@ -52,6 +53,8 @@
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.openRequests) }},
 	{Name: "instances_live", Help: "Entry instances that this one considers live, itself included.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.liveInstances) }},
+	{Name: "instances_starting", Help: "Other instances that are live and have not been ready for callers since their start, as they say themselves.",
+		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.startingInstances) }},
 	{Name: "instances_other_release", Help: "Other instances that are of another release than this one.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.otherReleases) }},
 	{Name: "placement_waiting_short", Help: "Short generations that wait for an engine in the pools of this instance.",
@@ -123,6 +126,9 @@
 	for _, instance := range members.Instances {
 		if instance.State() == pond.InstanceLive {
 			stats.liveInstances++
+			if instance.Starting() && instance.ID() != members.Self.ID() {
+				stats.startingInstances++
+			}
 		}
 	}
 	for _, release := range i.members.Releases() {
--- a/pkg/pond/instance.go
+++ b/pkg/pond/instance.go
@@ -42,6 +42,7 @@
 	dataCentre  string
 	region      string
 	capacity    uint32
+	starting    bool
 }
 
 // NewInstance returns an instance description. Addresses have the form IP:PORT; the peer address serves drpc over TCP
@@ -70,9 +71,19 @@
 	return i
 }
 
+// WithStarting returns the description of an instance that has said or not said that it is starting.
+func (i Instance) WithStarting(starting bool) Instance {
+	i.starting = starting
+	return i
+}
+
 // Capacity returns the share of work that the instance can handle, relative to others; 0 if it is not known.
 func (i Instance) Capacity() uint32 { return i.capacity }
 
+// Starting reports whether the instance has said that it has not been ready for callers since its start. Instances of releases that do not say it
+// never are.
+func (i Instance) Starting() bool { return i.starting }
+
 // Ref returns the name and incarnation.
 func (i Instance) Ref() InstanceRef { return i.ref }
 
