--- a/internal/member/machine_test.go
+++ b/internal/member/machine_test.go
@@ -312,6 +312,35 @@
 	}
 }
 
+// TestReadyUpdateHasAddresses guards against an update without addresses in place of the one that tells of a start: members that do not know the instance
+// yet would not learn of it.
+func TestReadyUpdateHasAddresses(t *testing.T) {
+	started := report(5, 1, pond.InstanceLive)
+	started.Starting = true
+	tests := []struct {
+		name string
+		next *peerpb.Member
+	}{
+		{"told in full", report(5, 2, pond.InstanceLive)},
+		{"told in short", &peerpb.Member{Id: "other", Incarnation: 5, Version: 2, State: uint32(pond.InstanceLive)}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			m := newTestMachine()
+			m.merge(testStart, started, false)
+			m.merge(testStart, test.next, false)
+			newcomer := NewMachine(pond.NewInstance(pond.InstanceRef{ID: "newcomer"}, pond.InstanceLive, "", "127.0.0.3:2", "norte-1", "norte"),
+				rand.New(rand.NewPCG(1, 1)), testStart)
+			for _, u := range m.updates.updates {
+				newcomer.merge(testStart, u.member, false)
+			}
+			if r := newcomer.records["other"]; r == nil || r.instance.Starting() || r.version != 2 {
+				t.Errorf("a member that gets the updates knows %v, want the instance, ready", r)
+			}
+		})
+	}
+}
+
 // TestReadinessAddsFewBytes guards against entries that are larger while instances are ready.
 func TestReadinessAddsFewBytes(t *testing.T) {
 	m := newStartingMachine("self", 1)
