soak: a request that a backend server got counts as read whole

Cause: the check of lost requests left out those whose caller had not yet recorded the end of the write. The HTTP client records it beside the response, so that a request cut at once could be missed. Found by reading. Change: what a backend server got was read. The log also says how many requests were cut without a fault. Measured: the new case of TestLostRequests; the table passes.

--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -54,7 +54,7 @@
 // cut reports whether the instance ended the connection without a complete answer though it had read the whole request and no fault excuses it.
 func (e exchange) cut() bool {
 	took := e.endedAt.Sub(e.sentAt)
-	return e.written && !e.complete && !e.disturbed && took < e.limit && (e.sentOn || took > lossSlack)
+	return !e.complete && !e.disturbed && took < e.limit && (e.sentOn || e.written && took > lossSlack)
 }
 
 // nearlyOver reports whether the request had used most of its time.
@@ -173,11 +173,14 @@
 	c.mu.Lock()
 	work := plannedWork{slices.Clone(c.published), slices.Clone(c.reloads)}
 	c.mu.Unlock()
-	undisturbed, kept, beside, incomplete := 0, 0, 0, 0
+	undisturbed, kept, beside, incomplete, cut := 0, 0, 0, 0, 0
 	for _, e := range exchanges {
 		if !e.complete {
 			incomplete++
 		}
+		if e.cut() {
+			cut++
+		}
 		if e.disturbed {
 			continue
 		}
@@ -189,8 +192,8 @@
 			beside++
 		}
 	}
-	t.Logf("%d requests, %d incomplete; without a fault %d, of them %d on kept connections and %d beside configurations; %d configurations, %d SIGHUPs",
-		len(exchanges), incomplete, undisturbed, kept, beside, len(work.configurations), len(work.reloads))
+	t.Logf("%d requests, %d incomplete; without a fault %d, %d of them cut, %d on kept connections, %d beside configurations; %d configurations, %d SIGHUPs",
+		len(exchanges), incomplete, undisturbed, cut, kept, beside, len(work.configurations), len(work.reloads))
 	for _, text := range work.lost(exchanges) {
 		t.Error(text)
 	}
@@ -375,7 +378,8 @@
 		{"before seven tenths of its time", []exchange{cutAt(beside, took(3499*time.Millisecond))}, 1},
 		{"after seven tenths of its time", []exchange{cutAt(beside, took(3500*time.Millisecond))}, 0},
 		{"cut by a fault beside a configuration", []exchange{cutAt(beside, disturbed)}, 0},
-		{"not written", []exchange{cutAt(beside, unwritten)}, 0},
+		{"not written", []exchange{cutAt(beside, unwritten, notSentOn, took(time.Second))}, 0},
+		{"sent on before the caller knew that it was written", []exchange{cutAt(beside, unwritten)}, 1},
 		{"written, not sent on, cut at once", []exchange{cutAt(beside, notSentOn, took(lossSlack))}, 0},
 		{"written, not sent on, cut late", []exchange{cutAt(beside, notSentOn, took(lossSlack+time.Millisecond))}, 1},
 		{"sent on, cut at once", []exchange{cutAt(beside, took(time.Millisecond))}, 1},
