--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -268,7 +268,7 @@
 		{name: "not JSON", body: "data: [\n\n", err: true},
 		{name: "endless line", body: "data: " + strings.Repeat("x", 2*maxEventBytes), err: true},
 		{name: "line above 64 KB", body: "data: {\"text\":\"" + strings.Repeat("x", 64<<10) + "\"}\n\n", err: true},
-		{name: "lines above 64 KB", body: strings.Repeat("data: [0,\n", 16<<10), err: true},
+		{name: "lines above 64 KB", body: strings.Repeat("data: [0,\n", 32<<10), err: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
