stream, front: a generation that is wanted whole holds its text within the memory for answers

Cause: the text of a generation that is not streamed had no limit: an engine whose valid tokens do not end filled the memory, for as long as tokens came, since progress stops the clock of the deadline. Change: 2 MB for the text, and its sum shares the budget of the answers of calls; a dropped one is refused with "overloaded", run unknown. The budget belongs to the instance. All engines are one source of the budget.

--- a/internal/bound/budget.go
+++ b/internal/bound/budget.go
@@ -80,6 +80,22 @@
 	}
 }
 
+// Hold takes memory for a body of which the given number of bytes is held, in all. The error is ErrNoRoom if the body was dropped.
+func (h *Holding) Hold(bytes int64) error {
+	if !h.grow(bytes) {
+		return ErrNoRoom
+	}
+	return nil
+}
+
+// Settle records that the body is complete, and is not to be dropped any more. The error is ErrNoRoom if it was dropped.
+func (h *Holding) Settle() error {
+	if !h.settle() {
+		return ErrNoRoom
+	}
+	return nil
+}
+
 // grow waits until the body may hold the given number of bytes. It returns false if the body was evicted.
 func (h *Holding) grow(bytes int64) bool {
 	b := h.budget
--- a/internal/bound/http.go
+++ b/internal/bound/http.go
@@ -46,6 +46,7 @@
 	return content, nil
 }
 
+// tooLarge returns the error for a body above a limit.
 func tooLarge(limit int64) error { return errors.Wrapf(ErrTooLarge, "more than %d bytes", limit) }
 
 // ReadResponse reads the response to a request that was written to a connection. It skips informational responses.
--- a/internal/calls/drain.go
+++ b/internal/calls/drain.go
@@ -73,7 +73,3 @@
 	t := e.machine.table
 	return t.callCount(), t.tombstones, t.running
 }
-
-// Answers returns the bytes of the answers that are read from replicas or written to callers, beyond a small share for each, and the number
-// of answers that have been dropped for want of room.
-func (e *Executor) Answers() (bytes int64, dropped uint64) { return e.answers.Usage() }
--- a/internal/calls/executor.go
+++ b/internal/calls/executor.go
@@ -22,9 +22,6 @@
 	logger  logrus.FieldLogger
 	keys    *keyIssuer
 	sender  sender
-	// answers limits the answers that are read from replicas or written to callers.
-	answers *bound.Budget
-
 	mu      sync.Mutex
 	machine *stateMachine
 	// active is the number of running handlers of keyed calls and background runs.
@@ -44,15 +41,13 @@
 func New(options Options) *Executor {
 	options = options.withDefaults()
 	self := options.Directory.Self().Ref()
-	answers := bound.NewBudget(options.MaxReadBytes)
 	keys := &keyIssuer{ref: self, macKey: options.MACKey, started: options.Clock(), validity: options.KeyValidity}
 	return &Executor{
 		options: options,
 		self:    self,
 		logger:  options.Logger,
 		keys:    keys,
-		sender:  newUnpooledSender(options.Dial, answers),
-		answers: answers,
+		sender:  newUnpooledSender(options.Dial, options.Answers),
 		machine: &stateMachine{
 			keys:           keys,
 			table:          newRecordTable(),
@@ -242,7 +237,7 @@
 
 // logDropped logs that the answer of a replica was dropped.
 func (e *Executor) logDropped(backend string) {
-	held, dropped := e.answers.Usage()
+	held, dropped := e.options.Answers.Usage()
 	e.logger.WithFields(logrus.Fields{logs.Event: "answerDropped", logs.Backend: backend, "heldBytes": held, "dropped": dropped}).
 		Warn("the answer of a replica was dropped, because the answers that are held take the memory for them")
 }
--- a/internal/calls/idempotent.go
+++ b/internal/calls/idempotent.go
@@ -218,7 +218,7 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBodyBytes))
 		return pond.Answer{}, pond.OutcomeAnswered, errUnavailable
 	}
-	answer, err := readAnswer(response, e.answers.Open(address, cancel))
+	answer, err := readAnswer(response, e.options.Answers.Open(address, cancel))
 	return answer, pond.OutcomeAnswered, err
 }
 
--- a/internal/calls/options.go
+++ b/internal/calls/options.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 	"github.com/dragonflypond/dragonflypond/pkg/spec"
@@ -18,8 +19,8 @@
 	// DefaultMaxAnswerBytes limits the stored answers of one instance. With 20,000 records, the default of the
 	// manifest, the records take 9 MB without their answers, and as many tombstones 7 MB.
 	DefaultMaxAnswerBytes = 8 << 20
-	// DefaultMaxReadBytes limits the answers that are read from replicas or written to callers, beyond a small share for each.
-	DefaultMaxReadBytes = 8 << 20
+	// defaultReadBytes is the budget for answers that are read from replicas or written to callers if none is given.
+	defaultReadBytes = 8 << 20
 
 	// answerRetention is how long the answer is kept for repeats after the key has expired.
 	answerRetention = 10 * time.Minute
@@ -50,9 +51,8 @@
 	KeyValidity time.Duration
 	// MaxAnswerBytes limits the stored answers; zero means DefaultMaxAnswerBytes. New calls are refused above it.
 	MaxAnswerBytes int64
-	// MaxReadBytes limits the answers that are read from replicas or written to callers, beyond a small share for each; zero means
-	// DefaultMaxReadBytes. Above it, the largest answer of the replica whose answers take most is dropped.
-	MaxReadBytes int64
+	// Answers limits the answers that are read from replicas or written to callers. Nil means a budget of defaultReadBytes.
+	Answers *bound.Budget
 }
 
 func (o Options) withDefaults() Options {
@@ -68,8 +68,8 @@
 	if o.MaxAnswerBytes == 0 {
 		o.MaxAnswerBytes = DefaultMaxAnswerBytes
 	}
-	if o.MaxReadBytes == 0 {
-		o.MaxReadBytes = DefaultMaxReadBytes
+	if o.Answers == nil {
+		o.Answers = bound.NewBudget(defaultReadBytes)
 	}
 	return o
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/calls"
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/config"
@@ -47,6 +48,7 @@
 	engines       *engine.Client
 	placer        *place.Placer
 	loggingPlacer *loggingPlacer
+	answers       *bound.Budget
 	executor      *calls.Executor
 	reconciler    *order.Reconciler
 	front         *front.Front
@@ -85,6 +87,7 @@
 		network:   network,
 		listeners: sockets,
 		metrics:   metric.New(),
+		answers:   bound.NewBudget(settings.ReadAnswerBytes()),
 		shutdown:  make(chan struct{}),
 		handOver:  make(chan struct{}),
 	}
@@ -226,7 +229,7 @@
 		Logger:    e.log,
 
 		MaxAnswerBytes: e.settings.KeptAnswerBytes(),
-		MaxReadBytes:   e.settings.ReadAnswerBytes(),
+		Answers:        e.answers,
 	})
 	e.reconciler = order.New(order.Options{
 		Source:    e.watch,
@@ -298,6 +301,7 @@
 		Directory:       e.members,
 		MACKey:          e.network.MACKey(),
 		EngineClient:    e.engines,
+		Answers:         e.answers,
 		Executor:        e.executor,
 		RunKeys:         e.executor,
 		Conn:            e.network.Conn,
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -59,7 +59,7 @@
 	CallRecords     int `json:"callRecords"`
 	CallTombstones  int `json:"callTombstones"`
 	CallsRunning    int `json:"callsRunning"`
-	// AnswerBytes is the memory of the answers of plain services that are read or written, beyond a small share for each, and
+	// AnswerBytes is the memory of the answers that are held until they are complete and written, beyond a small share for each, and
 	// AnswersDropped the number of those that were dropped for want of room.
 	AnswerBytes    int64  `json:"answerBytes"`
 	AnswersDropped uint64 `json:"answersDropped"`
@@ -76,7 +76,7 @@
 	members := e.members.Snapshot()
 	manifest := e.watch.Snapshot()
 	records, tombstones, running := e.executor.Counts()
-	answerBytes, answersDropped := e.executor.Answers()
+	answerBytes, answersDropped := e.answers.Usage()
 	return Status{
 		Instance: e.members.Self().Ref().String(),
 		Phase:    e.Phase(),
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
@@ -23,6 +24,8 @@
 	// readHeaderTimeout closes connections whose caller sends its header too slowly.
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
+	// defaultAnswerBytes is used if no budget for answers is given.
+	defaultAnswerBytes = 8 << 20
 )
 
 // RunKeyIssuer issues run key prefixes for calls that may not be repeated.
@@ -69,6 +72,8 @@
 	Accepting func() bool
 	// Status serves GET /v1/status. It may be nil.
 	Status http.Handler
+	// Answers limits the answers that are held in memory until they are complete. Nil means a budget of defaultAnswerBytes.
+	Answers *bound.Budget
 	// Metrics may be nil.
 	Metrics *metric.Metrics
 	// Log may be nil.
@@ -101,6 +106,9 @@
 	if options.EngineClient == nil {
 		options.EngineClient = engine.NewClient(nil)
 	}
+	if options.Answers == nil {
+		options.Answers = bound.NewBudget(defaultAnswerBytes)
+	}
 	if options.Metrics == nil {
 		options.Metrics = metric.New()
 	}
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -1,9 +1,12 @@
 package front
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"github.com/dragonflypond/dragonflypond/internal/stream"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -44,7 +47,12 @@
 
 // serveUnstreamed sends the complete answer as one JSON object.
 func (f *Front) serveUnstreamed(w http.ResponseWriter, r *request, req stream.Request, format answerFormat) error {
-	answer, err := f.relay.GenerateComplete(r.Context(), req)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	// The engine may change on the way, so that all are one source.
+	holding := f.options.Answers.Open("engines", cancel)
+	defer holding.Close()
+	answer, err := f.relay.GenerateComplete(ctx, req, holding)
 	if err != nil {
 		return err
 	}
@@ -54,7 +62,13 @@
 		TotalTokens:      req.PromptTokens + answer.Tokens,
 	}
 	head := chunkHead{ID: answer.Generation, Created: r.arrived.Unix(), Model: req.Model}
-	sendJSON(w, format.completeAnswer(head, answer, usage))
+	content, err := json.Marshal(format.completeAnswer(head, answer, usage))
+	if err != nil {
+		return errors.Wrap(err, "encode a generation")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	writeAnswer(w, append(content, '\n'))
 	return nil
 }
 
--- a/internal/stream/generate.go
+++ b/internal/stream/generate.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -43,13 +44,24 @@
 	return j.run(ctx)
 }
 
+// maxCompleteBytes bounds the text of a complete response.
+const maxCompleteBytes = 2 << 20
+
 // GenerateComplete generates a response and returns it when it is complete. The error is a *pond.Refusal. A generation
-// that fails halfway is replaced by a new one, as the caller has received nothing.
-func (r *Relay) GenerateComplete(ctx context.Context, req Request) (Answer, error) {
-	c := &collector{}
+// that fails halfway is replaced by a new one, as the caller has received nothing. The text is held in the given part of a budget, whose end
+// must end ctx.
+func (r *Relay) GenerateComplete(ctx context.Context, req Request, holding *bound.Holding) (Answer, error) {
+	c := &collector{holding: holding}
 	j := r.newJob(req, c)
 	j.nonStreaming = true
-	if err := j.run(ctx); err != nil {
+	err := j.run(ctx)
+	if settleErr := holding.Settle(); settleErr != nil {
+		return Answer{}, pond.NewRefusal(pond.ReasonOverloaded, pond.RunUnknown, time.Time{}, "the generation was dropped: "+settleErr.Error())
+	}
+	if c.tooLarge {
+		return Answer{}, pond.NewRefusal(pond.ReasonTooLarge, pond.RunYes, time.Time{}, "the text of the generation is too large")
+	}
+	if err != nil {
 		return Answer{}, err
 	}
 	if c.last.Reason == pond.ReasonLeaving {
@@ -63,6 +75,8 @@
 
 // collector is a Sink that assembles a complete response.
 type collector struct {
+	holding    *bound.Holding
+	tooLarge   bool
 	generation string
 	text       strings.Builder
 	last       Item
@@ -74,6 +88,14 @@
 		c.generation = item.Generation
 		c.text.Reset()
 	}
+	size := c.text.Len() + len(item.Text)
+	if size > maxCompleteBytes {
+		c.tooLarge = true
+		return bound.ErrTooLarge
+	}
+	if err := c.holding.Hold(int64(size)); err != nil {
+		return err
+	}
 	c.text.WriteString(item.Text)
 	c.last = item
 	return nil
