--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
@@ -26,6 +27,8 @@
 	idleTimeout       = 2 * time.Minute
 	// finalAnswerTime bounds the time for the answers to the calls that are in progress at the end of a drain.
 	finalAnswerTime = time.Second
+	// defaultAnswerBytes is used if no budget for answers is given.
+	defaultAnswerBytes = 8 << 20
 )
 
 // errLeaving ends the calls that are in progress at the end of a drain.
@@ -75,6 +78,8 @@
 	Accepting func() bool
 	// Status serves GET /v1/status. It may be nil.
 	Status http.Handler
+	// Answers limits the answers that are held in memory until they are complete. Nil means a budget of defaultAnswerBytes.
+	Answers *bound.Budget
 	// Metrics may be nil.
 	Metrics *metric.Metrics
 	// Log may be nil.
@@ -107,6 +112,9 @@
 	if options.EngineClient == nil {
 		options.EngineClient = engine.NewClient(nil)
 	}
+	if options.Answers == nil {
+		options.Answers = bound.NewBudget(defaultAnswerBytes)
+	}
 	if options.Metrics == nil {
 		options.Metrics = metric.New()
 	}
