serve: a request head of at most 16 KB at the readiness, lookup and metrics listeners

Cause: these servers had net/http's own limit of 1 MB for a head, for each connection. Change: 16 KB.

--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -52,8 +52,9 @@
 	// leavingDistance is added to the way through an instance that shuts down, so that it is longer than any other.
 	leavingDistance = 100
 
-	// auxHeaderTimeout bounds the time to read a request header on the auxiliary listeners.
+	// auxHeaderTimeout and auxHeaderBytes bound the time to read a request header on the auxiliary listeners, and its size.
 	auxHeaderTimeout = 5 * time.Second
+	auxHeaderBytes   = 16 << 10
 )
 
 // Instance is one entry instance.
@@ -589,15 +590,16 @@
 	var servers []auxServer
 	for _, h := range handlers {
 		if h.listener != nil {
-			servers = append(servers, auxServer{
-				listener: h.listener,
-				server:   &http.Server{Handler: h.handler, ReadHeaderTimeout: auxHeaderTimeout},
-			})
+			servers = append(servers, auxServer{listener: h.listener, server: newAuxServer(h.handler)})
 		}
 	}
 	return servers
 }
 
+func newAuxServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: auxHeaderTimeout, MaxHeaderBytes: auxHeaderBytes}
+}
+
 func (s auxServer) run(ctx context.Context) error {
 	go func() {
 		<-ctx.Done()
