fakes: stand-ins read a request of at most 64 KB and 16 MB

Cause: the servers of the stand-ins had net/http's own limit of 1 MB for a head, and the decoders of bodies had none. Change: one limit for each, where all of them are served. Measured: go test ./internal/fakes passes; there is no test of these limits.

--- a/internal/fakes/server.go
+++ b/internal/fakes/server.go
@@ -9,8 +9,13 @@
 	"github.com/pkg/errors"
 )
 
-// headerTimeout is the time within which a client must send its request header.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout is the time within which a client must send its request header.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes and maxBodyBytes bound a request.
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 16 << 20
+)
 
 // Server serves one stand-in over HTTP.
 type Server struct {
@@ -26,7 +31,10 @@
 		return nil, errors.Wrap(err, "listen for a stand-in")
 	}
 	s := &Server{
-		server:   &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: log.Default()},
+		server: &http.Server{
+			Handler: http.MaxBytesHandler(handler, maxBodyBytes), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ErrorLog: log.Default(),
+		},
 		listener: listener,
 		done:     make(chan struct{}),
 	}
