calls: answers that end at one moment are kept up to twice the limit of the records

Cause: the limit was checked only when a call was admitted; all calls that ran at that moment could end with 2 MB each, which the table keeps for its ten minutes. Change: beyond as much again, only answers of up to 4 KB are kept; a larger one is refused, run yes, to its caller and to repeats.

--- a/internal/calls/state_machine.go
+++ b/internal/calls/state_machine.go
@@ -30,6 +30,9 @@
 	maxAnswerBytes int64
 }
 
+// smallAnswerBytes is the size of an answer that is kept in any case.
+const smallAnswerBytes = 4 << 10
+
 // snapshot is the state of the environment at the time of a decision.
 type snapshot struct {
 	manifest  *spec.Manifest
@@ -128,8 +131,14 @@
 	return nil
 }
 
-// finish stores the result of a call. Repeats get the same result.
-func (m *stateMachine) finish(r *record, res result) { m.table.finish(r, res) }
+// finish stores the result of a call. Repeats get the same result. Calls that were admitted while there was room may end with large answers
+// together; beyond as much again, only small ones are kept.
+func (m *stateMachine) finish(r *record, res result) {
+	if bytes := res.bytes(); bytes > smallAnswerBytes && m.table.answerBytes+bytes > 2*m.maxAnswerBytes {
+		res = result{refusal: pond.NewRefusal(pond.ReasonTooLarge, pond.RunYes, time.Time{}, "the call has run, but there is no room to keep its answer")}
+	}
+	m.table.finish(r, res)
+}
 
 func refuseNotRun(reason pond.Reason, detail string) *pond.Refusal {
 	return pond.NewRefusal(reason, pond.RunNo, time.Time{}, detail)
