--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -59,14 +59,12 @@
 	service string
 	// tokens is the length of a generation, 0 if it is unknown; plainWork for a request without one.
 	tokens int
-	// deadline is when the request ends in any case.
-	deadline time.Time
 }
 
 const plainWork = -1
 
 func (x *exchange) workload() workload {
-	w := workload{service: x.service.Name, tokens: plainWork, deadline: x.deadline}
+	w := workload{service: x.service.Name, tokens: plainWork}
 	if x.service.Engine != nil {
 		w.tokens = 0
 		if x.call.Prompt != nil && x.call.Prompt.MaxOutput > 0 {
@@ -77,12 +75,9 @@
 }
 
 // latestStart returns the time after which work is not expected to end before the instance stops. It returns false for work of unknown
-// length, which may not be started at all. Work whose deadline comes first is not cut by the shutdown, whenever it starts.
+// length, which may not be started at all.
 func (r *Relay) latestStart(w workload) (time.Time, bool) {
 	plan, now := r.shutdown.plan.Load(), time.Now()
-	if !w.deadline.After(plan.AnswerBy()) {
-		return w.deadline, true
-	}
 	switch w.tokens {
 	case 0:
 		return time.Time{}, false
