relay: a caller whose long body is on its way when the instance stops gets an answer

Cause: the deadline of a body ended with its first 64 KiB during a shutdown; the send to the backend server waits for the rest, so that its final answer was never written and the connection was closed at the exit. When a deadline of the body passes, net/http also ends the context of the request, which was taken for a caller who left. Change: the body's deadline holds until the body has been read, and the final answers set it; what it ends is not a caller who left.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -6,6 +6,12 @@
 	"io"
 	"math"
 	"net/http"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/dragonflypond/dragonflypond/internal/logs"
 )
 
 // replayLimit is the size up to which a request body is buffered for retries. Prompts take up to 17 KB.
@@ -78,3 +84,47 @@
 	}
 	return io.NopCloser(io.MultiReader(bytes.NewReader(b.buffered), b.rest))
 }
+
+// bodyDeadline is the time by which a request body has to be there. Once the body has been read it is removed for good, because net/http
+// watches the connection from then on, and a deadline that passes would look like a caller who left. It is safe for concurrent use.
+type bodyDeadline struct {
+	controller *http.ResponseController
+	log        logrus.FieldLogger
+	mu         sync.Mutex
+	at         time.Time // zero for none
+	removed    bool
+}
+
+// set sets the deadline.
+func (d *bodyDeadline) set(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.removed {
+		d.apply(at)
+	}
+}
+
+// passed reports whether the body did not come in time.
+func (d *bodyDeadline) passed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.at.IsZero() && !time.Now().Before(d.at)
+}
+
+// expire ends the reading of the body.
+func (d *bodyDeadline) expire() { d.set(time.Now()) }
+
+// remove removes the deadline.
+func (d *bodyDeadline) remove() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.removed = true
+	d.apply(time.Time{})
+}
+
+func (d *bodyDeadline) apply(at time.Time) {
+	d.at = at
+	if err := d.controller.SetReadDeadline(at); err != nil {
+		d.log.WithError(err).WithField(logs.Event, "bodyUntimed").Warn("the caller's connection takes no deadline")
+	}
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -127,7 +127,7 @@
 		x.refuseUnsafe()
 		return
 	}
-	if late && runs == 0 && x.in.Context().Err() == nil {
+	if late && runs == 0 && !x.callerLeft() {
 		x.refuseLeaving()
 		return
 	}
@@ -156,7 +156,7 @@
 // respondFailure responds after the last attempt has failed.
 func (x *exchange) respondFailure(ctx context.Context, last *attempt, runs int) {
 	switch {
-	case x.in.Context().Err() != nil:
+	case x.callerLeft():
 		x.abortDisconnected()
 	case last != nil && last.err == nil:
 		x.writeResponse(*last)
@@ -486,7 +486,7 @@
 		if err == nil {
 			rest := &brokenBody{ReadCloser: a.rest}
 			_, err = io.Copy(x.w, rest)
-			if rest.broken && x.in.Context().Err() == nil && a.onBroken != nil {
+			if rest.broken && !x.callerLeft() && a.onBroken != nil {
 				a.onBroken()
 			}
 		}
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -212,7 +212,7 @@
 
 // giveUpLimited responds to a generation that the limits of the chosen engines did not permit.
 func (x *exchange) giveUpLimited(ctx context.Context) {
-	if x.run.runs == 0 && x.in.Context().Err() == nil {
+	if x.run.runs == 0 && !x.callerLeft() {
 		x.refuseLimited()
 		return
 	}
@@ -221,7 +221,7 @@
 
 // giveUpBackingOff responds to a generation whose engines have asked for a back-off.
 func (x *exchange) giveUpBackingOff(ctx context.Context) {
-	if x.run.runs > 0 || x.in.Context().Err() != nil || !x.refuseBackingOff() {
+	if x.run.runs > 0 || x.callerLeft() || !x.refuseBackingOff() {
 		x.giveUp(ctx, shortRetryDelay, "the chosen engines asked this instance to back off")
 	}
 }
@@ -230,7 +230,7 @@
 // that is certain.
 func (x *exchange) giveUp(ctx context.Context, after time.Duration, detail string) {
 	switch {
-	case x.in.Context().Err() != nil:
+	case x.callerLeft():
 		x.abortDisconnected()
 	case x.run.runs == 0:
 		x.refuse(pond.ReasonNoBackend, after, detail)
@@ -244,7 +244,7 @@
 // respondGenerationFailure responds to a generation that an engine may have run but did not stream.
 func (x *exchange) respondGenerationFailure(ctx context.Context, a attempt) {
 	switch {
-	case x.in.Context().Err() != nil:
+	case x.callerLeft():
 		x.abortDisconnected()
 	case a.err == nil:
 		a.buffer()
@@ -267,7 +267,7 @@
 		x.fail(http.StatusBadGateway, pond.ReasonInternal, err.Error())
 		return
 	}
-	if x.in.Context().Err() != nil {
+	if x.callerLeft() {
 		x.abort(pond.ReasonCanceled, "the caller left while the request waited")
 	}
 	if x.relay.shutdown.begun() && refusal.Reason() == pond.ReasonCanceled || x.answerBy().Before(x.deadline) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -121,7 +121,9 @@
 	arrived   time.Time
 	deadline  time.Time
 	body      Body
-	log       logrus.FieldLogger
+	// bodyDeadline is the time by which the body has to be there.
+	bodyDeadline *bodyDeadline
+	log          logrus.FieldLogger
 	// requestIdentity caches identity; empty until then.
 	requestIdentity string
 	// run holds the attempts to run a generation.
@@ -143,6 +145,7 @@
 func (r *Relay) Serve(w http.ResponseWriter, in *http.Request, call *Call) {
 	x := &exchange{relay: r, w: w, in: in, call: call, arrived: time.Now()}
 	x.log = r.options.Log.WithField(logs.Request, call.ID)
+	x.bodyDeadline = &bodyDeadline{controller: http.NewResponseController(w), log: x.log}
 	r.open.add(x)
 	defer r.open.remove(x)
 	if !x.prepare() {
@@ -151,7 +154,10 @@
 	x.progress.advance(StageWaiting)
 	ctx, cancel := context.WithDeadline(in.Context(), x.deadline)
 	defer cancel()
-	defer x.endWithShutdown(cancel)()
+	defer x.endWithShutdown(func() {
+		cancel()
+		x.bodyDeadline.expire()
+	})()
 	r.options.Budget.RecordRequest(x.service.Name, x.arrived)
 	if x.service.Engine != nil {
 		x.generate(ctx)
@@ -195,14 +201,11 @@
 	}
 	if x.in.ContentLength != 0 {
 		// Without a body, the server watches the connection already, and a deadline that passes would look like a caller who left.
-		x.setBodyDeadline(x.deadline)
-	}
-	release := x.endBodyWithShutdown()
-	defer release()
-	body, err := readBody(x.in, x.catalogue.Limits().BodyBytes, func() {
-		release()
-		x.setBodyDeadline(time.Time{})
-	})
+		x.bodyDeadline.set(x.deadline)
+	}
+	stop := context.AfterFunc(x.relay.shutdown.ending, x.bodyDeadline.expire)
+	defer stop()
+	body, err := readBody(x.in, x.catalogue.Limits().BodyBytes, x.bodyDeadline.remove)
 	if err != nil {
 		x.rejectBody(err)
 		return false
@@ -224,13 +227,6 @@
 	x.w.Header().Set("Connection", "close")
 }
 
-// setBodyDeadline sets the time by which the request body has to be there; the zero time is for none.
-func (x *exchange) setBodyDeadline(at time.Time) {
-	if err := http.NewResponseController(x.w).SetReadDeadline(at); err != nil {
-		x.log.WithError(err).WithField(logs.Event, "bodyUntimed").Warn("the caller's connection takes no deadline")
-	}
-}
-
 // readPosition takes over the caller's position in a resumable stream. On false, it has sent an error response.
 func (x *exchange) readPosition() bool {
 	if !x.route.Resumable || x.call.Position == "" {
@@ -337,6 +333,9 @@
 	panic(http.ErrAbortHandler)
 }
 
+// callerLeft reports whether the caller has closed its connection. net/http says so as well when a body does not come in time.
+func (x *exchange) callerLeft() bool { return x.in.Context().Err() != nil && !x.bodyDeadline.passed() }
+
 // abortDisconnected aborts a response whose connection was closed by the caller, or by this instance at the end of its
 // shutdown.
 func (x *exchange) abortDisconnected() {
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -140,35 +139,16 @@
 	}
 }
 
-// endWithShutdown calls cancel shortly before the instance stops if no response has begun by then, so that the caller gets a final answer.
-func (x *exchange) endWithShutdown(cancel context.CancelFunc) (release func()) {
+// endWithShutdown calls end shortly before the instance stops if no response has begun by then, so that the caller gets a final answer.
+func (x *exchange) endWithShutdown(end func()) (release func()) {
 	stop := context.AfterFunc(x.relay.shutdown.ending, func() {
 		if !x.progress.responding() {
-			cancel()
+			end()
 		}
 	})
 	return func() { stop() }
 }
 
-// endBodyWithShutdown ends the reading of the request body in time for a refusal before the instance stops.
-func (x *exchange) endBodyWithShutdown() (release func()) {
-	var mu sync.Mutex
-	released := false
-	stop := context.AfterFunc(x.relay.shutdown.ending, func() {
-		mu.Lock()
-		defer mu.Unlock()
-		if !released {
-			x.setBodyDeadline(time.Now())
-		}
-	})
-	return func() {
-		stop()
-		mu.Lock()
-		defer mu.Unlock()
-		released = true
-	}
-}
-
 // answerBy returns the time by which a backend server has to answer: the deadline, or an earlier end of the instance.
 func (x *exchange) answerBy() time.Time {
 	if plan := x.relay.shutdown.plan.Load(); plan != nil && plan.AnswerBy().Before(x.deadline) {
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -282,6 +282,34 @@
 	}
 }
 
+// TestUploadAtTheEnd guards against a caller without an answer whose long body is still on its way when the instance stops.
+func TestUploadAtTheEnd(t *testing.T) {
+	bed := newTestBed(t, route.KindAtMostOnce, nil, newFakeBackend(t, respondOK))
+	bed.callerWait = callerPatience
+	bed.setRouteTimeout(t, callerPatience)
+	body, rest := io.Pipe()
+	defer rest.Close()
+	req := bed.request(t, "key", "")
+	req.Body, req.ContentLength = body, 3*replayLimit
+	sent := time.Now()
+	for range 20 {
+		bed.relay.history.BeginCall("s", sent).Answered(sent.Add(time.Millisecond))
+	}
+	bed.relay.Leave(sent.Add(3 * time.Second))
+	go func() { _, _ = rest.Write(make([]byte, 2*replayLimit)) }()
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	context.AfterFunc(ctx, func() { _ = rest.Close() })
+	resp, err := http.DefaultTransport.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		t.Fatalf("no answer during the shutdown: %v", err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status %d, want %d", resp.StatusCode, http.StatusGatewayTimeout)
+	}
+}
+
 // TestFailedTryDuringShutdown guards against a request that is repeated without enough time before its instance stops, or although it may not
 // be, and against a caller who gets less than the answer to the first try.
 func TestFailedTryDuringShutdown(t *testing.T) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -334,7 +334,7 @@
 	x.addPromptFields(fields, s.attempt.weightsVersion)
 	x.log.WithError(err).WithFields(fields).Info("the stream of an engine broke off")
 	switch {
-	case x.in.Context().Err() != nil || errors.Is(err, errCallerLeft):
+	case x.callerLeft() || errors.Is(err, errCallerLeft):
 		x.abortDisconnected()
 	case ctx.Err() != nil && !s.headerWritten:
 		x.failUnanswered("no event arrived in time")
