--- a/internal/order/endless_test.go
+++ b/internal/order/endless_test.go
@@ -30,6 +30,10 @@
 		{"state, head", readState, true, fakes.EndlessHeads()},
 		{"order, head", sendOrder, true, fakes.EndlessHeads()},
 		{"state, body", readState, false, fakes.EndlessBodies()}, // The body of the answer to an order is not read.
+		{"state with more behind it", readState, false, []fakes.EndlessForm{
+			{Name: "spaces", Prefix: "HTTP/1.1 200 OK\r\n\r\n{\"fence\":3,\"state\":\"ready\"}", Repeated: " "},
+			{Name: "states", Prefix: "HTTP/1.1 200 OK\r\n\r\n{\"fence\":3}", Repeated: "{\"fence\":4}"},
+		}},
 	}
 	for _, test := range tests {
 		for _, form := range test.forms {
