soak: a late start of the next process is no late exit

Cause: stop() reported "did not exit within its grace period" until the next process had been started, 0.3 s and a slow start later: in the logs of docs/incidents/logs/overlapping-stops-load.tgz five of the late exits had ended 7.19 to 7.42 s after they began to leave. Change: the end of the process counts; stop() still returns when the next one has been started.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -79,6 +79,7 @@
 
 	mu      sync.Mutex
 	process *exec.Cmd
+	ended   *exec.Cmd     // the last process that has ended
 	release string        // of the process
 	stopped chan struct{} // closed when supervise returns
 }
@@ -360,6 +361,9 @@
 			return
 		}
 		_ = command.Wait() // The exit status of a killed process has no meaning.
+		i.mu.Lock()
+		i.ended = command
+		i.mu.Unlock()
 		time.Sleep(time.Duration(c.restartNanos.Load()))
 	}
 }
