drain: the time for final answers depends on how many requests wait for one

Cause: 0.3 s before the exit were reserved for the final answers, whatever their number. Change: 1 ms for each request without a response, at least 0.3 s and at most 1 s; the relay looks every 20 ms how many there are.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -26,6 +26,19 @@
 	}
 }
 
+// TestAnswersFrom guards against too little time for the final answers of many requests, and against an end of all of them that is too early.
+func TestAnswersFrom(t *testing.T) {
+	exitAt := time.Unix(1000, 0)
+	for _, test := range []struct {
+		unanswered int
+		want       time.Duration // until the exit
+	}{{0, 300 * time.Millisecond}, {300, 300 * time.Millisecond}, {500, 500 * time.Millisecond}, {1_000_000, time.Second}} {
+		if got := exitAt.Sub(NewPlan(exitAt).AnswersFrom(test.unanswered)); got != test.want {
+			t.Errorf("%d requests are answered %v before the exit, want %v", test.unanswered, got, test.want)
+		}
+	}
+}
+
 // TestHistory guards against expectations that ignore slow requests, keep old ones for ever, or mix services.
 func TestHistory(t *testing.T) {
 	tests := []struct {
--- a/internal/relay/progress.go
+++ b/internal/relay/progress.go
@@ -85,6 +85,17 @@
 	return len(o.exchanges)
 }
 
+// unanswered returns the number of requests whose response has not begun.
+func (o *openRequests) unanswered() int {
+	count := 0
+	for _, x := range o.list() {
+		if !x.progress.responding() {
+			count++
+		}
+	}
+	return count
+}
+
 func (o *openRequests) list() []*exchange {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/relay/shutdown.go
+++ b/internal/relay/shutdown.go
@@ -18,6 +18,9 @@
 	// restartDelay is the mean time from the exit of an instance until it serves again.
 	restartDelay = 2 * time.Second
 
+	// answerPollInterval is the time between two looks at how many requests have no response during a shutdown.
+	answerPollInterval = 20 * time.Millisecond
+
 	detailLeaving = "this instance is shutting down"
 )
 
@@ -43,7 +46,19 @@
 	plan := drain.NewPlan(exitAt)
 	r.shutdown.plan.Store(&plan)
 	r.shutdown.begin()
-	time.AfterFunc(time.Until(plan.AnswerBy()), r.shutdown.end)
+	go r.endInTime(plan)
+}
+
+// endInTime ends the requests that have no response when it is time for their final answers.
+func (r *Relay) endInTime(plan drain.Plan) {
+	for {
+		wait := time.Until(plan.AnswersFrom(r.open.unanswered()))
+		if wait <= 0 {
+			r.shutdown.end()
+			return
+		}
+		time.Sleep(min(wait, answerPollInterval))
+	}
 }
 
 // Stop makes the relay refuse all further requests.
