serve: a successor waits for addresses that are still in use

Cause: an instance whose address was held for a moment by the process before it ended with an error at its start. Change: it tries again every 10 ms for up to 2 s while an address is in use. Measured: go test ./internal/serve -run TestAddressStillInUse (held for 300 ms). Before: "bind: address already in use" at once; after: starts. Conclusion: the platform starts a process after the former has ended; this covers one that does not.

--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,10 @@
 	// exitReserve is the part of the grace period that is reserved for the process to exit.
 	exitReserve = 700 * time.Millisecond
 
+	// maxListenWait bounds the wait for addresses that are still in use, and listenPause is the time between two tries.
+	maxListenWait = 2 * time.Second
+	listenPause   = 10 * time.Millisecond
+
 	// drainPollInterval is the time between two checks for open requests during a shutdown.
 	drainPollInterval = 50 * time.Millisecond
 
@@ -146,19 +151,30 @@
 		{&i.sockets.peer, i.settings.PeerAddress},
 		{&i.sockets.metrics, i.flags.metricsAddress(i.settings.IP)},
 	}
+	giveUpAt := time.Now().Add(maxListenWait)
 	var err error
 	for _, socket := range tcp {
 		if socket.address == "" {
 			continue
 		}
-		if *socket.listener, err = net.Listen("tcp", socket.address); err != nil {
+		*socket.listener, err = listenUntil(giveUpAt, func() (net.Listener, error) { return net.Listen("tcp", socket.address) })
+		if err != nil {
 			return errors.Wrapf(err, "listen on %s", socket.address)
 		}
 	}
-	if i.sockets.datagram, err = net.ListenPacket("udp", i.settings.PeerAddress); err != nil {
-		return errors.Wrapf(err, "listen on %s", i.settings.PeerAddress)
+	i.sockets.datagram, err = listenUntil(giveUpAt, func() (net.PacketConn, error) { return net.ListenPacket("udp", i.settings.PeerAddress) })
+	return errors.Wrapf(err, "listen on %s", i.settings.PeerAddress)
+}
+
+// listenUntil opens a socket, and tries again until giveUpAt while its address is in use: the process before may not have ended yet.
+func listenUntil[T any](giveUpAt time.Time, listen func() (T, error)) (T, error) {
+	for {
+		socket, err := listen()
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(giveUpAt) {
+			return socket, err
+		}
+		time.Sleep(listenPause)
 	}
-	return nil
 }
 
 func (i *Instance) assemble() error {
