--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -107,6 +107,9 @@
 // Open returns the number of requests in progress.
 func (r *Relay) Open() int { return r.open.count() }
 
+// Unanswered returns the number of requests whose response has not begun.
+func (r *Relay) Unanswered() int { return r.open.unanswered() }
+
 // exchange is one caller's request in progress.
 type exchange struct {
 	relay     *Relay
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -316,7 +316,15 @@
 // eventTokens returns the tokens of one event.
 func (s *stream) eventTokens() int { return max(s.x.service.Engine.EventTokens, 1) }
 
+// recordShortPace records the pace of a stream with too few events for recordEvent.
+func (s *stream) recordShortPace() {
+	if tokens := (s.events - 1) * s.eventTokens(); s.events > 1 && s.events <= paceEvents {
+		s.x.relay.history.RecordPace(s.x.service.Name, s.lastEventAt.Sub(s.firstEventAt)/time.Duration(tokens))
+	}
+}
+
 func (s *stream) finish() {
+	s.recordShortPace()
 	if s.hardlyBegun() {
 		s.recordBegun()
 	}
--- a/internal/serve/ending_test.go
+++ b/internal/serve/ending_test.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-
-	"github.com/dragonflypond/dragonflypond/internal/drain"
 )
 
 // pipeListener is a net.Listener whose connections are in memory, so that they pass no time of their own.
@@ -123,7 +121,10 @@
 				longStream := func() int { return 1 } // What the instance holds until its exit.
 				// Requests are sent every 10 ms; none at the very moment of a decision, where either outcome is right.
 				exitAt := time.Now().Add(2*time.Second + 5*time.Millisecond)
-				_ = endRequests(t.Context(), front, drain.NewPlan(exitAt), longStream, func() {}) // Checked by the requests.
+				w := work{
+					exitAt: func() time.Time { return exitAt }, open: longStream, unanswered: func() int { return 0 }, refuse: func() {},
+				}
+				_ = w.end(t.Context(), front, func() {}) // Checked by the requests.
 				stopped.Store(true)
 				callers.Wait()
 				transport.CloseIdleConnections()
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,7 +18,6 @@
 	"storj.io/drpc"
 
 	"github.com/dragonflypond/dragonflypond/internal/clock"
-	"github.com/dragonflypond/dragonflypond/internal/drain"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
 	"github.com/dragonflypond/dragonflypond/internal/hazard"
@@ -44,6 +44,10 @@
 	// exitReserve is the part of the grace period that is reserved for the process to exit.
 	exitReserve = 700 * time.Millisecond
 
+	// maxListenWait bounds the wait for addresses that are still in use, and listenPause is the time between two tries.
+	maxListenWait = 2 * time.Second
+	listenPause   = 10 * time.Millisecond
+
 	// drainPollInterval is the time between two checks for open requests during a shutdown.
 	drainPollInterval = 50 * time.Millisecond
 
@@ -94,6 +98,7 @@
 
 	sockets      sockets
 	leaving      atomic.Bool
+	exit         exit
 	callersGone  atomic.Bool // the instance shuts down and no caller uses an old lookup response any more
 	shutdown     chan struct{}
 	shutdownOnce sync.Once
@@ -102,6 +107,12 @@
 // reloadableSettings are the settings that may change while the instance runs.
 type reloadableSettings struct{ grace, keyLease time.Duration }
 
+// exit holds the times of a shutdown.
+type exit struct {
+	mu        sync.Mutex
+	began, at time.Time // zero before the shutdown
+}
+
 // sockets are the TCP listeners and the UDP socket of an instance.
 type sockets struct {
 	front, ready, lookup, peer, metrics net.Listener
@@ -148,19 +159,30 @@
 		{&i.sockets.peer, i.settings.PeerAddress},
 		{&i.sockets.metrics, i.flags.metricsAddress(i.settings.IP)},
 	}
+	giveUpAt := time.Now().Add(maxListenWait)
 	var err error
 	for _, socket := range tcp {
 		if socket.address == "" {
 			continue
 		}
-		if *socket.listener, err = net.Listen("tcp", socket.address); err != nil {
+		*socket.listener, err = listenUntil(giveUpAt, func() (net.Listener, error) { return net.Listen("tcp", socket.address) })
+		if err != nil {
 			return errors.Wrapf(err, "listen on %s", socket.address)
 		}
 	}
-	if i.sockets.datagram, err = net.ListenPacket("udp", i.settings.PeerAddress); err != nil {
-		return errors.Wrapf(err, "listen on %s", i.settings.PeerAddress)
+	i.sockets.datagram, err = listenUntil(giveUpAt, func() (net.PacketConn, error) { return net.ListenPacket("udp", i.settings.PeerAddress) })
+	return errors.Wrapf(err, "listen on %s", i.settings.PeerAddress)
+}
+
+// listenUntil opens a socket, and tries again until giveUpAt while its address is in use: the process before may not have ended yet.
+func listenUntil[T any](giveUpAt time.Time, listen func() (T, error)) (T, error) {
+	for {
+		socket, err := listen()
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(giveUpAt) {
+			return socket, err
+		}
+		time.Sleep(listenPause)
 	}
-	return nil
 }
 
 func (i *Instance) assemble() error {
@@ -452,6 +474,32 @@
 		logs.Event: "settingsReloaded", "seeds": settings.Seeds,
 		"graceMillis": settings.Grace.Milliseconds(), "keyLeaseMillis": settings.KeyLease.Milliseconds(),
 	}).Info("settings reloaded")
+	if i.leaving.Load() {
+		i.adjustExit()
+	}
+}
+
+// adjustExit ends the requests in progress by the end of the grace period in effect. During a shutdown it only becomes earlier, because the
+// platform may go by the period that was in effect at its beginning.
+func (i *Instance) adjustExit() {
+	i.exit.mu.Lock()
+	defer i.exit.mu.Unlock()
+	if i.exit.began.IsZero() {
+		i.exit.began = time.Now()
+	}
+	at := i.exit.began.Add(max(i.reloadable.Load().grace-exitReserve, 0))
+	if !i.exit.at.IsZero() && !at.Before(i.exit.at) {
+		return
+	}
+	i.exit.at = at
+	i.relay.Leave(at)
+}
+
+// exitAt returns the time at which open connections are closed.
+func (i *Instance) exitAt() time.Time {
+	i.exit.mu.Lock()
+	defer i.exit.mu.Unlock()
+	return i.exit.at
 }
 
 // Run serves until a shutdown has completed or ctx ends.
@@ -508,45 +556,33 @@
 func (i *Instance) leave(ctx context.Context) {
 	began := time.Now()
 	i.leaving.Store(true)
-	exitAt := began.Add(max(i.reloadable.Load().grace-exitReserve, 0))
-	i.relay.Leave(exitAt)
+	i.adjustExit()
 	i.front.leave()
 	i.members.Leave()
 	i.log.WithFields(logrus.Fields{
-		logs.Event: "instanceLeaving", "open": i.relay.Open(), "carried": i.tunnels.Carried(), "exitMillis": time.Until(exitAt).Milliseconds(),
+		logs.Event: "instanceLeaving", "open": i.relay.Open(), "carried": i.tunnels.Carried(), "exitMillis": time.Until(i.exitAt()).Milliseconds(),
 	}).
 		Info("instance leaves")
-	handedOver := i.handOver(ctx, exitAt)
+	handedOver := i.handOver(ctx, i.exitAt())
 	callersGoneAt := began.Add(lookupRetentionFactor * i.lookupValidity())
-	if callersGoneAt.After(exitAt) {
-		callersGoneAt = exitAt
-	}
-	sleepUntil(ctx, callersGoneAt)
+	i.waitWhile(ctx, func() bool { return time.Now().Before(callersGoneAt) })
 	i.callersGone.Store(true)
-	open := func() int { return i.relay.Open() + i.tunnels.Carried() }
-	if err := endRequests(ctx, i.front, drain.NewPlan(exitAt), open, i.relay.Stop); err != nil || open() > 0 {
-		i.log.WithError(err).WithFields(logrus.Fields{logs.Event: "requestsCut", "open": open()}).
+	w := work{exitAt: i.exitAt, open: func() int { return i.relay.Open() + i.tunnels.Carried() }, unanswered: i.relay.Unanswered, refuse: i.relay.Stop}
+	err := w.end(ctx, i.front, i.relay.RecordCuts)
+	if open := w.open(); err != nil || open > 0 {
+		i.log.WithError(err).WithFields(logrus.Fields{logs.Event: "requestsCut", "open": open}).
 			Warn("open requests were aborted at the end of the shutdown")
 	}
-	<-handedOver
-}
-
-// endRequests waits until no request is open, and none is carried, or until the final answers are due, and calls refuse. From then on no request
-// is read, because a busy machine may have no time left to answer it. What is open may end until the exit, when all connections are closed.
-func endRequests(ctx context.Context, front *frontServer, plan drain.Plan, open func() int, refuse func()) error {
-	awaitEnds(ctx, open, plan.AnswerBy())
-	refuse()
-	endCtx, cancel := context.WithDeadline(ctx, plan.ExitAt())
-	defer cancel()
-	err := front.shutdown(endCtx)
-	awaitEnds(ctx, open, plan.ExitAt())
-	return err
+	select {
+	case <-handedOver:
+	case <-ctx.Done():
+	}
 }
 
-// awaitEnds waits until nothing is open, or until a time.
-func awaitEnds(ctx context.Context, open func() int, until time.Time) {
-	for open() > 0 && time.Now().Before(until) && ctx.Err() == nil {
-		sleepUntil(ctx, minTime(time.Now().Add(drainPollInterval), until))
+// waitWhile waits while a condition holds, until the exit.
+func (i *Instance) waitWhile(ctx context.Context, condition func() bool) {
+	for condition() && time.Now().Before(i.exitAt()) && ctx.Err() == nil {
+		sleepUntil(ctx, time.Now().Add(drainPollInterval))
 	}
 }
 
@@ -570,13 +606,6 @@
 	return maxLookupValidity
 }
 
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 func sleepUntil(ctx context.Context, at time.Time) {
 	timer := time.NewTimer(time.Until(at))
 	defer timer.Stop()
