--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -438,3 +438,28 @@
 		})
 	}
 }
+
+// TestShortStreamsRecordTheirPace guards against an instance that stops and accepts streams of few events by a pace that their engines do not
+// have.
+func TestShortStreamsRecordTheirPace(t *testing.T) {
+	const (
+		left   = 2400 * time.Millisecond // until the exit
+		events = 12
+		pause  = 110 * time.Millisecond
+	)
+	bed := newTestBed(t, route.KindStream, &route.EngineSpec{Slots: 4}, newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		for id := range events {
+			writeEvent(w, id+1)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(pause)
+		}
+	}))
+	bed.maxOutput = events
+	if status, _ := bed.post(t, "key"); status != http.StatusOK {
+		t.Fatalf("status %d before the shutdown", status)
+	}
+	bed.relay.Leave(time.Now().Add(left))
+	if status, _ := bed.post(t, "key"); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d for a stream that is expected to outlast the instance, want 503", status)
+	}
+}
--- a/internal/serve/ending_test.go
+++ b/internal/serve/ending_test.go
@@ -143,3 +143,46 @@
 		})
 	}
 }
+
+// TestFinalAnswersAfterPause guards against requests whose final answers are not out at the exit because the process stood still before it, and
+// whose connections are closed although the grace period is not over.
+func TestFinalAnswersAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const late = 200 * time.Millisecond // after the exit
+		listener := newPipeListener()
+		exitAt := time.Now().Add(time.Second)
+		var open atomic.Int64
+		front := newFrontServer(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			open.Add(1)
+			defer open.Add(-1)
+			time.Sleep(time.Until(exitAt.Add(late)))
+			w.WriteHeader(http.StatusGatewayTimeout)
+		}), logrus.New())
+		front.leave()
+		go func() { _ = front.acceptLoop() }()
+		transport := &http.Transport{DialContext: listener.dial}
+		answered := make(chan error, 1)
+		go func() {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://front.example/", nil)
+			if err == nil {
+				var resp *http.Response
+				if resp, err = transport.RoundTrip(req); err == nil {
+					err = resp.Body.Close()
+				}
+			}
+			answered <- err
+		}()
+		count := func() int { return int(open.Load()) }
+		time.Sleep(time.Millisecond) // The request is read.
+		w := work{exitAt: func() time.Time { return exitAt }, open: count, unanswered: count, refuse: func() {}}
+		_ = w.end(t.Context(), front, func() {}) // Checked by the request.
+		if ended := time.Since(exitAt); ended > lateAnswerTime+2*drainPollInterval {
+			t.Errorf("the instance ends %v after the exit", ended)
+		}
+		if err := <-answered; err != nil {
+			t.Errorf("no final answer: %v", err)
+		}
+		transport.CloseIdleConnections()
+		time.Sleep(time.Second) // The server's goroutines end.
+	})
+}
