soak: the end of a backend server is recorded before its connections end

Change: the harm is recorded first. Conclusion: the check blamed the instance for the end of a server.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -120,6 +120,7 @@
 // stop simulates the end of the backend server's process: the server closes and its connections are reset.
 func (b *backend) stop() {
 	_ = b.proxy.listener.Close()
+	b.proxy.recordReset() // Before the first connection ends, so that what ends with it is excused.
 	_ = b.server.Close()
 	b.proxy.resetAll()
 }
--- a/internal/soak/lost_test.go
+++ b/internal/soak/lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http/httptrace"
@@ -466,3 +467,32 @@
 func (s stubListener) Addr() net.Addr {
 	return net.TCPAddrFromAddrPort(netip.MustParseAddrPort(string(s)))
 }
+
+// TestStopRecordsHarmFirst guards against requests that a stopped backend server breaks off before its end is recorded, so that the checks blame
+// the instance.
+func TestStopRecordsHarmFirst(t *testing.T) {
+	t.Parallel()
+	b, err := newBackend("i-0001", newRecorder(), true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun := time.Now()
+	conn, err := net.Dial("tcp", b.proxy.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET /"); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan time.Time, 1)
+	go func() {
+		_, _ = conn.Read(make([]byte, 1)) // Any error is the end.
+		ended <- time.Now()
+	}()
+	time.Sleep(50 * time.Millisecond)
+	b.stop()
+	if !b.proxy.harmedIn(begun, <-ended) {
+		t.Error("the end of the connection comes before that of its backend server")
+	}
+}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -183,11 +183,16 @@
 
 // resetAll resets the open connections.
 func (p *proxy) resetAll() {
+	p.recordReset()
+	p.resetFrom("")
+}
+
+// recordReset records that the connections are reset now.
+func (p *proxy) recordReset() {
 	now := time.Now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.harms = slices.Insert(p.harms, 0, disturbance{now, now}) // The last may go on.
-	p.mu.Unlock()
-	p.resetFrom("")
 }
 
 // resetFrom resets the open connections of the clients with an IP address, or all if it is empty.
