--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -561,8 +561,7 @@
 	i.members.Leave()
 	i.log.WithFields(logrus.Fields{
 		logs.Event: "instanceLeaving", "open": i.relay.Open(), "carried": i.tunnels.Carried(), "exitMillis": time.Until(i.exitAt()).Milliseconds(),
-	}).
-		Info("instance leaves")
+	}).Info("instance leaves")
 	handedOver := i.handOver(ctx, i.exitAt())
 	callersGoneAt := began.Add(lookupRetentionFactor * i.lookupValidity())
 	i.waitWhile(ctx, func() bool { return time.Now().Before(callersGoneAt) })
