--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -463,3 +463,41 @@
 		t.Errorf("status %d for a stream that is expected to outlast the instance, want 503", status)
 	}
 }
+
+// TestMoveOrderedAtTheEnd guards against a run that is stopped for a move when its instance has no time left to go on with it elsewhere.
+func TestMoveOrderedAtTheEnd(t *testing.T) {
+	stop := make(chan struct{})
+	source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		for id := 1; ; id++ {
+			writeEvent(w, id)
+			select {
+			case <-stop:
+				return
+			case <-r.Context().Done():
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	})
+	bed := newTestBed(t, route.KindStream, &route.EngineSpec{Slots: 4}, source, newFakeBackend(t, respondEvents))
+	bed.callerWait = callerPatience
+	bed.setRouteTimeout(t, callerPatience)
+	var exitAt time.Time
+	bed.copier.onLast = func() {
+		t.Errorf("the run is stopped for a move %v before the exit", time.Until(exitAt).Round(time.Millisecond))
+		close(stop)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		time.Sleep(200 * time.Millisecond)
+		exitAt = time.Now().Add(200 * time.Millisecond)
+		bed.relay.Leave(exitAt)
+		time.Sleep(190 * time.Millisecond)
+		bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+		time.Sleep(100 * time.Millisecond)
+		bed.front.CloseClientConnections()
+	}()
+	bed.post(t, "key")
+	<-ended
+}
--- a/internal/soak/partition_test.go
+++ b/internal/soak/partition_test.go
@@ -240,3 +240,76 @@
 		t.Error(text)
 	}
 }
+
+// TestHelperEndsDuringRequests guards against requests of an instance that goes on which are broken off because the instance that carries their
+// connections stops.
+func TestHelperEndsDuringRequests(t *testing.T) {
+	const patience = 30 * time.Second
+	place := oneDataCentre
+	place.plainTimeouts = []time.Duration{patience}
+	tests := []struct {
+		name      string
+		instances int
+		path      string
+		events    int
+		sendAt    time.Duration // after the SIGTERM of one helper
+	}{
+		{"charges through the only helper", 2, "/charge/", 0, 4 * time.Second},
+		{"streams, another helper goes on", 3, guidePrefix, 1400, -time.Second},
+	}
+	programs := buildReleases(t)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newSiteCluster(t, place, programs, 0, test.instances)
+			if !c.waitReady(10 * time.Second) {
+				t.Fatal("not every instance is ready within 10 s")
+			}
+			time.Sleep(time.Second)
+			cut, helper := c.instances[0], c.instances[1]
+			p := &partition{kind: cutResets, instances: map[string]bool{cut.ip: true}, disturbance: disturbance{from: time.Now()}}
+			c.mu.Lock()
+			c.partitions = append(c.partitions, p)
+			c.mu.Unlock()
+			load := &stopLoad{loadGenerator: newLoadGenerator(c)}
+			// The instance learns that it is cut off.
+			for range 20 {
+				load.send(stopRequest{path: "/lookup/", address: cut.ip + frontPort, limit: time.Second, timeout: time.Second})
+				time.Sleep(100 * time.Millisecond)
+			}
+			before := len(load.requests)
+			t.Logf("the last lookup before: status %d", load.requests[before-1].status)
+			told := time.Now().Add(max(-test.sendAt, 0))
+			answered := make(chan struct{}, 12)
+			send := func() {
+				if test.events == 0 {
+					for _, b := range c.allBackends() {
+						b.fallSilent(4 * time.Second)
+					}
+				}
+				for range cap(answered) {
+					go func() {
+						load.send(stopRequest{path: test.path, events: test.events, address: cut.ip + frontPort, limit: patience, timeout: patience})
+						answered <- struct{}{}
+					}()
+				}
+			}
+			if test.sendAt < 0 {
+				send()
+			}
+			time.Sleep(time.Until(told))
+			go helper.stop()
+			if test.sendAt >= 0 {
+				time.Sleep(time.Until(told.Add(test.sendAt)))
+				send()
+			}
+			for range cap(answered) {
+				<-answered
+			}
+			for _, r := range load.requests[before:] {
+				if r.status != http.StatusOK || !r.complete {
+					t.Errorf("status %d, complete %v, %v after the SIGTERM of the helper: %v", r.status, r.complete, r.endedAt.Sub(told).Round(time.Millisecond), r.err)
+				}
+			}
+		})
+	}
+}
