--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 
 var cases = map[string]caseFunc{
 	"history": playHistory,
+	"memory":  playMemory,
 }
 
 func main() {
