--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -32,7 +32,12 @@
 
 // send sends one client attempt to an instance on a new connection.
 func send(front, method, host, path, key string, deadline time.Duration) result {
-	r := result{attempt: newAttemptID(), sentAt: time.Now()}
+	return sendAs(newAttemptID(), front, method, host, path, key, deadline)
+}
+
+// sendAs is send with the ID of the attempt.
+func sendAs(id, front, method, host, path, key string, deadline time.Duration) result {
+	r := result{attempt: id, sentAt: time.Now()}
 	client := http.Client{Timeout: deadline + time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	in, err := http.NewRequest(method, "http://"+front+path, nil)
 	if err != nil {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -20,6 +20,10 @@
 var cases = map[string]caseFunc{
 	"history": playHistory,
 	"memory":  playMemory,
+	"paths":   playPaths,
+	"stream":  playStream,
+	"bodies":  playBodies,
+	"poison":  playPoison,
 }
 
 func main() {
--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -28,19 +30,34 @@
 
 	arrivals, rejected, closing atomic.Int64
 
-	mu   sync.Mutex
-	runs map[string]int // by X-Attempt-Id
+	// poison is the path whose requests crash the replica; empty for none.
+	poison string
+	// onCrash is called when the replica has crashed.
+	onCrash  func(r *replica, attempt string)
+	listener net.Listener
+	// streams is true for a replica whose answers are streams, and crashed is closed when it crashes.
+	streams bool
+	crashed chan struct{}
+
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	ended  bool
+	runs   map[string]int // by X-Attempt-Id
+	uris   map[string]string
+	hashes map[string]string
 }
 
 func startReplica(c *cluster, id, service, zone string, slots, queued int, work time.Duration, closeShare float64) (*replica, error) {
 	r := &replica{
 		record: c.record, id: id, service: service, zone: zone, address: c.newAddress() + ":18080", work: work,
 		places: make(chan struct{}, slots), queue: make(chan struct{}, slots+queued), closeShare: closeShare, runs: make(map[string]int),
+		conns: make(map[net.Conn]bool), crashed: make(chan struct{}),
 	}
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
 		return nil, err
 	}
+	r.listener = listener
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -61,14 +78,42 @@
 	return r, nil
 }
 
+// crash ends the replica: its connections are reset, and nothing listens on its address.
+func (r *replica) crash(attempt string) {
+	r.mu.Lock()
+	if r.ended {
+		r.mu.Unlock()
+		return
+	}
+	r.ended = true
+	_ = r.listener.Close()
+	for conn := range r.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+	r.mu.Unlock()
+	if r.onCrash != nil {
+		r.onCrash(r, attempt)
+	}
+}
+
 func (r *replica) serve(conn net.Conn) {
-	defer conn.Close()
+	r.mu.Lock()
+	r.conns[conn] = true
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		delete(r.conns, conn)
+		r.mu.Unlock()
+		_ = conn.Close()
+	}()
 	reader := bufio.NewReader(conn)
 	in, err := http.ReadRequest(reader)
 	if err != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, in.Body); err != nil {
+	sum := sha256.New()
+	if _, err := io.Copy(sum, in.Body); err != nil {
 		return
 	}
 	id := in.Header.Get("X-Attempt-Id")
@@ -89,8 +134,22 @@
 	defer func() { <-r.places }()
 	r.mu.Lock()
 	r.runs[id]++
+	if r.hashes != nil {
+		r.hashes[id] = hex.EncodeToString(sum.Sum(nil))
+	}
+	if r.uris != nil {
+		r.uris[id] = in.RequestURI
+	}
 	r.mu.Unlock()
 	r.record.printf("%s (%s) runs %s %s", r.id, r.service, id, in.URL.Path)
+	if r.streams {
+		r.serveStream(conn, id)
+		return
+	}
+	if r.poison != "" && in.URL.Path == r.poison {
+		r.crash(id)
+		return
+	}
 	time.Sleep(r.work)
 	r.answer(conn, id, http.StatusOK, "X-Replica-Seal: "+r.id+"."+id+"\r\n", "done by "+r.id+"\n")
 }
