--- a/review/standin-2/replica.go
+++ b/review/standin-2/replica.go
@@ -36,8 +36,8 @@
 	onCrash  func(r *replica, attempt string)
 	listener net.Listener
 	// streams is true for a replica whose answers are streams, and crashed is closed when it crashes.
-	streams bool
-	crashed chan struct{}
+	streams, long bool
+	crashed       chan struct{}
 
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
@@ -142,6 +142,10 @@
 	}
 	r.mu.Unlock()
 	r.record.printf("%s (%s) runs %s %s", r.id, r.service, id, in.URL.Path)
+	if r.long {
+		r.serveLong(conn, id, in.Header.Get("Last-Event-Id"))
+		return
+	}
 	if r.streams {
 		r.serveStream(conn, id)
 		return
--- a/review/standin-2/stream.go
+++ b/review/standin-2/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -77,7 +78,7 @@
 	return r
 }
 
-// playStream lets one of three replicas crash while it streams.
+// playStream lets one of three replicas crash while it streams. With ENGINE=1 their service has an engine.
 func playStream(r *record, trouble bool) (int, error) {
 	const key = "xd9dnn2ctnfzs989anu6"
 	c, err := newCluster(r)
@@ -87,6 +88,12 @@
 	defer c.stop()
 	cfg := newConfig()
 	cfg.addService("portal")
+	if os.Getenv("ENGINE") == "1" {
+		cfg.Services[0].Engine = map[string]any{
+			"slots": 6, "kvCapacity": 34338, "kvTokenBytes": 163840, "linkMbps": 24000.0, "moves": false, "backups": false, "stride": 4, "handleS": 5.0,
+			"models": []map[string]string{{"name": "m"}},
+		}
+	}
 	cfg.addRoute("letter", "/letter/", "streaming", "portal", 6000, 1)
 	cfg.Routes[0].GapTargetMs = 180
 	cfg.Tenants = []tenant{{Name: "huka270", APIKeys: []string{key}}}
