--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 	"history": playHistory,
 	"memory":  playMemory,
 	"paths":   playPaths,
+	"revoke":  playRevoke,
 	"resume":  playResume,
 	"stream":  playStream,
 	"bodies":  playBodies,
