feed: bound the bytes of the changes kept for followers

Change: the values in the history take 2 MiB at most, and a value of 4 KiB and more goes as soon as its key has a newer one. Measured: TestHistoryBytes, three kinds of changes, 600 each, passes.

--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -11,6 +11,13 @@
 	// changes per second, so that this covers about a minute.
 	historyLimit = 512
 
+	// historyBytes bounds the values of these changes. A configuration has up to 1 MB, and an instance may have 112 MB for everything.
+	historyBytes = 2 << 20
+
+	// largeValue is the size from which a value in the history is dropped as soon as its key has a newer one. Followers that
+	// lack both need only the newer one.
+	largeValue = 4 << 10
+
 	// tombstoneLimit bounds the tombstones; see replica.tombstones.
 	tombstoneLimit = 1024
 )
@@ -58,6 +65,7 @@
 	// first one.
 	history     []Record
 	historyBase uint64
+	historySize int // the bytes of the values in history
 	// tombstones holds the revisions of deleted keys. The pages of a snapshot are read one after the other, so a page may
 	// hold a key whose deletion is already known.
 	tombstones map[string]uint64
@@ -221,20 +229,40 @@
 	return records
 }
 
-// appendHistory keeps changes for followers. The order of the changes in a snapshot is unknown, so after one the
-// history restarts empty.
+// appendHistory keeps changes for followers, within historyLimit and historyBytes. The order of the changes in a snapshot is unknown, so after
+// one the history restarts empty.
 func (r *replica) appendHistory(changed []Record, snapshot bool) {
 	if snapshot {
-		r.history, r.historyBase = nil, r.position.Revision
+		r.history, r.historyBase, r.historySize = nil, r.position.Revision, 0
 		return
 	}
-	r.history = append(r.history, changed...)
-	if excess := len(r.history) - historyLimit; excess > 0 {
-		r.historyBase = r.history[excess-1].Revision
+	for _, record := range changed {
+		r.dropReplaced(record.Key)
+		r.history = append(r.history, record)
+		r.historySize += len(record.Value)
+	}
+	excess, size := 0, r.historySize
+	for excess < len(r.history) && (len(r.history)-excess > historyLimit || size > historyBytes) {
+		size -= len(r.history[excess].Value)
+		excess++
+	}
+	if excess > 0 {
+		r.historyBase, r.historySize = r.history[excess-1].Revision, size
 		r.history = slices.Clone(r.history[excess:])
 	}
 }
 
+// dropReplaced drops the large values of a key from the history.
+func (r *replica) dropReplaced(key string) {
+	r.history = slices.DeleteFunc(r.history, func(former Record) bool {
+		replaced := former.Key == key && len(former.Value) >= largeValue
+		if replaced {
+			r.historySize -= len(former.Value)
+		}
+		return replaced
+	})
+}
+
 // state returns a batch without records.
 func (r *replica) state() Batch {
 	return Batch{
--- a/internal/feed/replica_test.go
+++ b/internal/feed/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -133,3 +134,56 @@
 		}
 	})
 }
+
+// TestHistoryBytes guards against changes of large values that fill the memory, and against followers that get no newest value when
+// older ones are dropped.
+func TestHistoryBytes(t *testing.T) {
+	const (
+		changes = 600
+		size    = 448 << 10
+	)
+	tests := []struct {
+		name string
+		key  func(change int) string
+		// wantSnapshot is true if a follower that lacks half of the changes gets a snapshot.
+		wantSnapshot bool
+		wantRecords  int
+	}{
+		{"one key", func(int) string { return "config" }, false, 1},
+		{"one key beside small ones", func(change int) string {
+			if change%2 == 0 {
+				return fmt.Sprint("small", change)
+			}
+			return "config"
+		}, false, changes/4 + 1},
+		{"many keys", func(change int) string { return fmt.Sprint("config", change%20) }, true, 20},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newReplica(noNumber)
+			r.apply(Batch{Snapshot: true, Position: at(1)})
+			large := make([]byte, size)
+			for change := 1; change <= changes; change++ {
+				record := Record{Key: test.key(change), Value: large, Revision: uint64(change) + 1}
+				if strings.HasPrefix(record.Key, "small") {
+					record.Value = []byte("x")
+				}
+				r.apply(Batch{Position: at(record.Revision), Records: []Record{record}})
+				kept := 0
+				for _, record := range r.history {
+					kept += len(record.Value)
+				}
+				if kept > historyBytes || kept != r.historySize {
+					t.Fatalf("after %d changes %d bytes are kept and %d counted, at most %d allowed", change, kept, r.historySize, historyBytes)
+				}
+			}
+			batch := r.changesSince(Cursor{Position: at(1 + changes/2)})
+			if batch.Snapshot != test.wantSnapshot || len(batch.Records) != test.wantRecords {
+				t.Errorf("snapshot %t of %d records, want %t, %d", batch.Snapshot, len(batch.Records), test.wantSnapshot, test.wantRecords)
+			}
+			if newest := r.changesSince(Cursor{Position: at(changes)}); newest.Snapshot || len(newest.Records) != 1 {
+				t.Errorf("a follower that lacks the last change gets %d records, snapshot %t", len(newest.Records), newest.Snapshot)
+			}
+		})
+	}
+}
