relay: do not move a run whose request body is not kept

Cause: of a body above 64 KB only the beginning is kept. Change: such a run stays where it is. The move is reported as failed at once, so that its target is not held for it. Measured: TestRunWithLongBodyIsNotMoved failed before and passes.

--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -45,6 +45,9 @@
 // detour moves a run that is not expected to end before the helper that carries its connection to another engine, whose connection leads another way.
 func (m *mover) detour(ctx context.Context, endsAt time.Time) {
 	x := m.stream.x
+	if !x.body.Replayable() {
+		return
+	}
 	plan, history, delivered := drain.NewPlan(endsAt), x.relay.history, int(m.stream.forwarded.Load())*m.stream.eventTokens()
 	if p := x.call.Prompt; p != nil && p.MaxOutput > 0 {
 		rest := history.Rest(x.service.Name, max(p.MaxOutput-delivered, 1))
--- a/internal/relay/moved_test.go
+++ b/internal/relay/moved_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -83,6 +86,86 @@
 	}
 }
 
+// TestRunWithLongBodyIsNotMoved guards against a run that goes on elsewhere with a part of its body: only the beginning of a long one is kept.
+func TestRunWithLongBodyIsNotMoved(t *testing.T) {
+	const events = 5
+	tests := []struct {
+		name      string
+		size      int
+		chunked   bool
+		wantMoved bool
+	}{
+		{"kept", replayLimit, false, true},
+		{"kept, in chunks", replayLimit, true, true},
+		{"long", replayLimit + 1, false, false},
+		{"long, in chunks", 100_000, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			begun, stopped := make(chan struct{}), make(chan struct{})
+			stop := sync.OnceFunc(func() { close(stopped) })
+			checkBody := func(r *http.Request) {
+				if body, err := io.ReadAll(r.Body); err != nil || len(body) != test.size {
+					t.Errorf("a backend server got %d bytes of %d, error %v", len(body), test.size, err)
+				}
+			}
+			writeEvents := func(w http.ResponseWriter, first, last int) {
+				for id := first; id <= last; id++ {
+					writeEvent(w, id)
+				}
+			}
+			source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				checkBody(r)
+				writeEvents(w, 1, 2)
+				close(begun)
+				<-stopped
+				if !test.wantMoved {
+					writeEvents(w, 3, events)
+				}
+			})
+			target := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				checkBody(r)
+				writeEvents(w, 3, events)
+			})
+			bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, target)
+			bed.placer.finished = make(chan struct{}, 1)
+			bed.copier.onLast = stop
+			go func() {
+				<-begun
+				bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+				if !test.wantMoved {
+					<-bed.placer.finished
+					stop()
+				}
+			}()
+			req := bed.request(t, "key", "")
+			req.Body, req.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", test.size))), int64(test.size)
+			if test.chunked {
+				req.ContentLength = -1
+			}
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if body, err := io.ReadAll(resp.Body); err != nil || string(body) != eventsUntil(events) {
+				t.Errorf("body %q, error %v, want %d events", body, err, events)
+			}
+			if reported := bed.placer.reportedMoves(); !slices.Equal(reported, []string{fmt.Sprint("b1", test.wantMoved)}) {
+				t.Errorf("reported moves %v, want one to b1 that ended with %t", reported, test.wantMoved)
+			}
+		})
+	}
+}
+
+func eventsUntil(last int) string {
+	var text strings.Builder
+	for id := 1; id <= last; id++ {
+		fmt.Fprintf(&text, "id: %d\ndata: token %d\n\n", id, id)
+	}
+	return text.String()
+}
+
 // TestMovesDuringShutdown guards against a run that is stopped for a move although its instance ends before it can go on elsewhere, and against
 // a run that stays on an engine that ends although there is time to move it.
 func TestMovesDuringShutdown(t *testing.T) {
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -212,6 +212,12 @@
 	fleet := x.relay.options.Fleet
 	source := m.stream.currentBackend()
 	log := x.log.WithFields(logrus.Fields{logs.Source: source.ID, logs.Target: move.Backend})
+	if !x.body.Replayable() {
+		// The target would get the request with a part of its body.
+		m.count(metric.MoveNotCopied)
+		log.WithField(logs.Event, "moveFailed").Info("the body of the request is not kept, so that its run cannot go on elsewhere")
+		return nil
+	}
 	target, ok := fleet.Backend(move.Backend)
 	if !ok || target.ID == source.ID {
 		m.count(metric.MoveNotCopied)
