platform: an empty list of tenants still requires keys

Cause: requests needed a key only while there was an account. Change: keys are required if the configuration contains the list.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -279,6 +279,15 @@
 	return resp.StatusCode, string(body)
 }
 
+// removeAccounts publishes the test bed's catalogue without accounts; requests still need a key.
+func (b *testBed) removeAccounts() {
+	former := b.decoder.catalogue
+	b.decoder.catalogue = route.New(route.Content{
+		Version: former.Version() + 1, Routes: former.Routes(), Services: former.Services(), RequiresKeys: true,
+	})
+	b.fleet.Apply([]feed.Record{{Key: "catalogue", Revision: 90}}, feed.Knowledge{})
+}
+
 // TestServiceAttempts guards against running a request twice that must run at most once, against refusing a request
 // that may have run, and against delivering a truncated response or one to another request.
 func TestServiceAttempts(t *testing.T) {
@@ -328,6 +337,7 @@
 		{"no replica", func(bed *testBed) { bed.fleet.MarkLeaving("b0") }, "key", 503, 0},
 		{"unknown key", func(*testBed) {}, "other", 401, 0},
 		{"keys not confirmed", func(bed *testBed) { bed.confirmedAt = time.Now().Add(-5 * time.Second) }, "key", 503, 0},
+		{"no account left", func(bed *testBed) { bed.removeAccounts() }, "key", 401, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/route/catalogue.go
+++ b/internal/route/catalogue.go
@@ -116,7 +116,9 @@
 	Routes   []Route
 	Services []Service
 	Accounts []Account
-	Limits   Limits
+	// RequiresKeys is true if requests need an API key also while there is no account, so that none is accepted.
+	RequiresKeys bool
+	Limits       Limits
 }
 
 // Catalogue is one published configuration.
@@ -169,7 +171,7 @@
 func (c *Catalogue) Accounts() []Account { return c.content.Accounts }
 
 // NeedsKeys reports whether requests need an API key, unless their route is exempt.
-func (c *Catalogue) NeedsKeys() bool { return len(c.content.Accounts) > 0 }
+func (c *Catalogue) NeedsKeys() bool { return c.content.RequiresKeys || len(c.content.Accounts) > 0 }
 
 // Match returns the route of the host with the longest prefix that matches the path. A port in the host is ignored.
 func (c *Catalogue) Match(host, path string) (*Route, bool) {
