relay: pass on streams of plain services event by event

Cause: a streaming route to a service without engines had its response buffered like any other. Change: such a response is split into events as that of an engine is (eventScanner, taken out of stream.go), and each goes on as it comes. An end within an event breaks the response off. The request keeps its slot and its place in the history until the end of the stream. The position is sent on.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -53,6 +53,9 @@
 	// buffered is the whole body, or its beginning if rest is set.
 	buffered []byte
 	rest     io.ReadCloser
+	// events splits rest, after what is buffered, if the response is passed on event by event; nil otherwise. onEnd is called at its end.
+	events *eventScanner
+	onEnd  func(a attempt)
 	// onBroken is called if rest cannot be read to its end; nil for nothing.
 	onBroken func()
 	// unframed is true if the body has no length of its own and ends with its connection.
@@ -362,17 +365,28 @@
 		}
 	}
 	sent := x.relay.history.BeginCall(x.service.Name, sentAt)
-	a := x.send(ctx, Dispatch{Backend: backend, Account: x.account, Deadline: deadline})
-	if a.err == nil {
+	a := x.send(ctx, Dispatch{Backend: backend, Account: x.account, Deadline: deadline, Position: x.run.position})
+	switch {
+	case a.err != nil:
+	case x.streamsEvents(a):
+		a.readFirstEvent()
+	default:
 		a.buffer()
 	}
-	a.endSend(sent)
 	if a.rest == nil {
 		cancel()
 	} else {
 		a.rest = &cancelingBody{ReadCloser: a.rest, cancel: cancel}
 	}
-	x.leaveReplica(backend.ID, a)
+	end := func(a attempt) {
+		a.endSend(sent)
+		x.leaveReplica(backend.ID, a)
+	}
+	if a.events == nil {
+		end(a)
+	} else {
+		a.onEnd = end
+	}
 	if a.err != nil || a.resp.StatusCode >= http.StatusInternalServerError {
 		x.logAttempt(backend.ID, attemptNumber, a)
 	}
@@ -521,6 +535,10 @@
 
 // writeResponse forwards a response to the caller.
 func (x *exchange) writeResponse(a attempt) {
+	if a.events != nil {
+		x.writeEvents(a)
+		return
+	}
 	header := x.w.Header()
 	copyHeader(header, a.resp.Header)
 	if a.rest == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -148,8 +148,10 @@
 	// awaitsWayUntil is the end of the wait for a way to the backend servers; zero without one.
 	awaitsWayUntil time.Time
 	// stream is the response stream of a generation; nil without one.
-	stream   *stream
-	progress progress
+	stream *stream
+	// firstEventAt is the time of the first event of a plain service's stream; zero without one.
+	firstEventAt time.Time
+	progress     progress
 }
 
 // Serve handles one request.
@@ -394,7 +396,11 @@
 	case x.route == nil:
 		return ""
 	case x.stream == nil:
-		if x.route.LatencyTarget > 0 && time.Since(x.arrived) > x.route.LatencyTarget {
+		answeredAt := time.Now()
+		if !x.firstEventAt.IsZero() {
+			answeredAt = x.firstEventAt
+		}
+		if x.route.LatencyTarget > 0 && answeredAt.Sub(x.arrived) > x.route.LatencyTarget {
 			return logs.LateAnswer
 		}
 		return ""
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -21,28 +20,19 @@
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-const (
-	// readBufferBytes is the size of the read buffer. It holds a usual event; larger events are read in parts.
-	readBufferBytes = 2 << 10
-
-	// paceEvents is the number of events over which the pace of an engine is measured.
-	paceEvents = 16
-
-	// maxEventBytes bounds the size of one event. An event holds some tokens.
-	maxEventBytes = 64 << 10
-)
+// paceEvents is the number of events over which the pace of an engine is measured.
+const paceEvents = 16
 
 var (
-	errEventTooLarge = errors.New("an event of the stream is too large")
-	errCallerLeft    = errors.New("the caller's connection is closed")
-	errRunStopped    = errors.New("the run was stopped for a move and could not go on elsewhere")
+	errCallerLeft = errors.New("the caller's connection is closed")
+	errRunStopped = errors.New("the run was stopped for a move and could not go on elsewhere")
 )
 
 // stream forwards the events of one generation, also after it has moved to another engine.
 type stream struct {
 	x         *exchange
 	placement pond.Placement
-	reader    *bufio.Reader
+	scanner   *eventScanner
 	// attempt is the current engine's answer.
 	attempt attempt
 	head    http.Header
@@ -91,7 +81,7 @@
 		s.lastNumericID = number
 	}
 	x.stream = s
-	s.reader = bufio.NewReaderSize(nil, readBufferBytes)
+	s.scanner = newEventScanner(nil)
 	s.setBackend(run.backend, run.attempt)
 	return s
 }
@@ -102,7 +92,7 @@
 	defer s.mu.Unlock()
 	s.backend, s.body, s.via = backend, a.rest, a.via
 	s.attempt = a
-	s.reader.Reset(a.rest)
+	s.scanner.reset(a.rest)
 }
 
 func (s *stream) currentBackend() route.Backend {
@@ -185,30 +175,17 @@
 
 // forwardEvents forwards events until the stream of the current engine ends.
 func (s *stream) forwardEvents() error {
-	var event []byte
 	for {
-		line, err := s.reader.ReadSlice('\n')
-		if len(event)+len(line) > maxEventBytes {
-			return errEventTooLarge
-		}
-		event = append(event, line...)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && len(event) == 0:
+		event, err := s.scanner.next()
+		if errors.Is(err, io.EOF) {
 			return nil
-		case errors.Is(err, io.EOF):
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
 		}
-		if !bytes.HasSuffix(event, []byte("\n\n")) && !bytes.HasSuffix(event, []byte("\r\n\r\n")) {
-			continue
+		if err != nil {
+			return err
 		}
 		if err := s.deliverEvent(event); err != nil {
 			return err
 		}
-		event = event[:0]
 	}
 }
 
