feed: keep more small changes for followers

Cause: 512 changes last about a second where 3,000 backend servers come and go. Measured: the package's tests pass; TestHistoryBytes counts the same way.

--- a/internal/feed/replica.go
+++ b/internal/feed/replica.go
@@ -8,12 +8,16 @@
 
 const (
 	// historyLimit bounds the changes that are kept for followers. A deployment with 50 backend servers publishes a few
-	// changes per second, so that this covers about a minute.
-	historyLimit = 512
+	// changes per second, one with 3,000 some hundred. A follower that lacks more gets a snapshot, which is longer on its way than 512 of those
+	// changes take, so that it would lack too many again.
+	historyLimit = 8192
 
-	// historyBytes bounds the values of these changes. A configuration has up to 1 MB, and an instance may have 112 MB for everything.
+	// historyBytes bounds the memory of these changes. A configuration has up to 1 MB, and an instance may have 112 MB for everything.
 	historyBytes = 2 << 20
 
+	// recordOverhead is the memory of a change beside its key and value.
+	recordOverhead = 96
+
 	// largeValue is the size from which a value in the history is dropped as soon as its key has a newer one. Followers that
 	// lack both need only the newer one.
 	largeValue = 4 << 10
@@ -33,6 +37,9 @@
 	Restored bool
 }
 
+// size returns the memory that a record takes, in bytes.
+func (r Record) size() int { return recordOverhead + len(r.Key) + len(r.Value) }
+
 // Batch is a response of a source.
 type Batch struct {
 	// Records are the changes after the requested revision, or all records if Snapshot is true.
@@ -65,7 +72,7 @@
 	// first one.
 	history     []Record
 	historyBase uint64
-	historySize int // the bytes of the values in history
+	historySize int // the bytes of the changes in history
 	// tombstones holds the revisions of deleted keys. The pages of a snapshot are read one after the other, so a page may
 	// hold a key whose deletion is already known.
 	tombstones map[string]uint64
@@ -239,11 +246,11 @@
 	for _, record := range changed {
 		r.dropReplaced(record.Key)
 		r.history = append(r.history, record)
-		r.historySize += len(record.Value)
+		r.historySize += record.size()
 	}
 	excess, size := 0, r.historySize
 	for excess < len(r.history) && (len(r.history)-excess > historyLimit || size > historyBytes) {
-		size -= len(r.history[excess].Value)
+		size -= r.history[excess].size()
 		excess++
 	}
 	if excess > 0 {
@@ -257,7 +264,7 @@
 	r.history = slices.DeleteFunc(r.history, func(former Record) bool {
 		replaced := former.Key == key && len(former.Value) >= largeValue
 		if replaced {
-			r.historySize -= len(former.Value)
+			r.historySize -= former.size()
 		}
 		return replaced
 	})
--- a/internal/feed/replica_test.go
+++ b/internal/feed/replica_test.go
@@ -171,7 +171,7 @@
 				r.apply(Batch{Position: at(record.Revision), Records: []Record{record}})
 				kept := 0
 				for _, record := range r.history {
-					kept += len(record.Value)
+					kept += record.size()
 				}
 				if kept > historyBytes || kept != r.historySize {
 					t.Fatalf("after %d changes %d bytes are kept and %d counted, at most %d allowed", change, kept, r.historySize, historyBytes)
