sched: a test for requests that are offered again while they are late

Cause: whether a request yields is kept by its home only. Change: a case of TestYieldingOrder offers a request with the age that it had at a former home. Measured: passes.

--- a/internal/sched/ontime_test.go
+++ b/internal/sched/ontime_test.go
@@ -148,6 +148,17 @@
 			t.Errorf("refused %v, want the one whose deadline has passed", refused)
 		}
 	})
+	t.Run("offered again after its home was lost", func(t *testing.T) {
+		s := newFullScheduler()
+		req := testRequest(1, pond.ClassLong, 3000, 200)
+		req.Target, req.Waited = target, target+time.Second
+		s.Offer(req, epoch)
+		offer(s, 2, "b", 0, 0, time.Minute)
+		s.Tick(epoch.Add(yieldInterval))
+		if got := s.Stats().Yielding; got != 1 {
+			t.Errorf("%d requests yield, want the one that has waited at the former home", got)
+		}
+	})
 	t.Run("deadline between two checks", func(t *testing.T) {
 		s := newFullScheduler()
 		offer(s, 1, "a", 0, 0, 5*time.Second)
