Revert "sched: late requests go after those that can still be on time", and its test of requests offered again

Change: the module, its tests, its metric and its mechanism go out. Measured: the packages sched, serve and pond pass.

--- a/internal/sched/dispatch.go
+++ b/internal/sched/dispatch.go
@@ -43,11 +43,6 @@
 			return
 		}
 		r := s.requests.At(slot)
-		if reason, retryAt, detail, expired := s.expired(r, now); expired {
-			// One that yielded was not the first of its flow when these were checked.
-			s.decisions = append(s.decisions, s.refuse(slot, reason, retryAt, detail, now))
-			continue
-		}
 		engine, ok := table.None, false
 		if missed == table.None || !s.needsAtLeast(slot, missed) {
 			engine, ok = s.chooseEngine(r, now)
--- a/internal/sched/outlook.go
+++ b/internal/sched/outlook.go
@@ -77,7 +77,7 @@
 // observeWait records the wait of a queued request that starts.
 func (s *Scheduler) observeWait(r *request, now time.Time) {
 	s.waitRatios[r.queue].startedAt = now
-	if !r.expectedStart.IsZero() && !r.yielded {
+	if !r.expectedStart.IsZero() {
 		s.waitRatios[r.queue].add(now.Sub(r.queuedAt), r.rawWait)
 	}
 }
--- a/internal/sched/property_test.go
+++ b/internal/sched/property_test.go
@@ -71,7 +71,6 @@
 		PromptTokens: rapid.IntRange(1, 1200).Draw(t, "prompt"),
 		MaxTokens:    rapid.IntRange(1, 800).Draw(t, "max"),
 		Deadline:     m.now.Add(time.Duration(rapid.IntRange(1, 20_000).Draw(t, "deadline")) * time.Millisecond),
-		Target:       time.Duration(rapid.IntRange(0, 3000).Draw(t, "target")) * time.Millisecond,
 	}
 	m.offered[req.ID] = req
 	m.waiting = append(m.waiting, req.ID)
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -8,7 +8,7 @@
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// flow holds one account's waiting requests in a queue, as a heap: those that yield last, then by deadline, then by arrival.
+// flow holds one account's waiting requests in a queue, as a heap by deadline, then by arrival.
 type flow struct {
 	waiting []table.Slot
 	tokens  float64 // total cost of the waiting requests
@@ -114,7 +114,7 @@
 
 func (s *Scheduler) dueBefore(a, b table.Slot) bool {
 	ra, rb := s.requests.At(a), s.requests.At(b)
-	return cmp.Or(compareYields(ra, rb), ra.deadline.Compare(rb.deadline), cmp.Compare(ra.serial, rb.serial)) < 0
+	return cmp.Or(ra.deadline.Compare(rb.deadline), cmp.Compare(ra.serial, rb.serial)) < 0
 }
 
 func (s *Scheduler) siftUp(f *flow, i int) {
@@ -191,8 +191,10 @@
 		if byAccount {
 			start = f.virtualStart
 		}
-		if best == table.None || cmp.Or(cmp.Compare(bestPriority, priority), compareYields(r, s.requests.At(best)), cmp.Compare(start, bestStart)) < 0 ||
-			priority == bestPriority && start == bestStart && s.dueBefore(head, best) {
+		first := best == table.None || priority > bestPriority ||
+			priority == bestPriority &&
+				(start < bestStart || start == bestStart && s.dueBefore(head, best))
+		if first {
 			best, bestPriority, bestStart = head, priority, start
 		}
 	}
--- a/internal/sched/request.go
+++ b/internal/sched/request.go
@@ -133,10 +133,6 @@
 	demand          reservation
 	serviceTime     time.Duration
 	heapIndex       int // index in the account's flow while waiting, or notQueued
-	// yields is true for a waiting request that goes after those that can still be on time.
-	yields bool
-	// yielded is true once it has yielded, so that its wait says nothing about those of others.
-	yielded bool
 
 	engine   table.Slot // table.None while waiting
 	reserved reservation
--- a/internal/sched/scheduler.go
+++ b/internal/sched/scheduler.go
@@ -53,7 +53,6 @@
 	agingAt      time.Time
 	rebalanceAt  time.Time
 	evictAt      time.Time
-	yieldAt      time.Time
 
 	decisions         []Decision
 	repredictSlots    []table.Slot
@@ -322,7 +321,6 @@
 func (s *Scheduler) Tick(now time.Time) []Decision {
 	s.decisions = s.decisions[:0]
 	s.expire(now)
-	s.updateYielding(now)
 	s.evaluateEngines(now)
 	s.repredict(now)
 	s.planMoves(now)
--- a/internal/sched/stats.go
+++ b/internal/sched/stats.go
@@ -9,8 +9,6 @@
 // Stats are the totals of the scheduler's tables at one moment.
 type Stats struct {
 	Engines, WaitingShort, WaitingLong, Running int
-	// Yielding counts the waiting requests that go after those that can still be on time.
-	Yielding int
 	// Reserved and Usable are in tokens over all engines.
 	Reserved, Usable int
 	// Avoided counts the engines that are avoided or probed as stragglers.
@@ -26,11 +24,6 @@
 		WaitingShort: s.queues[queueShort].waiting,
 		WaitingLong:  s.queues[queueLong].waiting,
 	}
-	for slot := table.Slot(0); slot < s.requests.Cap(); slot++ {
-		if s.requests.Used(slot) && s.requests.At(slot).waiting() && s.requests.At(slot).yields {
-			stats.Yielding++
-		}
-	}
 	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
 		if !s.engines.Used(slot) {
 			continue
--- a/internal/serve/metrics.go
+++ b/internal/serve/metrics.go
@@ -24,7 +24,6 @@
 	startingInstances              int
 	otherReleases                  int
 	waitingShort, waitingLong      int
-	yielding                       int
 	running                        int
 	engines, avoidedEngines        int
 	slowEngines                    int
@@ -65,8 +64,6 @@
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.waitingShort) }},
 	{Name: "placement_waiting_long", Help: "Long generations that wait for an engine in the pools of this instance.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.waitingLong) }},
-	{Name: "placement_yielding", Help: "Waiting generations that are late and go after those that can still be on time, in the pools of this instance.",
-		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.yielding) }},
 	{Name: "placement_running", Help: "Generations that run on engines of the pools of this instance.",
 		Type: prometheus.GaugeValue, Value: func(s *instanceStats) float64 { return float64(s.running) }},
 	{Name: "placement_engines", Help: "Engines in the pools of this instance.",
@@ -173,7 +170,6 @@
 	for _, pool := range i.placer.Stats() {
 		stats.waitingShort += pool.WaitingShort
 		stats.waitingLong += pool.WaitingLong
-		stats.yielding += pool.Yielding
 		stats.running += pool.Running
 		stats.engines += pool.Engines
 		stats.avoidedEngines += pool.Avoided
--- a/internal/serve/metrics_test.go
+++ b/internal/serve/metrics_test.go
@@ -22,7 +22,7 @@
 		openRequests: 4, liveInstances: 5, waitingShort: 6, waitingLong: 7, running: 8, engines: 9, avoidedEngines: 10,
 		reservedTokens: 11, usableTokens: 12, droppedLogLines: 13, sentBytes: 14, receivedBytes: 15, engineCrashes: 16,
 		unreached: 17, carriedTunnels: 18, storeEra: 19, requestCrashes: 20, otherReleases: 21, rejectedEntries: 22, adapterPanics: 23, slowEngines: 24,
-		startingInstances: 25, coldBackends: 37, yielding: 38,
+		startingInstances: 25, coldBackends: 37,
 		spill: place.SpillStats{
 			Sent: 26, Returned: 27, LinkBytes: 28, LinkRate: 29, Age: 30 * time.Second,
 			Homes: spill.Stats{Sent: 31, Received: 32, GrantedRequests: 33, Unaffordable: 34, Answers: 35, Failures: 36},
@@ -39,7 +39,7 @@
 		{"log_lines_dropped_total", 13}, {"membership_sent_bytes_total", 14}, {"membership_received_bytes_total", 15},
 		{"engine_crashes", 16}, {"backends_unreached", 17}, {"tunnels_carried", 18}, {"store_era", 19}, {"request_crashes", 20},
 		{"instances_other_release", 21}, {"backend_entries_rejected_total", 22}, {"adapter_panics_total", 23}, {"placement_engines_slow", 24},
-		{"instances_starting", 25}, {"backends_cold", 37}, {"placement_yielding", 38}, {"spill_sent_total", 26}, {"spill_returned_total", 27}, {"spill_link_bytes_total", 28},
+		{"instances_starting", 25}, {"backends_cold", 37}, {"spill_sent_total", 26}, {"spill_returned_total", 27}, {"spill_link_bytes_total", 28},
 		{"spill_link_rate_bytes", 29}, {"spill_exchange_age_seconds", 30}, {"spill_decided_total", 31}, {"spill_received_total", 32},
 		{"spill_granted_total", 33}, {"spill_unaffordable_total", 34}, {"spill_answers_total", 35}, {"spill_failures_total", 36},
 	}
--- a/pkg/pond/mechanism.go
+++ b/pkg/pond/mechanism.go
@@ -27,8 +27,6 @@
 	MechanismShortShare
 	// MechanismAccountShares serves accounts by their weights instead of in the order of arrival.
 	MechanismAccountShares
-	// MechanismOnTimeFirst puts requests back whose first event would be late, for those that can still be on time.
-	MechanismOnTimeFirst
 	// MechanismAging lets long requests of starved accounts pass short ones and holds an engine for them.
 	MechanismAging
 	// MechanismPrefillLoad counts prompts that an engine has not read as load.
--- a/pkg/pond/mechanism_enumer.go
+++ b/pkg/pond/mechanism_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _MechanismName = "regionBalanceforecastlearnedLengthspredictedRefusalshortQueueshortShareaccountSharesonTimeFirstagingprefillLoadurgencyslowEnginesstragglersprefixAffinitymovesmoveOrdernearTargetsrebalancingengineChecksrestartstunnelspermitscoldLimitsevacuationsbackoffshazards"
+const _MechanismName = "regionBalanceforecastlearnedLengthspredictedRefusalshortQueueshortShareaccountSharesagingprefillLoadurgencyslowEnginesstragglersprefixAffinitymovesmoveOrdernearTargetsrebalancingengineChecksrestartstunnelspermitscoldLimitsevacuationsbackoffshazards"
 
-var _MechanismIndex = [...]uint16{0, 13, 21, 35, 51, 61, 71, 84, 95, 100, 111, 118, 129, 139, 153, 158, 167, 178, 189, 201, 209, 216, 223, 233, 244, 252, 259}
+var _MechanismIndex = [...]uint8{0, 13, 21, 35, 51, 61, 71, 84, 89, 100, 107, 118, 128, 142, 147, 156, 167, 178, 190, 198, 205, 212, 222, 233, 241, 248}
 
-const _MechanismLowerName = "regionbalanceforecastlearnedlengthspredictedrefusalshortqueueshortshareaccountsharesontimefirstagingprefillloadurgencyslowenginesstragglersprefixaffinitymovesmoveorderneartargetsrebalancingenginechecksrestartstunnelspermitscoldlimitsevacuationsbackoffshazards"
+const _MechanismLowerName = "regionbalanceforecastlearnedlengthspredictedrefusalshortqueueshortshareaccountsharesagingprefillloadurgencyslowenginesstragglersprefixaffinitymovesmoveorderneartargetsrebalancingenginechecksrestartstunnelspermitscoldlimitsevacuationsbackoffshazards"
 
 func (i Mechanism) String() string {
 	if i < 0 || i >= Mechanism(len(_MechanismIndex)-1) {
@@ -31,28 +31,27 @@
 	_ = x[MechanismShortQueue-(4)]
 	_ = x[MechanismShortShare-(5)]
 	_ = x[MechanismAccountShares-(6)]
-	_ = x[MechanismOnTimeFirst-(7)]
-	_ = x[MechanismAging-(8)]
-	_ = x[MechanismPrefillLoad-(9)]
-	_ = x[MechanismUrgency-(10)]
-	_ = x[MechanismSlowEngines-(11)]
-	_ = x[MechanismStragglers-(12)]
-	_ = x[MechanismPrefixAffinity-(13)]
-	_ = x[MechanismMoves-(14)]
-	_ = x[MechanismMoveOrder-(15)]
-	_ = x[MechanismNearTargets-(16)]
-	_ = x[MechanismRebalancing-(17)]
-	_ = x[MechanismEngineChecks-(18)]
-	_ = x[MechanismRestarts-(19)]
-	_ = x[MechanismTunnels-(20)]
-	_ = x[MechanismPermits-(21)]
-	_ = x[MechanismColdLimits-(22)]
-	_ = x[MechanismEvacuations-(23)]
-	_ = x[MechanismBackoffs-(24)]
-	_ = x[MechanismHazards-(25)]
+	_ = x[MechanismAging-(7)]
+	_ = x[MechanismPrefillLoad-(8)]
+	_ = x[MechanismUrgency-(9)]
+	_ = x[MechanismSlowEngines-(10)]
+	_ = x[MechanismStragglers-(11)]
+	_ = x[MechanismPrefixAffinity-(12)]
+	_ = x[MechanismMoves-(13)]
+	_ = x[MechanismMoveOrder-(14)]
+	_ = x[MechanismNearTargets-(15)]
+	_ = x[MechanismRebalancing-(16)]
+	_ = x[MechanismEngineChecks-(17)]
+	_ = x[MechanismRestarts-(18)]
+	_ = x[MechanismTunnels-(19)]
+	_ = x[MechanismPermits-(20)]
+	_ = x[MechanismColdLimits-(21)]
+	_ = x[MechanismEvacuations-(22)]
+	_ = x[MechanismBackoffs-(23)]
+	_ = x[MechanismHazards-(24)]
 }
 
-var _MechanismValues = []Mechanism{MechanismRegionBalance, MechanismForecast, MechanismLearnedLengths, MechanismPredictedRefusal, MechanismShortQueue, MechanismShortShare, MechanismAccountShares, MechanismOnTimeFirst, MechanismAging, MechanismPrefillLoad, MechanismUrgency, MechanismSlowEngines, MechanismStragglers, MechanismPrefixAffinity, MechanismMoves, MechanismMoveOrder, MechanismNearTargets, MechanismRebalancing, MechanismEngineChecks, MechanismRestarts, MechanismTunnels, MechanismPermits, MechanismColdLimits, MechanismEvacuations, MechanismBackoffs, MechanismHazards}
+var _MechanismValues = []Mechanism{MechanismRegionBalance, MechanismForecast, MechanismLearnedLengths, MechanismPredictedRefusal, MechanismShortQueue, MechanismShortShare, MechanismAccountShares, MechanismAging, MechanismPrefillLoad, MechanismUrgency, MechanismSlowEngines, MechanismStragglers, MechanismPrefixAffinity, MechanismMoves, MechanismMoveOrder, MechanismNearTargets, MechanismRebalancing, MechanismEngineChecks, MechanismRestarts, MechanismTunnels, MechanismPermits, MechanismColdLimits, MechanismEvacuations, MechanismBackoffs, MechanismHazards}
 
 var _MechanismNameToValueMap = map[string]Mechanism{
 	_MechanismName[0:13]:    MechanismRegionBalance,
@@ -62,25 +61,24 @@
 	_MechanismName[51:61]:   MechanismShortQueue,
 	_MechanismName[61:71]:   MechanismShortShare,
 	_MechanismName[71:84]:   MechanismAccountShares,
-	_MechanismName[84:95]:   MechanismOnTimeFirst,
-	_MechanismName[95:100]:  MechanismAging,
-	_MechanismName[100:111]: MechanismPrefillLoad,
-	_MechanismName[111:118]: MechanismUrgency,
-	_MechanismName[118:129]: MechanismSlowEngines,
-	_MechanismName[129:139]: MechanismStragglers,
-	_MechanismName[139:153]: MechanismPrefixAffinity,
-	_MechanismName[153:158]: MechanismMoves,
-	_MechanismName[158:167]: MechanismMoveOrder,
-	_MechanismName[167:178]: MechanismNearTargets,
-	_MechanismName[178:189]: MechanismRebalancing,
-	_MechanismName[189:201]: MechanismEngineChecks,
-	_MechanismName[201:209]: MechanismRestarts,
-	_MechanismName[209:216]: MechanismTunnels,
-	_MechanismName[216:223]: MechanismPermits,
-	_MechanismName[223:233]: MechanismColdLimits,
-	_MechanismName[233:244]: MechanismEvacuations,
-	_MechanismName[244:252]: MechanismBackoffs,
-	_MechanismName[252:259]: MechanismHazards,
+	_MechanismName[84:89]:   MechanismAging,
+	_MechanismName[89:100]:  MechanismPrefillLoad,
+	_MechanismName[100:107]: MechanismUrgency,
+	_MechanismName[107:118]: MechanismSlowEngines,
+	_MechanismName[118:128]: MechanismStragglers,
+	_MechanismName[128:142]: MechanismPrefixAffinity,
+	_MechanismName[142:147]: MechanismMoves,
+	_MechanismName[147:156]: MechanismMoveOrder,
+	_MechanismName[156:167]: MechanismNearTargets,
+	_MechanismName[167:178]: MechanismRebalancing,
+	_MechanismName[178:190]: MechanismEngineChecks,
+	_MechanismName[190:198]: MechanismRestarts,
+	_MechanismName[198:205]: MechanismTunnels,
+	_MechanismName[205:212]: MechanismPermits,
+	_MechanismName[212:222]: MechanismColdLimits,
+	_MechanismName[222:233]: MechanismEvacuations,
+	_MechanismName[233:241]: MechanismBackoffs,
+	_MechanismName[241:248]: MechanismHazards,
 }
 
 var _MechanismLowerNameToValueMap = map[string]Mechanism{
@@ -91,25 +89,24 @@
 	_MechanismLowerName[51:61]:   MechanismShortQueue,
 	_MechanismLowerName[61:71]:   MechanismShortShare,
 	_MechanismLowerName[71:84]:   MechanismAccountShares,
-	_MechanismLowerName[84:95]:   MechanismOnTimeFirst,
-	_MechanismLowerName[95:100]:  MechanismAging,
-	_MechanismLowerName[100:111]: MechanismPrefillLoad,
-	_MechanismLowerName[111:118]: MechanismUrgency,
-	_MechanismLowerName[118:129]: MechanismSlowEngines,
-	_MechanismLowerName[129:139]: MechanismStragglers,
-	_MechanismLowerName[139:153]: MechanismPrefixAffinity,
-	_MechanismLowerName[153:158]: MechanismMoves,
-	_MechanismLowerName[158:167]: MechanismMoveOrder,
-	_MechanismLowerName[167:178]: MechanismNearTargets,
-	_MechanismLowerName[178:189]: MechanismRebalancing,
-	_MechanismLowerName[189:201]: MechanismEngineChecks,
-	_MechanismLowerName[201:209]: MechanismRestarts,
-	_MechanismLowerName[209:216]: MechanismTunnels,
-	_MechanismLowerName[216:223]: MechanismPermits,
-	_MechanismLowerName[223:233]: MechanismColdLimits,
-	_MechanismLowerName[233:244]: MechanismEvacuations,
-	_MechanismLowerName[244:252]: MechanismBackoffs,
-	_MechanismLowerName[252:259]: MechanismHazards,
+	_MechanismLowerName[84:89]:   MechanismAging,
+	_MechanismLowerName[89:100]:  MechanismPrefillLoad,
+	_MechanismLowerName[100:107]: MechanismUrgency,
+	_MechanismLowerName[107:118]: MechanismSlowEngines,
+	_MechanismLowerName[118:128]: MechanismStragglers,
+	_MechanismLowerName[128:142]: MechanismPrefixAffinity,
+	_MechanismLowerName[142:147]: MechanismMoves,
+	_MechanismLowerName[147:156]: MechanismMoveOrder,
+	_MechanismLowerName[156:167]: MechanismNearTargets,
+	_MechanismLowerName[167:178]: MechanismRebalancing,
+	_MechanismLowerName[178:190]: MechanismEngineChecks,
+	_MechanismLowerName[190:198]: MechanismRestarts,
+	_MechanismLowerName[198:205]: MechanismTunnels,
+	_MechanismLowerName[205:212]: MechanismPermits,
+	_MechanismLowerName[212:222]: MechanismColdLimits,
+	_MechanismLowerName[222:233]: MechanismEvacuations,
+	_MechanismLowerName[233:241]: MechanismBackoffs,
+	_MechanismLowerName[241:248]: MechanismHazards,
 }
 
 var _MechanismNames = []string{
@@ -120,25 +117,24 @@
 	_MechanismName[51:61],
 	_MechanismName[61:71],
 	_MechanismName[71:84],
-	_MechanismName[84:95],
-	_MechanismName[95:100],
-	_MechanismName[100:111],
-	_MechanismName[111:118],
-	_MechanismName[118:129],
-	_MechanismName[129:139],
-	_MechanismName[139:153],
-	_MechanismName[153:158],
-	_MechanismName[158:167],
+	_MechanismName[84:89],
+	_MechanismName[89:100],
+	_MechanismName[100:107],
+	_MechanismName[107:118],
+	_MechanismName[118:128],
+	_MechanismName[128:142],
+	_MechanismName[142:147],
+	_MechanismName[147:156],
+	_MechanismName[156:167],
 	_MechanismName[167:178],
-	_MechanismName[178:189],
-	_MechanismName[189:201],
-	_MechanismName[201:209],
-	_MechanismName[209:216],
-	_MechanismName[216:223],
-	_MechanismName[223:233],
-	_MechanismName[233:244],
-	_MechanismName[244:252],
-	_MechanismName[252:259],
+	_MechanismName[178:190],
+	_MechanismName[190:198],
+	_MechanismName[198:205],
+	_MechanismName[205:212],
+	_MechanismName[212:222],
+	_MechanismName[222:233],
+	_MechanismName[233:241],
+	_MechanismName[241:248],
 }
 
 // MechanismString retrieves an enum value from the enum constants string name.
