bound: the test of connections beyond the limit waits until the closed one has left

By a trace of the table the test's next connection was refused, and so the expected one was not closed: the caller of an evicted connection sees its end before the table gives its place back, and while more than an eighth of the limit (of four: none) is being closed, new connections are refused. That is as designed (descriptors bound the sum); the test did not wait for it. Change: the test waits until the evicted connection has left the table. The product is unchanged.

--- a/internal/bound/guard_test.go
+++ b/internal/bound/guard_test.go
@@ -265,6 +265,8 @@
 			if status := gone.status(); status != 0 && status != http.StatusBadRequest {
 				t.Errorf("the connection is not closed for connection %d: status %d", i, status)
 			}
+			// Its caller sees the end before its descriptor is given back, and only a part of the limit may be closing: of four none.
+			await(t, "the closed connection has left", func() bool { return g.group.Open() == limit })
 		}
 		await(t, "the request is in progress", func() bool { return inState(connServing) == i+2 })
 	}
