feed: an instance that is ahead of its source waits for it

Cause: on deployments with hundreds of changes a second (3,000 servers) an instance is ahead of its parent in the tree after the seeds or the store have served it. A source at an earlier revision counted as stale, so the instance went on to the next source and ended at the store, whose answer put it ahead of all others again. Change: a source that is behind in the same era is asked again, not left, while the replica has been confirmed within 1.2 s; it holds the question until it has caught up. After that time it counts as stale as before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -56,7 +56,7 @@
 
 	// storePause is the time after a response of the store with changes before it is asked for the next ones. Each question is charged, and
 	// with hundreds of backend servers that come and go, each one brought a single change. The first change after a time without one is
-	// not delayed.
+	// not delayed. It is also the time before an instance that is behind is asked again.
 	storePause = 60 * time.Millisecond
 
 	// idleDelay is the time between two searches for a source while all of them are in backoff.
@@ -103,6 +103,9 @@
 const (
 	PullFailed PullResult = iota
 	PullStale
+	// PullBehind is that of a source which lacks changes that this replica has, and will soon have them: with hundreds of changes a second a
+	// follower that has read the store is ahead of all others. It is asked again while this replica has been confirmed recently.
+	PullBehind
 	PullUnchanged
 	PullChanged
 )
@@ -142,8 +145,8 @@
 	failing       bool
 	storeSilent   bool
 	currentSource string
-	// storePauseUntil is the time before which the store is not asked for changes.
-	storePauseUntil time.Time
+	// pauseUntil is the time before which no source is asked for changes; see storePause.
+	pauseUntil time.Time
 	// lacking is the name of the source that lacked numbered records in its last response, and lackingAbove the greatest number
 	// that it had.
 	lacking      string
@@ -176,15 +179,15 @@
 			continue
 		}
 		f.pullFirst(ctx, sources)
-		f.awaitStorePause(ctx)
+		f.awaitPause(ctx)
 	}
 	return context.Cause(ctx)
 }
 
-// awaitStorePause waits until the store may be asked again.
-func (f *Feed) awaitStorePause(ctx context.Context) {
+// awaitPause waits until the sources may be asked again.
+func (f *Feed) awaitPause(ctx context.Context) {
 	f.mu.Lock()
-	pause := f.storePauseUntil.Sub(f.options.Clock())
+	pause := f.pauseUntil.Sub(f.options.Clock())
 	f.mu.Unlock()
 	if pause <= 0 || pause > storePause { // The clock may have been set.
 		return
@@ -323,28 +326,33 @@
 	result := f.applyInOrder(batch)
 	f.noteLacking(upstream, batch)
 	// A source at an earlier position cannot confirm this replica, however recent its own confirmation is.
-	if age := now.Sub(batch.ConfirmedAt); age > staleAfter || batch.Compare(cursor.Position) < 0 {
+	age := now.Sub(batch.ConfirmedAt)
+	switch behind := batch.Compare(cursor.Position) < 0; {
+	case behind && age <= staleAfter && batch.Era == cursor.Era && now.Sub(f.ConfirmedAt()) <= hurryAfter:
+		result = PullBehind
+		f.pause(now)
+	case behind || age > staleAfter:
 		result = PullStale
 		f.deferSource(upstream, now)
 		f.options.Log.WithFields(logrus.Fields{
 			logs.Event: "sourceStale", logs.Source: upstream.Name, logs.AgeMillis: age.Milliseconds(),
 			logs.Revision: batch.Revision, "ownRevision": cursor.Revision, "era": batch.Era, "ownEra": cursor.Era,
 		}).Warn("source of the configuration is not current")
-	} else {
+	default:
 		f.clearFailures()
 		current = true
 		if upstream.IsStore && result == PullChanged && cursor.Revision > 0 {
-			f.pauseStore(now)
+			f.pause(now)
 		}
 	}
 	f.reportPull(upstream, result)
 	return current
 }
 
-func (f *Feed) pauseStore(now time.Time) {
+func (f *Feed) pause(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.storePauseUntil = now.Add(storePause)
+	f.pauseUntil = now.Add(storePause)
 }
 
 // applyInOrder applies a batch and passes its changes on before another batch is applied.
@@ -548,8 +556,8 @@
 }
 
 // Serve returns the changes after a cursor to a follower. It waits up to followerWait for a change or a newer
-// confirmation. It returns at once if the follower is at another position or holds other numbered records, and as soon as there
-// is a snapshot if neither side has one yet.
+// confirmation, and until this replica has reached the follower's revision. It returns at once if the follower lacks changes, holds other numbered
+// records, or is of another era, and as soon as there is a snapshot if neither side has one yet.
 func (f *Feed) Serve(ctx context.Context, cursor Cursor) Batch {
 	if cursor.Inquires {
 		return f.numberedSince(cursor)
@@ -557,18 +565,22 @@
 	f.Offer(cursor.Offered)
 	timer := time.NewTimer(followerWait)
 	defer timer.Stop()
-	batch, updated := f.changesSince(cursor)
-	if batch.Position != cursor.Position || batch.Number != cursor.Number && len(cursor.Offered) == 0 {
-		return batch
-	}
-	select {
-	case <-ctx.Done():
-		return batch
-	case <-timer.C:
-	case <-updated:
+	for waited := false; ; waited = true {
+		batch, updated := f.changesSince(cursor)
+		behind := batch.Era == cursor.Era && batch.Revision < cursor.Revision && batch.Revision > 0
+		hasOtherNumber := batch.Number != cursor.Number && len(cursor.Offered) == 0
+		if hasOtherNumber || !behind && (waited || batch.Position != cursor.Position) {
+			return batch
+		}
+		select {
+		case <-ctx.Done():
+			return batch
+		case <-timer.C:
+			batch, _ = f.changesSince(cursor)
+			return batch
+		case <-updated:
+		}
 	}
-	batch, _ = f.changesSince(cursor)
-	return batch
 }
 
 func (f *Feed) numberedSince(cursor Cursor) Batch {
--- a/internal/feed/pullresult_enumer.go
+++ b/internal/feed/pullresult_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _PullResultName = "failedstaleunchangedchanged"
+const _PullResultName = "failedstalebehindunchangedchanged"
 
-var _PullResultIndex = [...]uint8{0, 6, 11, 20, 27}
+var _PullResultIndex = [...]uint8{0, 6, 11, 17, 26, 33}
 
-const _PullResultLowerName = "failedstaleunchangedchanged"
+const _PullResultLowerName = "failedstalebehindunchangedchanged"
 
 func (i PullResult) String() string {
 	if i < 0 || i >= PullResult(len(_PullResultIndex)-1) {
@@ -26,31 +26,35 @@
 	var x [1]struct{}
 	_ = x[PullFailed-(0)]
 	_ = x[PullStale-(1)]
-	_ = x[PullUnchanged-(2)]
-	_ = x[PullChanged-(3)]
+	_ = x[PullBehind-(2)]
+	_ = x[PullUnchanged-(3)]
+	_ = x[PullChanged-(4)]
 }
 
-var _PullResultValues = []PullResult{PullFailed, PullStale, PullUnchanged, PullChanged}
+var _PullResultValues = []PullResult{PullFailed, PullStale, PullBehind, PullUnchanged, PullChanged}
 
 var _PullResultNameToValueMap = map[string]PullResult{
 	_PullResultName[0:6]:   PullFailed,
 	_PullResultName[6:11]:  PullStale,
-	_PullResultName[11:20]: PullUnchanged,
-	_PullResultName[20:27]: PullChanged,
+	_PullResultName[11:17]: PullBehind,
+	_PullResultName[17:26]: PullUnchanged,
+	_PullResultName[26:33]: PullChanged,
 }
 
 var _PullResultLowerNameToValueMap = map[string]PullResult{
 	_PullResultLowerName[0:6]:   PullFailed,
 	_PullResultLowerName[6:11]:  PullStale,
-	_PullResultLowerName[11:20]: PullUnchanged,
-	_PullResultLowerName[20:27]: PullChanged,
+	_PullResultLowerName[11:17]: PullBehind,
+	_PullResultLowerName[17:26]: PullUnchanged,
+	_PullResultLowerName[26:33]: PullChanged,
 }
 
 var _PullResultNames = []string{
 	_PullResultName[0:6],
 	_PullResultName[6:11],
-	_PullResultName[11:20],
-	_PullResultName[20:27],
+	_PullResultName[11:17],
+	_PullResultName[17:26],
+	_PullResultName[26:33],
 }
 
 // PullResultString retrieves an enum value from the enum constants string name.
