member: instances of the platform synchronise their tables seldom once they are ready

Cause: an instance synchronises its whole table twice a second until it has done so with a member whose manifest is confirmed. Change: a ready instance without manifests counts as confirmed. Afterwards the interval grows with the table (20 ms for each member, 40 ms for each notice, 1 to 30 s) and is 0.5 s while synchronising still brings something; three of four go to a member of the own region. With the usual 600 notices of the product's own interface it stays at 30 s.

--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -36,11 +36,19 @@
 	// seedProbeInterval is the time between probes of seeds while no other member is live or suspect.
 	seedProbeInterval = 500 * time.Millisecond
 	maxSeedProbes     = 4
-	syncInterval      = 30 * time.Second
-	syncDelay         = 250 * time.Millisecond
+	// The time between two synchronisations is syncPerMember for each member and syncPerNotice for each notice, within the two limits. A
+	// table has 36 bytes for each member, so that it costs each instance 1.8 KB a second without notices.
+	syncPerMember   = 20 * time.Millisecond
+	syncPerNotice   = 40 * time.Millisecond
+	minSyncInterval = time.Second
+	maxSyncInterval = 30 * time.Second
+	syncDelay       = 250 * time.Millisecond
 	// initialSyncInterval is the time between synchronisations until one with a member whose manifest is confirmed
-	// has succeeded.
+	// has succeeded, and after one that has brought something: while many instances start, datagrams have no room for all of them.
 	initialSyncInterval = 500 * time.Millisecond
+	// Of farSyncParts synchronisations one is with a member of any region, the others with one of the own region: the link between regions
+	// is scarce, and datagrams tell of changes there too.
+	farSyncParts = 4
 	// conflictProbeInterval limits probes caused by conflicting reports to a few hundred bytes a second. After a
 	// partition each instance has about one conflict for each member of the other region.
 	conflictProbeInterval = 200 * time.Millisecond
@@ -147,7 +155,7 @@
 		nextProbe:     now.Add(jitter),
 		nextGoneProbe: now.Add(goneProbeInterval + jitter),
 		nextSeedProbe: now,
-		nextSync:      now.Add(syncInterval + jitter),
+		nextSync:      now.Add(minSyncInterval + jitter),
 		changes:       1,
 	}
 }
@@ -255,6 +263,9 @@
 		return
 	}
 	m.self.instance = m.self.instance.WithStarting(false)
+	if m.manifest == nil {
+		m.manifest = &peerpb.ManifestVersion{Confirmed: true} // Without manifests, being ready takes its place.
+	}
 	m.self.version++
 	m.changes++
 	m.queueMember(m.self, true)
--- a/internal/member/machine_test.go
+++ b/internal/member/machine_test.go
@@ -398,11 +398,41 @@
 	}
 }
 
+// TestSynchronisationAtRest guards against instances that exchange their whole tables again and again although nothing has changed. Those of the
+// platform have no manifest that could be confirmed, and did so twice a second for as long as they ran.
+func TestSynchronisationAtRest(t *testing.T) {
+	const limit = 2500 // bytes a second of each instance
+	for _, size := range []int{9, 71, 295} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			s := newTestSite(size)
+			const settled, watched = 15 * time.Second, 15 * time.Second
+			for now := time.Duration(0); now < settled+watched; now += TickInterval {
+				if now == settled {
+					s.syncBytes = 0
+				}
+				if now == time.Second {
+					for _, m := range s.machines {
+						m.AnnounceReady()
+					}
+				}
+				s.step(testStart.Add(now))
+			}
+			each := float64(s.syncBytes) / watched.Seconds() / float64(size)
+			t.Logf("%.0f bytes a second by each", each)
+			if each > limit {
+				t.Errorf("each instance takes %.0f bytes a second to synchronise, at most %d are allowed", each, limit)
+			}
+		})
+	}
+}
+
 // testSite is a site of machines that exchange datagrams without loss, and tables as Member does.
 type testSite struct {
 	machines  []*Machine
 	byAddress map[string]*Machine
 	sentBytes int
+	// syncBytes are those of the synchronisations.
+	syncBytes int
 }
 
 func newStartingMachine(name string, number int) *Machine {
@@ -443,7 +473,9 @@
 			m.SyncFailed(now)
 			continue
 		}
-		resp, out := s.byAddress[address].HandleSync(now, m.SyncRequest())
+		req := m.SyncRequest()
+		resp, out := s.byAddress[address].HandleSync(now, req)
+		s.syncBytes += proto.Size(req) + proto.Size(resp)
 		s.deliver(now, s.byAddress[address], out)
 		s.deliver(now, m, m.ApplySyncResponse(now, address, resp))
 	}
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -35,7 +35,7 @@
 	if now.Before(m.nextSync) {
 		return "", false
 	}
-	m.nextSync = now.Add(syncInterval)
+	m.nextSync = now.Add(m.syncInterval())
 	if !m.synced {
 		m.nextSync = now.Add(initialSyncInterval)
 	}
@@ -50,17 +50,30 @@
 	return r.address(), true
 }
 
+// syncInterval returns the time between two synchronisations when the former one has brought nothing.
+func (m *Machine) syncInterval() time.Duration {
+	interval := time.Duration(m.size())*syncPerMember + time.Duration(len(m.notices))*syncPerNotice
+	return min(max(minSyncInterval, interval), maxSyncInterval)
+}
+
 // syncPartner returns a random live member, or nil. Until the first synchronisation it prefers members with a confirmed
 // manifest, and among these this instance's region, which is more likely to be reachable; afterwards another data
-// centre.
+// centre, mostly of this instance's region.
 func (m *Machine) syncPartner() *record {
 	live := func(r *record) bool { return r.state() == pond.InstanceLive }
 	confirmed := func(r *record) bool { return live(r) && r.manifestConfirmed }
-	sameRegion := func(r *record) bool { return confirmed(r) && r.instance.Region() == m.self.instance.Region() }
+	near := func(r *record) bool { return live(r) && r.instance.Region() == m.self.instance.Region() }
+	sameRegion := func(r *record) bool { return confirmed(r) && near(r) }
 	elsewhere := func(r *record) bool { return live(r) && r.instance.DataCentre() != m.self.instance.DataCentre() }
-	preferences := []func(*record) bool{elsewhere, live}
-	if !m.synced {
+	nearElsewhere := func(r *record) bool { return near(r) && elsewhere(r) }
+	preferences := []func(*record) bool{nearElsewhere, elsewhere, live}
+	switch far := m.random.IntN(farSyncParts) == 0; {
+	case !m.synced && far:
 		preferences = []func(*record) bool{sameRegion, confirmed, live}
+	case !m.synced:
+		preferences = []func(*record) bool{sameRegion, confirmed, near, live}
+	case far:
+		preferences = []func(*record) bool{elsewhere, live}
 	}
 	for _, filter := range preferences {
 		if chosen := m.sample(1, filter); len(chosen) > 0 {
@@ -101,6 +114,9 @@
 // ApplySyncResponse applies the response of the member with the given peer address.
 func (m *Machine) ApplySyncResponse(now time.Time, address string, resp *peerpb.SyncMembersResponse) []Outgoing {
 	m.mergeTable(now, resp.GetMembers(), resp.GetBackends())
+	if soon := now.Add(initialSyncInterval); len(resp.GetMembers()) > 1 && soon.Before(m.nextSync) { // One is the other's own record.
+		m.nextSync = soon
+	}
 	for _, e := range resp.GetMembers() {
 		// The member that responded may be another incarnation than the one known to have a confirmed manifest.
 		r := m.records[pond.InstanceID(e.GetId())]
