member: notices slow synchronisation down while it brings something

Cause: after a synchronisation that brings something the next one followed after 0.5 s also with 600 notices, whose table has some 48 KB. Change: 10 ms more for each notice.

--- a/internal/member/machine.go
+++ b/internal/member/machine.go
@@ -44,8 +44,11 @@
 	maxSyncInterval = 30 * time.Second
 	syncDelay       = 250 * time.Millisecond
 	// initialSyncInterval is the time between synchronisations until one with a member whose manifest is confirmed
-	// has succeeded, and after one that has brought something: while many instances start, datagrams have no room for all of them.
+	// has succeeded.
 	initialSyncInterval = 500 * time.Millisecond
+	// After a synchronisation that has brought something the next one follows after initialSyncInterval and soonerSyncPerNotice for each
+	// notice: while many instances start, datagrams have no room for all of them.
+	soonerSyncPerNotice = 10 * time.Millisecond
 	// Of farSyncParts synchronisations one is with a member of any region, the others with one of the own region: the link between regions
 	// is scarce, and datagrams tell of changes there too.
 	farSyncParts = 4
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -114,7 +114,8 @@
 // ApplySyncResponse applies the response of the member with the given peer address.
 func (m *Machine) ApplySyncResponse(now time.Time, address string, resp *peerpb.SyncMembersResponse) []Outgoing {
 	m.mergeTable(now, resp.GetMembers(), resp.GetBackends())
-	if soon := now.Add(initialSyncInterval); len(resp.GetMembers()) > 1 && soon.Before(m.nextSync) { // One is the other's own record.
+	soon := now.Add(initialSyncInterval + time.Duration(len(m.notices))*soonerSyncPerNotice)
+	if len(resp.GetMembers()) > 1 && soon.Before(m.nextSync) { // One is the other's own record.
 		m.nextSync = soon
 	}
 	for _, e := range resp.GetMembers() {
