--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -2,7 +2,8 @@
 //
 // In each region one instance reads the platform's store. The others pull from it along a tree. Every instance answers
 // pulls, so that any of them can replace another one as a source. An instance whose source fails or is stale tries the
-// next source. This keeps the number of calls to the store independent of the number of instances, and the number of
+// next source. It waits for one that only lacks changes which it has itself: with many changes a second somebody is always
+// ahead, and the store is ahead of all. This keeps the number of calls to the store independent of the number of instances, and the number of
 // followers of each instance constant.
 //
 // A replica also states when it was last known to be current. Keys of client accounts are only accepted while that is
