feed: only instances that are behind are waited for

Cause: the store at an earlier revision of the same era would have been asked every 60 ms for up to 1.2 s; it is not behind but changed. TestSourceFails has an instance that stays behind. Measured: tests of feed pass, also with the race detector.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -103,7 +103,7 @@
 const (
 	PullFailed PullResult = iota
 	PullStale
-	// PullBehind is that of a source which lacks changes that this replica has, and will soon have them: with hundreds of changes a second a
+	// PullBehind is that of an instance which lacks changes that this replica has, and will soon have them: with hundreds of changes a second a
 	// follower that has read the store is ahead of all others. It is asked again while this replica has been confirmed recently.
 	PullBehind
 	PullUnchanged
@@ -328,7 +328,7 @@
 	// A source at an earlier position cannot confirm this replica, however recent its own confirmation is.
 	age := now.Sub(batch.ConfirmedAt)
 	switch behind := batch.Compare(cursor.Position) < 0; {
-	case behind && age <= staleAfter && batch.Era == cursor.Era && now.Sub(f.ConfirmedAt()) <= hurryAfter:
+	case behind && batch.FromInstance && age <= staleAfter && batch.Era == cursor.Era && now.Sub(f.ConfirmedAt()) <= hurryAfter:
 		result = PullBehind
 		f.pause(now)
 	case behind || age > staleAfter:
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -39,6 +39,10 @@
 			time.Sleep(PullWait)
 			return Batch{Position: at(1), ConfirmedAt: time.Now()}, nil
 		}},
+		{"an instance that stays behind", func(context.Context, Cursor) (Batch, error) {
+			time.Sleep(PullWait)
+			return Batch{Position: at(1), ConfirmedAt: time.Now(), FromInstance: true}, nil
+		}},
 		{"stale", func(context.Context, Cursor) (Batch, error) {
 			return Batch{Snapshot: true, Position: at(1), ConfirmedAt: time.Now().Add(-time.Minute)}, nil
 		}},
