bound: a reset during an upload does not end a response

Cause: a backend server that answers a long upload early without a length and resets the connection while the upload is being written was taken for one that had finished: the pending write got the reset, and the read after it an end of the data. Callers got a part of the body as a complete 200. The loop that carries connections for other instances did the same. net/http also closed the connection at the failed write, so that whole responses with a length were lost if they had not been read yet. Change: connections on which responses are read (bound.Transport, CheckEnd) return an end only if no write has failed or is in progress and the request was written; the error of a write waits until the response has been read. Calls that run once read a response also after a failed write.

--- a/internal/bound/http.go
+++ b/internal/bound/http.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"time"
 
@@ -26,14 +24,6 @@
 	ErrTooLarge = errors.New("the body is too large")
 )
 
-// NewTransport returns a transport that reads heads of at most MaxHeadBytes. Nil connects directly, within a second.
-func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	}
-	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: MaxHeadBytes}
-}
-
 // ReadAll reads a body of at most limit bytes. The error for a longer one wraps ErrTooLarge.
 func ReadAll(body io.Reader, limit int64) ([]byte, error) {
 	content, err := io.ReadAll(io.LimitReader(body, limit+1))
@@ -49,7 +39,8 @@
 // tooLarge returns the error for a body above a limit.
 func tooLarge(limit int64) error { return errors.Wrapf(ErrTooLarge, "more than %d bytes", limit) }
 
-// ReadResponse reads the response to a request that was written to a connection. It skips informational responses.
+// ReadResponse reads the response to a request that was written to a connection. It skips informational responses. If
+// the body may end with the connection, that should be one of CheckEnd.
 func ReadResponse(conn io.Reader, req *http.Request) (*http.Response, error) {
 	head := &headReader{conn: conn, left: MaxHeadBytes}
 	reader := bufio.NewReader(head)
--- a/internal/calls/send.go
+++ b/internal/calls/send.go
@@ -66,12 +66,15 @@
 	return s.exchange(conn, req, address)
 }
 
-// exchange writes the request and reads the answer. After an error, the replica may have received the request.
+// exchange writes the request and reads the answer, which may have come before the whole request was written. After an error, the replica may have
+// received the request.
 func (s *unpooledSender) exchange(conn net.Conn, req *http.Request, address string) (pond.Answer, pond.Outcome, error) {
-	if err := req.Write(conn); err != nil {
-		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "write request")
-	}
+	conn = bound.CheckEnd(conn)
+	writeErr := req.Write(conn)
 	response, err := bound.ReadResponse(conn, req)
+	if writeErr != nil && err != nil {
+		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(writeErr, "write request")
+	}
 	if err != nil {
 		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "read answer")
 	}
--- a/internal/calls/send_test.go
+++ b/internal/calls/send_test.go
@@ -275,3 +275,54 @@
 		t.Error("a path without a leading slash was accepted")
 	}
 }
+
+// serveRaw answers each connection with raw bytes once it has read a part of the request, and then resets it.
+func serveRaw(t *testing.T, answer string) (address string) {
+	ln := listen(t)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = conn.Read(make([]byte, 16<<10))
+				_, _ = io.WriteString(conn, answer)
+				time.Sleep(50 * time.Millisecond) // The caller's writes fill the buffers.
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// TestAnswerOfReplicaInTrouble guards against bytes that are no answer, or a part of one, that count as the answer of a call, and against an answer
+// with a length that is lost because its replica did not read the whole request.
+func TestAnswerOfReplicaInTrouble(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+	tests := []struct {
+		name, answer string
+		long         bool // the request
+		want         pond.Outcome
+	}{
+		{"whole", whole, false, pond.OutcomeAnswered},
+		{"no length, during the upload", "HTTP/1.1 200 OK\r\n\r\nhi", true, pond.OutcomeMaybeSent},
+		{"whole, during the upload", whole, true, pond.OutcomeAnswered},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			address := serveRaw(t, test.answer)
+			call := chargeCall("key", "body")
+			if test.long {
+				call.Body = make([]byte, 12<<20)
+			}
+			answer, outcome, err := newUnpooledSender(nil, bound.NewBudget(1<<20)).send(t.Context(), address, &call, func() error { return nil })
+			if outcome != test.want || (err == nil) != (test.want == pond.OutcomeAnswered) {
+				t.Errorf("outcome %s, status %d, body %q, error %v, want outcome %s", outcome, answer.Status, answer.Body, err, test.want)
+			}
+		})
+	}
+}
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -29,7 +29,7 @@
 // Transport sends requests to backend servers and returns failures as *Error with an outcome. It does not follow
 // redirects.
 type Transport struct {
-	base   *http.Transport
+	base   *bound.Transport
 	pooled bool
 }
 
--- a/internal/load/target.go
+++ b/internal/load/target.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/dragonflypond/dragonflypond/internal/bound"
@@ -43,7 +42,7 @@
 func apiKey(account int) string { return fakes.AccountKey(account) }
 
 // newTransport returns a transport with a pool of idle connections large enough for one connection per open stream.
-func newTransport() *http.Transport {
+func newTransport() *bound.Transport {
 	const idle = 4096
 	transport := bound.NewTransport(nil)
 	transport.MaxIdleConns, transport.MaxIdleConnsPerHost = idle, idle
--- a/internal/reach/dialer_test.go
+++ b/internal/reach/dialer_test.go
@@ -767,3 +767,41 @@
 	repro.Fix(repro.Draws{Seed: 35})
 	goleak.VerifyTestMain(m)
 }
+
+// TestResetDuringUploadThroughHelper guards against the reset of a connection that ends in order at the instance which has another one carry it: the
+// helper's write may get the reset, and its read the end of the data.
+func TestResetDuringUploadThroughHelper(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.ReadFull(conn, make([]byte, 16<<10))
+				_, _ = io.WriteString(conn, "hello")
+				time.Sleep(50 * time.Millisecond) // The writes of the helper fill the buffers.
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	nodes := newNodes(t, 2)
+	nodes[0].set(wayRefuses)
+	for range 10 {
+		conn, err := nodes[0].dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = conn.Write(make([]byte, 12<<20)) }()
+		if data, err := io.ReadAll(conn); err == nil || string(data) != "hello" {
+			t.Errorf("%q, error %v, want the data and an error", data, err)
+		}
+		_ = conn.Close()
+	}
+}
--- a/internal/reach/server.go
+++ b/internal/reach/server.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
@@ -215,6 +216,7 @@
 // carry forwards bytes in both directions until the other instance closes the connection. An error of the connection to the
 // backend server ends the stream with an error, so that it does not look like an orderly end.
 func (s *Server) carry(stream peerpb.DRPCTunnels_ConnectStream, conn net.Conn) error {
+	conn = bound.CheckEnd(conn)
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/drain"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
@@ -446,7 +447,7 @@
 	ctx, cancel := context.WithCancelCause(reach.WithFit(ctx, func(endsAt time.Time) bool { return x.fits(work, endsAt) }))
 	var via tunnel
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if via, _ = info.Conn.(tunnel); via != nil {
+		if via, _ = bound.NetConn(info.Conn).(tunnel); via != nil {
 			x.logTunnel(d.Backend.ID, via)
 			go endWithHelper(ctx, via, cancel)
 		}
