bound: a malformed head is no response

Cause: net/http accepts statuses below 100, names of fields with blanks, and folded lines. relay panicked in WriteHeader, or passed the answer on, or believed "not run", limits and back-offs in such a head; calls that run once took 000 for an informational status and a head in the body for the answer; engine.Transport.Do and the deletion of a copy took every status below 400 as success. Change: bound.Transport and bound.ReadResponse refuse such heads, also of informational responses, and close the connection. The outcome is unknown. Success of an engine's call is 2xx. A malformed head is not counted as a crash under a request.

--- a/internal/bound/answer.go
+++ b/internal/bound/answer.go
@@ -28,11 +28,12 @@
 // checkedConn is a connection of CheckEnd.
 type checkedConn struct {
 	net.Conn
-	// ofTransport is true for a connection of a Transport, which tells it where each request begins and ends. Only then is the error of a
-	// write held back until the answer has been read: net/http closes the connection after it.
+	// ofTransport is true for a connection of a Transport, which tells it where each request begins and ends. Only then are heads checked, and is the
+	// error of a write held back until the answer has been read: net/http closes the connection after it.
 	ofTransport bool
-	// answered is true once something was read since the request began.
+	// answered is true once something was read since the request began, and head checks what is read from then on.
 	answered atomic.Bool
+	head     headScanner
 
 	mu     sync.Mutex
 	writes int // in progress
@@ -52,8 +53,13 @@
 // Read implements net.Conn.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.answered.Store(true)
+	if n > 0 && !c.answered.Swap(true) {
+		c.head = headScanner{}
+	}
+	if c.ofTransport {
+		if err := c.head.scan(p[:n]); err != nil {
+			return 0, err
+		}
 	}
 	if errors.Is(err, io.EOF) && c.answered.Load() { // Without an answer, the end is a failure in any case.
 		err = c.checkEnd()
--- a/internal/bound/http.go
+++ b/internal/bound/http.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net/http"
+	"net/textproto"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,8 +40,8 @@
 // tooLarge returns the error for a body above a limit.
 func tooLarge(limit int64) error { return errors.Wrapf(ErrTooLarge, "more than %d bytes", limit) }
 
-// ReadResponse reads the response to a request that was written to a connection. It skips informational responses. If
-// the body may end with the connection, that should be one of CheckEnd.
+// ReadResponse reads the response to a request that was written to a connection. It skips informational responses, and accepts only a well-formed
+// head. If the body may end with the connection, that should be one of CheckEnd.
 func ReadResponse(conn io.Reader, req *http.Request) (*http.Response, error) {
 	head := &headReader{conn: conn, left: MaxHeadBytes}
 	reader := bufio.NewReader(head)
@@ -49,17 +50,24 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if !isInformational(response.StatusCode) {
+			if err := checkHead(response, req); err != nil {
+				return nil, err
+			}
 			head.left = math.MaxInt64 // The reader of the body limits the rest.
 			return response, nil
 		}
+		if err := checkNames(textproto.MIMEHeader(response.Header)); err != nil {
+			return nil, err
+		}
 	}
 }
 
-// headReader reads at most left bytes.
+// headReader reads at most left bytes, and the beginning of them as heads.
 type headReader struct {
-	conn io.Reader
-	left int64
+	conn    io.Reader
+	left    int64
+	scanner headScanner
 }
 
 // Read implements io.Reader.
@@ -69,5 +77,8 @@
 	}
 	n, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	if err := r.scanner.scan(p[:n]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
--- a/internal/calls/send_test.go
+++ b/internal/calls/send_test.go
@@ -307,6 +307,11 @@
 		long         bool // the request
 		want         pond.Outcome
 	}{
+		{"status 000", "HTTP/1.1 000 OK\r\nContent-Length: 38\r\n\r\n" + whole, false, pond.OutcomeMaybeSent},
+		{"status 099", "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\nhi", false, pond.OutcomeMaybeSent},
+		{"blank before the colon", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\nhi", false, pond.OutcomeMaybeSent},
+		{"blank before a name", "HTTP/1.1 200 OK\r\nX-First: 1\r\n Content-Length: 2\r\n\r\nhi", false, pond.OutcomeMaybeSent},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Field: 1\r\nContent-Length: 2\r\n\r\nhi", false, pond.OutcomeMaybeSent},
 		{"whole", whole, false, pond.OutcomeAnswered},
 		{"no length, during the upload", "HTTP/1.1 200 OK\r\n\r\nhi", true, pond.OutcomeMaybeSent},
 		{"whole, during the upload", whole, true, pond.OutcomeAnswered},
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -284,3 +284,15 @@
 		})
 	}
 }
+
+// TestRedirectIsNoSuccess guards against an engine's answer that counts as a success although its status is not 2xx.
+func TestRedirectIsNoSuccess(t *testing.T) {
+	for _, status := range []string{"000 OK", "099 OK", "302 Found", "304 Not Modified"} {
+		t.Run(status, func(t *testing.T) {
+			address := startScriptedServer(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+			if err := NewClient(nil).Cancel(t.Context(), address, "g"); err == nil {
+				t.Error("a generation counts as canceled")
+			}
+		})
+	}
+}
--- a/internal/engine/transport.go
+++ b/internal/engine/transport.go
@@ -67,14 +67,14 @@
 // Close closes idle connections.
 func (t *Transport) Close() { t.base.CloseIdleConnections() }
 
-// Do sends a request. The error is an *Error. A response with a status of 400 or more is also returned as an error,
+// Do sends a request. The error is an *Error. A response with a status other than 2xx is also returned as an error,
 // with its body closed.
 func (t *Transport) Do(req *http.Request) (*http.Response, error) {
 	resp, err := t.Send(req)
 	if err != nil {
 		return nil, err
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode/100 != 2 {
 		return nil, newResponseError(resp)
 	}
 	return resp, nil
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/dragonflypond/dragonflypond/internal/bound"
 	"github.com/dragonflypond/dragonflypond/internal/hazard"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/route"
@@ -74,7 +75,8 @@
 // mayBeCrash reports whether an error of an answer may come from the end of its engine. Answers that are spoiled, or that this
 // instance has cut because they stalled or because the instance that carries them ends, do not.
 func mayBeCrash(err error) bool {
-	return !errors.Is(err, errForeignResponse) && !errors.Is(err, errEventTooLarge) && !errors.Is(err, errHelperEnds) && !errors.Is(err, context.Canceled)
+	spoiled := errors.Is(err, errForeignResponse) || errors.Is(err, errEventTooLarge) || errors.Is(err, bound.ErrMalformedHead)
+	return !spoiled && !errors.Is(err, errHelperEnds) && !errors.Is(err, context.Canceled)
 }
 
 // recordBreak records that an engine broke off a generation that it had hardly begun to answer. writing is true if the head
