relay: streams with a malformed or no media type are split into events too

With a malformed parameter, or with neither a type nor a length, a stream that was cut within an event still went to the caller as a whole response. Change: such a response on a streaming route is passed on event by event as well. All pass now.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -61,13 +61,18 @@
 	}
 }
 
-// streamsEvents reports whether a response of a plain service is a stream of events.
+// streamsEvents reports whether a response of a plain service is a stream of events. One that states no type and has no length of its own is taken for
+// one on a streaming route, because its end would not show that it was cut.
 func (x *exchange) streamsEvents(a attempt) bool {
 	if x.route.Kind != route.KindStream || a.resp.StatusCode != http.StatusOK {
 		return false
 	}
-	mediaType, _, err := mime.ParseMediaType(a.resp.Header.Get("Content-Type"))
-	return err == nil && mediaType == "text/event-stream"
+	contentType := a.resp.Header.Get("Content-Type")
+	if contentType == "" {
+		return a.unframed
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && mediaType == "text/event-stream"
 }
 
 // readFirstEvent reads the response body up to its first event. A body without one is read whole.
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -29,9 +29,13 @@
 	}{
 		{"whole", "text/event-stream", false, whole, 200, whole},
 		{"whole, with a parameter", "text/event-stream; charset=utf-8", false, whole, 200, whole},
+		{"whole, with a malformed parameter", "text/event-stream; charset", false, whole, 200, whole},
+		{"whole, without a type", "", false, whole, 200, whole},
 		{"whole and framed", "text/event-stream", true, whole, 200, whole},
 		{"long", "text/event-stream", false, long, 200, long},
 		{"cut", "text/event-stream", false, cut, 0, eventsUntil(3)},
+		{"cut, with a malformed parameter", "text/event-stream; charset", false, cut, 0, eventsUntil(3)},
+		{"cut, without a type", "", false, cut, 0, eventsUntil(3)},
 		{"cut before the blank line", "text/event-stream", false, whole[:len(whole)-1], 0, eventsUntil(4)},
 		{"cut and framed", "text/event-stream", true, cut, 0, eventsUntil(3)},
 		{"long and cut", "text/event-stream", false, long + "id", 0, long},
