relay, front: requests do not keep former configurations in memory

Change: a request copies its route and service once it is prepared; the regions remember their configuration by a weak pointer. A generation that is not streamed drops its manifest.

--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -41,6 +41,7 @@
 		if err != nil {
 			return err
 		}
+		r.manifest = nil // A long generation would keep a former one in memory.
 		if body.Stream {
 			return f.relay.Generate(r.Context(), req, f.newEventSink(w, format, req.Model, r.arrived))
 		}
--- a/internal/relay/regions.go
+++ b/internal/relay/regions.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"weak"
 
 	"github.com/pkg/errors"
 
@@ -20,14 +21,14 @@
 // allowedRegions caches the regions in which a request may run, as of one configuration. A move asks beside the stream that it moves.
 type allowedRegions struct {
 	mu        sync.Mutex
-	catalogue *route.Catalogue
+	catalogue weak.Pointer[route.Catalogue]
 	// route and account hold the regions of each; regions those that both allow.
 	route, account, regions pond.Regions
 }
 
 // apply applies a configuration. A route or an account that it lacks keeps its regions.
 func (a *allowedRegions) apply(catalogue *route.Catalogue, call *Call) {
-	a.catalogue = catalogue
+	a.catalogue = weak.Make(catalogue)
 	if matched, ok := catalogue.Match(call.Host, call.Path); ok {
 		a.route = matched.Regions
 	}
@@ -48,10 +49,10 @@
 	newest := x.relay.options.Fleet.Catalogue()
 	x.allowed.mu.Lock()
 	defer x.allowed.mu.Unlock()
-	if x.allowed.catalogue == nil {
+	if x.catalogue != nil {
 		x.allowed.apply(x.catalogue, x.call)
 	}
-	if x.allowed.catalogue != newest {
+	if x.allowed.catalogue != weak.Make(newest) {
 		x.allowed.apply(newest, x.call)
 	}
 	return x.allowed.regions
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -117,11 +117,13 @@
 
 // exchange is one caller's request in progress.
 type exchange struct {
-	relay     *Relay
-	w         http.ResponseWriter
-	in        *http.Request
-	call      *Call
+	relay *Relay
+	w     http.ResponseWriter
+	in    *http.Request
+	call  *Call
+	// catalogue is the configuration in which the route was found, until the request is prepared; version is its version.
 	catalogue *route.Catalogue
+	version   uint64
 	route     *route.Route
 	service   *route.Service
 	account   string
@@ -187,6 +189,7 @@
 		x.refuse(pond.ReasonNotReady, unconfirmedRetryDelay, "no configuration is known yet")
 		return false
 	}
+	x.version = x.catalogue.Version()
 	matched, ok := x.catalogue.Match(x.call.Host, x.call.Path)
 	if !ok {
 		x.reject(http.StatusNotFound, pond.ReasonNotFound)
@@ -216,9 +219,17 @@
 	if !body.Replayable() {
 		x.readBodyWhileResponding()
 	}
+	x.releaseCatalogue()
 	return true
 }
 
+// releaseCatalogue copies what the request needs of the configuration. A long stream would keep a former one in memory until its end.
+func (x *exchange) releaseCatalogue() {
+	x.regions() // The first ones are those of this configuration.
+	matched, service := *x.route, *x.service
+	x.route, x.service, x.catalogue = &matched, &service, nil
+}
+
 // setService sets the service of the request and its deadline.
 func (x *exchange) setService(name string) {
 	service, ok := x.catalogue.Service(name)
@@ -421,8 +432,8 @@
 		fields[logs.AgeMillis] = x.confirmedAgeMillis()
 		fields[logs.Revision] = x.relay.options.Fleet.Revision()
 	}
-	if x.catalogue != nil {
-		fields[logs.Version] = x.catalogue.Version()
+	if x.version > 0 {
+		fields[logs.Version] = x.version
 	}
 	kind := "unknown"
 	if x.route != nil {
