relay: a body that is not kept is given to one reader only

Change: the body itself refuses a second reader once a part of it was read, and exchange.send does not send such a request. The backend server is not blamed.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,13 +21,38 @@
 // errBodyTooLarge is returned for a body above the configured limit.
 var errBodyTooLarge = errors.New("the request body exceeds the limit")
 
+// errBodySent is returned for a body that cannot be sent again.
+var errBodySent = errors.New("the request body was sent and is not kept")
+
 // Body is the body of a caller's request. A body of up to replayLimit bytes is buffered and can be read several times.
 type Body struct {
 	buffered []byte
-	rest     io.Reader // the part after buffered; nil if the whole body is buffered
+	rest     *bodyRest // the part after buffered; nil if the whole body is buffered
 	length   int64     // -1 if unknown
 }
 
+// bodyRest is the part of a body that is not buffered. It can be read once.
+type bodyRest struct {
+	limitedBody
+	begun atomic.Bool
+}
+
+// singleReader reads a body that can be read only once, unless another reader has begun.
+type singleReader struct {
+	io.Reader
+	rest *bodyRest
+	own  bool
+}
+
+// Read implements io.Reader.
+func (r *singleReader) Read(p []byte) (int, error) {
+	if !r.own && !r.rest.begun.CompareAndSwap(false, true) {
+		return 0, errBodySent
+	}
+	r.own = true
+	return r.Reader.Read(p)
+}
+
 // limitedBody is the part of a body that is not buffered. Reading beyond the limit fails.
 type limitedBody struct {
 	io.Reader
@@ -66,23 +92,26 @@
 	if limit <= 0 {
 		limit = math.MaxInt64
 	}
-	rest := &limitedBody{Reader: in.Body, left: limit - int64(len(buffered)), onEnd: onEnd}
+	rest := &bodyRest{limitedBody: limitedBody{Reader: in.Body, left: limit - int64(len(buffered)), onEnd: onEnd}}
 	return Body{buffered: buffered, rest: rest, length: in.ContentLength}, nil
 }
 
 // Replayable reports whether the body can be sent more than once.
 func (b Body) Replayable() bool { return b.rest == nil }
 
+// Sent reports whether a part of a body that is not replayable was sent, so that it cannot be sent whole any more.
+func (b Body) Sent() bool { return b.rest != nil && b.rest.begun.Load() }
+
 // Length returns the length in bytes, or -1 if it is unknown.
 func (b Body) Length() int64 { return b.length }
 
-// Reader returns a reader of the body. It may be called only once if the body is not replayable. The reader is never
-// http.NoBody, because net/http retries requests without a body by itself after some failures.
+// Reader returns a reader of the body. Of a body that is not replayable only the reader that is read first gets anything; others
+// return an error. The reader is never http.NoBody, because net/http retries requests without a body by itself after some failures.
 func (b Body) Reader() io.ReadCloser {
 	if b.rest == nil {
 		return io.NopCloser(bytes.NewReader(b.buffered))
 	}
-	return io.NopCloser(io.MultiReader(bytes.NewReader(b.buffered), b.rest))
+	return io.NopCloser(&singleReader{Reader: io.MultiReader(bytes.NewReader(b.buffered), b.rest), rest: b.rest})
 }
 
 // bodyDeadline is the time by which a request body has to be there. Once the body has been read it is removed for good, because net/http
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -217,7 +217,7 @@
 // isNoFailure reports whether an error says nothing about the backend server: the body of the caller, regions, evacuations, and helpers that
 // end too early.
 func isNoFailure(err error) bool {
-	return errors.Is(err, errBodyTooLarge) || isForbidden(err) || errors.Is(err, errHelperEnds) || errors.As(err, new(*reach.EndsError))
+	return errors.Is(err, errBodyTooLarge) || errors.Is(err, errBodySent) || isForbidden(err) || errors.Is(err, errHelperEnds) || errors.As(err, new(*reach.EndsError))
 }
 
 // leaveReplica ends a request to a replica. The zero attempt stands for one that was not sent.
@@ -423,6 +423,9 @@
 
 // send sends the request to one backend server and checks the status and header of the response.
 func (x *exchange) send(ctx context.Context, d Dispatch) attempt {
+	if x.body.Sent() {
+		return attempt{notRun: true, err: errBodySent}
+	}
 	req, err := x.relay.options.Protocol.Request(ctx, x.in, x.call, d, x.body)
 	if err != nil {
 		return attempt{notRun: true, err: err}
