--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -333,13 +333,14 @@
 
 // keyStillValid checks the key again immediately before a send, because the request may have waited.
 func (x *exchange) keyStillValid() bool {
+	newest := x.relay.options.Fleet.Catalogue()
 	if x.account == "" {
-		return true
+		return x.route.AuthExempt || !newest.NeedsKeys()
 	}
 	if !x.keysCurrent() {
 		return false
 	}
-	account, ok := x.relay.options.Fleet.Catalogue().Account(x.call.Key)
+	account, ok := newest.Account(x.call.Key)
 	return ok && account.Name == x.account
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -740,3 +740,39 @@
 		t.Errorf("%d requests at the replica and %d replicas with state, want none", backend.requestCount(), len(bed.relay.replicas.states))
 	}
 }
+
+// TestKeysRequiredBeforeSend guards against a request without an account that is sent although keys have become required while it waited.
+func TestKeysRequiredBeforeSend(t *testing.T) {
+	for _, way := range routeKinds {
+		t.Run(way.name, func(t *testing.T) {
+			backend := newFakeBackend(t, respondOK)
+			bed := newTestBed(t, way.kind, way.engine, backend)
+			former := bed.decoder.catalogue
+			publish := func(version uint64, requiresKeys bool) {
+				bed.decoder.catalogue = route.New(route.Content{
+					Version: version, Routes: former.Routes(), Services: former.Services(), RequiresKeys: requiresKeys,
+				})
+				bed.fleet.Apply([]feed.Record{{Key: "catalogue", Revision: 90 + version}}, feed.Knowledge{})
+			}
+			publish(2, false)
+			body, caller := io.Pipe()
+			go func() {
+				_, _ = io.WriteString(caller, "hel") // The request has been admitted once this is read.
+				time.Sleep(50 * time.Millisecond)
+				publish(3, true)
+				_, _ = io.WriteString(caller, "lo")
+				_ = caller.Close()
+			}()
+			req := bed.request(t, "key", "")
+			req.Body = body
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusServiceUnavailable || backend.requestCount() != 0 {
+				t.Errorf("status %d, %d requests at the backend server, want 503 and none", resp.StatusCode, backend.requestCount())
+			}
+		})
+	}
+}
--- a/internal/route/catalogue.go
+++ b/internal/route/catalogue.go
@@ -149,7 +149,9 @@
 	}
 	for i := range content.Accounts {
 		for _, key := range content.Accounts[i].Keys {
-			c.accountsByKey[key] = &content.Accounts[i]
+			if key != "" { // A request without a key has none of an account.
+				c.accountsByKey[key] = &content.Accounts[i]
+			}
 		}
 	}
 	return c
