bound: a response of another protocol version is malformed

Change: only HTTP/1.x counts. Measured: the two new rows of TestMalformedHead failed before and pass.

--- a/internal/bound/head.go
+++ b/internal/bound/head.go
@@ -28,6 +28,9 @@
 // checkHead returns an error for a final response whose head is malformed, or that answers no request of the sender: nobody offered to switch
 // protocols unless req did.
 func checkHead(resp *http.Response, req *http.Request) error {
+	if resp.ProtoMajor != 1 {
+		return errors.Wrapf(ErrMalformedHead, "protocol %q", resp.Proto)
+	}
 	switches := resp.StatusCode == http.StatusSwitchingProtocols && req != nil && req.Header.Get("Upgrade") != ""
 	if (resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus) && !switches {
 		return errors.Wrapf(ErrMalformedHead, "status %03d", resp.StatusCode)
--- a/internal/bound/head_test.go
+++ b/internal/bound/head_test.go
@@ -35,6 +35,8 @@
 	{"blank before the colon of a length", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n"},
 	{"blank before the colon of an encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n"},
 	{"informational head", "HTTP/1.1 103 Early Hints\r\nX Field: 1\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	{"another protocol", "HTTP/0.0 200 OK\r\n"},
+	{"another version", "HTTP/9.9 200 OK\r\n"},
 	{"folded line", "HTTP/1.1 200 OK\r\nX-First: 1\r\n X-Field: 1\r\n"},
 	{"folded line with a tab", "HTTP/1.1 200 OK\r\nX-First: 1\r\n\tX-Field: 1\r\n"},
 	{"status 000, then an answer", "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\n"},
