bound: connections with TLS are not taken for plain ones

Cause: bound.Transport expected each connection to be its own, so that an https address of a document ended the process by a panic. Change: with TLS the hooks leave the connection alone; names, statuses and lengths are still checked. Folded lines and the end of a request are not seen there, which the comment says.

--- a/internal/bound/answer.go
+++ b/internal/bound/answer.go
@@ -23,14 +23,14 @@
 
 // CheckEnd returns a connection that reports io.EOF only if the other side has ended it in order. The kernel reports a reset once, to a read or to a
 // write; if a pending write gets it, the read after it sees the end of the data like an orderly end.
-func CheckEnd(conn net.Conn) net.Conn { return newCheckedConn(conn, false) }
+func CheckEnd(conn net.Conn) net.Conn { return &checkedConn{Conn: conn} }
 
 // checkedConn is a connection of CheckEnd.
 type checkedConn struct {
 	net.Conn
-	// ofTransport is true for a connection of a Transport, which tells it where each request begins and ends. Only then are heads checked, and is the
-	// error of a write held back until the answer has been read: net/http closes the connection after it.
-	ofTransport bool
+	// ofTransport is true once a Transport has told where a request begins. Only then are heads checked, and is the error of a write held back until
+	// the answer has been read: net/http closes the connection after it.
+	ofTransport atomic.Bool
 	// answered is true once something was read since the request began, and head checks what is read from then on.
 	answered atomic.Bool
 	head     headScanner
@@ -46,17 +46,13 @@
 	changed chan struct{}
 }
 
-func newCheckedConn(conn net.Conn, ofTransport bool) *checkedConn {
-	return &checkedConn{Conn: conn, ofTransport: ofTransport}
-}
-
 // Read implements net.Conn.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.answered.Swap(true) {
 		c.head = headScanner{}
 	}
-	if c.ofTransport {
+	if c.ofTransport.Load() {
 		if err := c.head.scan(p[:n]); err != nil {
 			return 0, err
 		}
@@ -100,7 +96,7 @@
 		c.writes--
 		c.failed = c.failed || err != nil
 	})
-	if err != nil && c.ofTransport {
+	if err != nil && c.ofTransport.Load() {
 		c.await(nil, func(bool) bool { return c.ended || c.closed })
 	}
 	return n, err
@@ -140,6 +136,7 @@
 
 // beginRequest is called before a request is written.
 func (c *checkedConn) beginRequest() {
+	c.ofTransport.Store(true)
 	c.answered.Store(false)
 	c.update(func() { c.requesting = true })
 }
--- a/internal/bound/answer_test.go
+++ b/internal/bound/answer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -144,3 +145,30 @@
 		})
 	}
 }
+
+// TestTransportWithTLS guards against encrypted bytes that are taken for those of a response head.
+func TestTransportWithTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	}))
+	defer server.Close()
+	transport := NewTransport(nil)
+	defer transport.CloseIdleConnections()
+	transport.TLSClientConfig = server.Client().Transport.(*http.Transport).TLSClientConfig
+	for range 10 {
+		want := strings.Repeat("a", 100_000)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader(want))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := transport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); err != nil || string(body) != want {
+			t.Errorf("%d bytes, error %v", len(body), err)
+		}
+		_ = resp.Body.Close()
+	}
+}
--- a/internal/bound/doc.go
+++ b/internal/bound/doc.go
@@ -1,10 +1,10 @@
 // Package bound limits what is read from other processes. A faulty one may send bytes without an end, in a head or in a body, until the
 // reader closes the connection.
 //
-// Every HTTP client of the product uses NewTransport, which limits the heads of responses and refuses malformed ones, and reads bodies with ReadAll or in parts of
-// limited size. ReadResponse is for a connection that no transport manages, and CheckEnd for one whose bytes are passed on. Their connections do not
-// take a reset for the end of a body that has neither a length nor chunks. A limit for each body does not limit the sum of many: a Budget
-// does, for bodies that are kept in memory until they are complete.
+// Every HTTP client of the product uses NewTransport, which limits the heads of responses and refuses malformed ones, and reads bodies with
+// ReadAll or in parts of limited size. ReadResponse is for a connection that no transport manages, and CheckEnd for one whose bytes are passed on.
+// Their connections do not take a reset for the end of a body that has neither a length nor chunks. A limit for each body does not limit the sum of
+// many: a Budget does, for bodies that are kept in memory until they are complete.
 //
 // Callers are limited by a Guard: the memory of request heads, from their first line until their request ends, and the connections of each
 // listener.
--- a/internal/bound/head.go
+++ b/internal/bound/head.go
@@ -14,15 +14,15 @@
 // ErrMalformedHead is wrapped by the error for a response head that no server may send. Nothing in such a head says anything about its request.
 var ErrMalformedHead = errors.New("the head of the response is malformed")
 
-// headerBytes estimates the bytes of a head.
+// headerBytes estimates the size of a head in bytes.
 func headerBytes(header textproto.MIMEHeader) int {
-	bytes := len("HTTP/1.1 100 Continue\r\n\r\n")
+	size := len("HTTP/1.1 100 Continue\r\n\r\n")
 	for name, values := range header {
 		for _, value := range values {
-			bytes += len(name) + len(value) + len(": \r\n")
+			size += len(name) + len(value) + len(": \r\n")
 		}
 	}
-	return bytes
+	return size
 }
 
 // checkHead returns an error for a final response whose head is malformed, or that answers no request of the sender: nobody offered to switch
--- a/internal/bound/transport.go
+++ b/internal/bound/transport.go
@@ -18,14 +18,14 @@
 		if err != nil {
 			return nil, err
 		}
-		return newCheckedConn(conn, true), nil
+		return CheckEnd(conn), nil
 	}
 	return &Transport{Transport: &http.Transport{DialContext: dialChecked, MaxResponseHeaderBytes: MaxHeadBytes}}
 }
 
 // Transport sends requests as the http.Transport in it does, and reads responses more strictly: heads have at most MaxHeadBytes and are well-formed,
 // and a body that has neither a length nor chunks is whole only if its connection ends in order after the whole request was written. DialContext must
-// not be replaced.
+// not be replaced. With TLS, folded lines and the end of a request are not seen.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper. A connection is not used again after an error.
@@ -34,10 +34,16 @@
 	informational := 0
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			conn = info.Conn.(*checkedConn)
-			conn.beginRequest()
+			var plain bool
+			if conn, plain = info.Conn.(*checkedConn); plain {
+				conn.beginRequest()
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if conn != nil {
+				conn.endRequest(info.Err)
+			}
 		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) { conn.endRequest(info.Err) },
 		// With this hook, net/http limits only each informational response.
 		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
 			if informational += headerBytes(header); informational > MaxHeadBytes {
@@ -51,7 +57,9 @@
 		return nil, err
 	}
 	if err := checkHead(resp, req); err != nil {
-		_ = conn.Close() // The connection may be idle already.
+		if conn != nil {
+			_ = conn.Close() // It may be idle already.
+		}
 		_ = resp.Body.Close()
 		return nil, err
 	}
