--- a/internal/soak/trouble_test.go
+++ b/internal/soak/trouble_test.go
@@ -120,7 +120,7 @@
 	server := &troubledServer{arrived: make(map[string]int)}
 	c.publishTroubled(server)
 	time.Sleep(2 * time.Second) // The configuration and the servers are known.
-	pids := []int{c.instances[0].process.Process.Pid, c.instances[1].process.Process.Pid}
+	pids := []int{c.instances[0].pid(), c.instances[1].pid()}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	const rounds = 2
 	var reached atomic.Int32
@@ -151,7 +151,7 @@
 		callers.Wait()
 	}
 	for i, pid := range pids {
-		if now := c.instances[i].process.Process.Pid; now != pid {
+		if now := c.instances[i].pid(); now != pid {
 			t.Errorf("process %d has ended", pid)
 		}
 	}
