--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -29,13 +29,14 @@
 // attempt is one request: a client attempt with its own ID.
 type attempt struct {
 	id, path string
-	first    bool // it is no retry
-	sent     time.Time
-	answered time.Time
-	status   int // 0 without an answer
-	sealed   bool
-	whole    bool
-	body     string
+	// request is the ID of the first attempt of the same request; method is its method.
+	request, method string
+	sent            time.Time
+	answered        time.Time
+	status          int // 0 without an answer
+	sealed          bool
+	whole           bool
+	body            string
 }
 
 func (a *attempt) served() bool { return a.status == http.StatusOK && a.sealed && a.whole }
@@ -107,8 +108,8 @@
 	return candidates[mathrand.IntN(len(candidates))]
 }
 
-// run sends requests until a time. perSecond returns the rate at a time.
-func (c *clients) run(until time.Time, perSecond func(now time.Time) float64, paths func() (method, path string)) {
+// run sends requests at a rate until a time.
+func (c *clients) run(until time.Time, perSecond float64, paths func() (method, path string)) {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	c.group.Go(func() {
@@ -119,7 +120,7 @@
 	})
 	next := time.Now()
 	for ctx.Err() == nil {
-		next = next.Add(time.Duration(mathrand.ExpFloat64() / perSecond(time.Now()) * float64(time.Second)))
+		next = next.Add(time.Duration(mathrand.ExpFloat64() / perSecond * float64(time.Second)))
 		time.Sleep(time.Until(next))
 		method, path := paths()
 		c.group.Go(func() { c.request(method, path) })
@@ -130,6 +131,7 @@
 func (c *clients) request(method, path string) {
 	until := time.Now().Add(deadline)
 	var failed []string
+	first := ""
 	for try := range maxRetries + 1 {
 		address := c.address(failed)
 		client := c.client
@@ -137,7 +139,10 @@
 			client = c.fresh // Each retry uses a new connection.
 		}
 		a, retry, after := c.try(client, address, method, path, time.Until(until))
-		a.first = try == 0
+		if first == "" {
+			first = a.id
+		}
+		a.request = first
 		c.mu.Lock()
 		c.attempts = append(c.attempts, a)
 		c.mu.Unlock()
@@ -153,7 +158,7 @@
 
 // try sends one attempt. It reports whether the client may retry, and after which time.
 func (c *clients) try(client *http.Client, address, method, path string, left time.Duration) (a *attempt, retry bool, after time.Duration) {
-	a = &attempt{id: newID(), path: path, sent: time.Now()}
+	a = &attempt{id: newID(), path: path, method: method, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	var body io.Reader
--- a/review/standin-3/drain.go
+++ b/review/standin-3/drain.go
@@ -1,11 +1,6 @@
 package main
 
-import (
-	"fmt"
-	mathrand "math/rand/v2"
-	"net/http"
-	"time"
-)
+import "time"
 
 // playDrain has one replica drain. Later than drainMs after that has been acknowledged, another writer puts an entry with fields missing under the
 // key of the replica, which holds until the replica's next heartbeat.
@@ -19,43 +14,16 @@
 		exitAt    = drainMs + 1450*time.Millisecond
 		length    = calm + exitAt + 5*time.Second
 	)
-	var replicas []*replica
-	for n, zone := range zones {
-		r, err := newReplica(replicaOptions{
-			id: fmt.Sprintf("i-%d", n), service: "portal", zone: zone, slots: 6, queue: 24, work: 60 * time.Millisecond,
-			record: p.record, store: p.store,
-		})
-		if err != nil {
-			return false, err
-		}
-		replicas = append(replicas, r)
-	}
-	p.store.put("op/config", configuration(7, []map[string]any{
-		route("/charge/", "non_idempotent", "portal", 1), route("/lookup/", "idempotent", "portal", 2),
-	}, "portal"))
-	s, err := newSystem(p.program, p.dir, p.store, p.record, machines)
+	site, err := newSite(p, machines)
 	if err != nil {
 		return false, err
 	}
-	defer s.stop()
-	if err := s.awaitReady(10 * time.Second); err != nil {
-		return false, err
-	}
-	time.Sleep(2 * time.Second)
-	c := newClients(s)
+	defer site.system.stop()
+	c := newClients(site.system)
 	began := time.Now()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		c.run(began.Add(length), func(time.Time) float64 { return perSecond }, func() (method, path string) {
-			if mathrand.Float64() < 0.7 {
-				return http.MethodPost, "/charge/2f"
-			}
-			return http.MethodGet, "/lookup/2f"
-		})
-	}()
+	done := site.send(c, began.Add(length), perSecond)
 	time.Sleep(time.Until(began.Add(calm)))
-	leaving := replicas[0]
+	leaving := site.replicas[0]
 	acknowledgedAt := leaving.drain()
 	p.record.say("%.3f s: the store has acknowledged that %s is draining", p.record.at(acknowledgedAt), leaving.id)
 	time.Sleep(time.Until(acknowledgedAt.Add(foreignAt)))
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -30,7 +30,8 @@
 }
 
 var cases = map[string]func(p *play) (broken bool, err error){
-	"drain": playDrain,
+	"drain":   playDrain,
+	"refused": playRefused,
 }
 
 func main() {
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -36,6 +37,7 @@
 	ended    chan struct{}
 
 	mu       sync.Mutex
+	failPart float64 // the share of the requests that the replica runs and fails
 	draining bool
 	sequence int
 	waiting  int
@@ -183,9 +185,22 @@
 	time.Sleep(r.work)
 	r.mu.Lock()
 	r.running--
+	fails := rand.Float64() < r.failPart
 	r.mu.Unlock()
 	r.free <- struct{}{}
-	return respond(conn, "200 OK", fmt.Sprintf("X-Attempt-Id: %s\r\nX-Replica-Seal: %s.%s\r\n", id, r.id, id), "done "+id)
+	header := fmt.Sprintf("X-Attempt-Id: %s\r\nX-Replica-Seal: %s.%s\r\n", id, r.id, id)
+	if fails {
+		r.record.log("replica %s has run %s and fails it", r.id, id)
+		return respond(conn, "503 Service Unavailable", header, "failed "+id)
+	}
+	return respond(conn, "200 OK", header, "done "+id)
+}
+
+// fail makes the replica fail a share of the requests that it runs, as after an error behind it.
+func (r *replica) fail(part float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failPart = part
 }
 
 // takeSlot waits for a slot. It returns false if the queue is full or the deadline passes.
