--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -32,6 +32,7 @@
 var cases = map[string]func(p *play) (broken bool, err error){
 	"crowd":   playCrowd,
 	"drain":   playDrain,
+	"order":   playOrder,
 	"refused": playRefused,
 }
 
