--- a/review/standin-3/config.go
+++ b/review/standin-3/config_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 // configuration returns a configuration with routes that each lead to one service.
 func configuration(version int, routes []map[string]any, services ...string) map[string]any {
--- a/review/standin-3/replica.go
+++ b/review/standin-3/replica_test.go
@@ -1,4 +1,4 @@
-package main
+package standin
 
 import (
 	"bufio"
