relay: log the orders to stop a run and the ends of streams

Change: runStopping, runStopAnswered, moveDropped and streamEnded, with the framing, the time left and whether a stop was ordered. Measured: go test ./internal/relay passes; nothing else is changed.

--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -176,6 +176,8 @@
 	if m.finishedMove == nil || m.taken {
 		return
 	}
+	m.stream.x.log.WithFields(logrus.Fields{logs.Event: "moveDropped", logs.Target: m.finishedMove.move.Backend, "handle": m.finishedMove.handle}).
+		Info("the result of a move is not used")
 	m.finishedMove.pause.GivenUp(time.Now())
 	if m.finishedMove.placement != nil {
 		m.finishedMove.placement.Done(pond.PlacementEnd{}, time.Now())
@@ -285,8 +287,12 @@
 	m.mu.Unlock()
 	result := &moveResult{move: move, cause: m.cause, handle: first.Handle, holder: source.Address, targets: []route.Backend{target}}
 	result.pause = history.BeginPause(service, time.Now())
+	log.WithField(logs.Event, "runStopping").Info("an engine is told to stop a run")
 	final, err := m.copy(ctx, source, target, true)
 	result.copyTime = time.Since(began)
+	log.WithError(err).WithFields(logrus.Fields{
+		logs.Event: "runStopAnswered", "handle": final.Handle, "created": final.Events, "copyMillis": result.copyTime.Milliseconds(),
+	}).Info("an engine has answered the order to stop a run, or has not")
 	var copyErr *CopyError
 	switch {
 	case err == nil:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -153,6 +153,7 @@
 		}
 		if err == nil {
 			end.Complete = true
+			s.logEnd()
 			s.finish()
 			return
 		}
@@ -173,6 +174,15 @@
 	}
 }
 
+// logEnd logs what tells whether the end of the engine's stream is that of the answer.
+func (s *stream) logEnd() {
+	s.x.log.WithFields(logrus.Fields{
+		logs.Event: "streamEnded", logs.Backend: s.currentBackend().ID, logs.Position: s.x.run.position, "framed": !s.attempt.unframed,
+		"stopOrdered": s.mover.sourceStopping(), "tunneled": s.currentVia() != nil, logs.Moves: s.moves,
+		logs.RemainingMillis: time.Until(s.x.deadline).Milliseconds(),
+	}).Info("the stream of an engine has ended")
+}
+
 // forwardEvents forwards events until the stream of the current engine ends.
 func (s *stream) forwardEvents() error {
 	for {
