relay: a run that was stopped for a move stays stopped

Callers saw: streams without a length or chunks that end as complete after a part of their events; with chunks the same streams broke off although a copy could go on. Cause: whether the engine was told to stop a run was kept with the latest move. The next order, after a change of the home or a detour, cleared it and dropped the result of the move before, which the stream had not taken (mover.begin); the answer 404 to the second last copy cleared it as well, although it was the first that had stopped the run. Change: what is known about the run on one engine has one owner, its source, and only advances: running, stopping, stopped or ended. The mover keeps a result until the stream takes it or another replaces it, begins nothing while a stopped run is about to go on, and nothing after the stream has ended or another placement has taken over (changePlacement stopped it too late). A copy is not freed if the result that is kept has the same handle. Ruled out: clearing the state more carefully in begin. Each further path to it (detour, 404, failed resumption) would need the same care. Measured: the five rows pass; go test -race ./internal/relay passes.

--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -66,8 +66,11 @@
 		log.WithError(err).WithField(logs.Event, "detourFailed").Info("no other engine for a run whose connection ends with the instance that carries it")
 		return
 	}
+	if !m.begin() {
+		placement.Done(pond.PlacementEnd{}, time.Now())
+		return
+	}
 	target, _ := placement.Backend()
-	m.begin()
 	m.cause = metric.MoveHelper
 	result := m.execute(ctx, pond.Move{From: source, Backend: target})
 	if result != nil {
--- a/internal/relay/moved_test.go
+++ b/internal/relay/moved_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,6 +88,96 @@
 	}
 }
 
+// scriptedCopier answers copies one after the other.
+type scriptedCopier struct {
+	answers []func() (Copy, error)
+	next    atomic.Int32
+}
+
+func (c *scriptedCopier) Copy(context.Context, route.Backend, string, route.Backend, bool) (Copy, error) {
+	if index := int(c.next.Add(1)) - 1; index < len(c.answers) {
+		return c.answers[index]()
+	}
+	return Copy{}, &CopyError{NoRun: true}
+}
+
+func (*scriptedCopier) Drop(context.Context, route.Backend, string) error { return nil }
+
+// TestStoppedRunIsNotCompleteAfterSecondOrder guards against an order that makes the relay forget that the run was stopped for the order before: the end
+// of the connection passes for that of the answer. It follows a change of the home of a pool during a move.
+func TestStoppedRunIsNotCompleteAfterSecondOrder(t *testing.T) {
+	const sent, total = 3, 5
+	goesOn := func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.Atoi(r.Header.Get("After"))
+		for id := after + 1; id <= total; id++ {
+			writeEvent(w, id)
+		}
+	}
+	copied := func() (Copy, error) { return Copy{Handle: "copied"}, nil }
+	gone := func() (Copy, error) { return Copy{}, &CopyError{NoRun: true} }
+	tests := []struct {
+		name       string
+		answerLost bool // to the order that stops the run
+		second     []func() (Copy, error)
+		target     http.HandlerFunc
+		wantStatus int
+		wantEvents int
+	}{
+		{"result not taken", false, []func() (Copy, error){gone}, goesOn, 200, total},
+		{"result not taken, target has no room", false, []func() (Copy, error){gone}, respondNotRun, 0, sent},
+		{"answer lost, run gone", true, []func() (Copy, error){gone}, goesOn, 200, total},
+		{"answer lost, run gone before the last copy", true, []func() (Copy, error){copied, gone}, goesOn, 200, total},
+		{"answer lost, target has no room", true, []func() (Copy, error){copied, gone}, respondNotRun, 0, sent},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			begun, stopped, secondOrder := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				conn, buffer, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\nCall: %s\r\nConnection: close\r\n\r\n%s", r.Header.Get("Call"), eventsUntil(sent))
+				_ = buffer.Flush()
+				close(begun)
+				<-stopped
+				select { // The relay closes the connection closeDelay after the last copy.
+				case <-secondOrder:
+				case <-time.After(closeDelay / 2):
+				}
+				_ = conn.Close()
+			})
+			bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, newFakeBackend(t, test.target))
+			copier := &scriptedCopier{answers: []func() (Copy, error){copied, func() (Copy, error) {
+				close(stopped)
+				if test.answerLost {
+					return Copy{}, io.ErrUnexpectedEOF
+				}
+				return copied()
+			}}}
+			copier.answers = append(copier.answers, test.second...)
+			last := len(copier.answers) - 1
+			answer := copier.answers[last]
+			copier.answers[last] = func() (Copy, error) {
+				// The relay reads the answer before it sees the end of the connection.
+				time.AfterFunc(closeDelay/10, func() { close(secondOrder) })
+				return answer()
+			}
+			bed.relay.options.Copier = copier
+			go func() {
+				<-begun
+				bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+				<-stopped
+				bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+			}()
+			if status, body := bed.post(t, "key"); status != test.wantStatus || body != eventsUntil(test.wantEvents) {
+				t.Errorf("status %d, body %q, want %d with %d events", status, body, test.wantStatus, test.wantEvents)
+			}
+		})
+	}
+}
+
 // TestRunWithLongBodyIsNotMoved guards against a run that goes on elsewhere with a part of its body: only the beginning of a long one is kept.
 func TestRunWithLongBodyIsNotMoved(t *testing.T) {
 	const events = 5
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -44,7 +44,7 @@
 	placement pond.Placement
 }
 
-// mover carries out the moves that the placer orders while the stream is being forwarded.
+// mover carries out the moves that the placer orders while the stream is being forwarded. What is known about the run itself is in its source.
 type mover struct {
 	stream    *stream
 	placement pond.MovablePlacement
@@ -60,7 +60,8 @@
 	inProgress   chan struct{} // closed at the end of the move in progress; nil without one
 	finishedMove *moveResult
 	taken        bool // the stream goes on with finishedMove
-	stopping     bool // the source stops the run or has stopped it, and the run does not go on elsewhere
+	streamEnded  bool // the stream of the source has ended, and nothing else of it is moved
+	stopped      bool // no further move begins
 }
 
 func newMover(s *stream, ctx context.Context) *mover {
@@ -75,7 +76,13 @@
 	return m
 }
 
-func (m *mover) stop() { m.cancel() }
+// stop ends the mover. When it returns, no further move begins and no run is told to stop any more.
+func (m *mover) stop() {
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
+	m.cancel()
+}
 
 // serve carries out move orders until ctx ends.
 func (m *mover) serve(ctx context.Context) {
@@ -89,28 +96,59 @@
 		case <-changed:
 		case <-due:
 			m.detour(ctx, endsAt)
-		case move := <-m.placement.Moves():
-			if current := m.stream.currentBackend(); current.ID != move.From && m.stream.x.relay.options.Fleet.Accepting(current.ID) {
-				// The placer does not know yet that the run has already moved away from that engine.
-				m.placement.FinishMove(pond.Move{Backend: current.ID}, true, time.Now())
-				m.count(metric.MoveNotNecessary)
-				continue
-			}
-			m.begin()
-			m.recordOrder()
-			result := m.execute(ctx, move)
-			if !m.publish(result) {
-				m.placement.FinishMove(move, false, time.Now())
-			}
+		case move := <-m.orders():
+			m.carryOut(ctx, move)
 		}
 	}
 }
 
-func (m *mover) begin() {
+// orders returns the orders of the placer, nil while the run goes on elsewhere first.
+func (m *mover) orders() <-chan pond.Move {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.dropResult()
-	m.inProgress, m.finishedMove, m.taken, m.stopping = make(chan struct{}), nil, false, false
+	if m.occupied() {
+		return nil
+	}
+	return m.placement.Moves()
+}
+
+// occupied reports whether no move can begin: the stream has ended, or its run has been stopped and goes on from the copy of an earlier move. The lock
+// must be held.
+func (m *mover) occupied() bool {
+	return m.streamEnded || m.finishedMove != nil && m.stream.source.Load().current() == sourceStopped
+}
+
+// carryOut carries out an order of the placer.
+func (m *mover) carryOut(ctx context.Context, move pond.Move) {
+	for !m.begin() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.resumed:
+		}
+	}
+	if current := m.stream.currentBackend(); current.ID != move.From && m.stream.x.relay.options.Fleet.Accepting(current.ID) {
+		// The placer does not know yet that the run has already moved away from that engine.
+		m.publish(nil)
+		m.placement.FinishMove(pond.Move{Backend: current.ID}, true, time.Now())
+		m.count(metric.MoveNotNecessary)
+		return
+	}
+	m.recordOrder()
+	if !m.publish(m.execute(ctx, move)) {
+		m.placement.FinishMove(move, false, time.Now())
+	}
+}
+
+// begin begins a move and reports whether it may. The result of an earlier move stays until there is another: the source may have stopped the run for it.
+func (m *mover) begin() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stopped || m.occupied() {
+		return false
+	}
+	m.inProgress = make(chan struct{})
+	return true
 }
 
 // recordOrder records why the run is to move and, if its engine is leaving, how long after the notice the order came.
@@ -124,27 +162,23 @@
 
 func (m *mover) count(outcome string) { m.stream.x.relay.options.Metrics.CountMove(m.cause, outcome) }
 
-// publish makes the result of a move available, nil for none, and reports whether there is one.
+// publish ends the move in progress, makes its result available, nil for none, and reports whether there is one.
 func (m *mover) publish(result *moveResult) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.finishedMove = result
+	if result != nil {
+		m.dropResult()
+		m.finishedMove = result
+	}
 	close(m.inProgress)
 	m.inProgress = nil
 	return result != nil
 }
 
-// sourceStopping reports whether the current engine stops the run or has stopped it because of a move, so that the end of its stream is not
-// that of the answer.
-func (m *mover) sourceStopping() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.stopping
-}
-
-// result waits for the move in progress and returns where the run can continue.
+// result ends the moves of the source, whose stream has ended. It waits for the one in progress and returns where the run can continue.
 func (m *mover) result(ctx context.Context) (moveResult, bool) {
 	m.mu.Lock()
+	m.streamEnded = true
 	inProgress := m.inProgress
 	m.mu.Unlock()
 	if inProgress != nil {
@@ -187,7 +221,7 @@
 // finish ends a move after the run was resumed elsewhere or could not be resumed.
 func (m *mover) finish(result moveResult, ok bool) {
 	m.mu.Lock()
-	m.finishedMove, m.taken, m.stopping = nil, false, m.stopping && !ok
+	m.finishedMove, m.taken, m.streamEnded = nil, false, !ok
 	m.mu.Unlock()
 	select {
 	case m.resumed <- struct{}{}:
@@ -212,7 +246,8 @@
 func (m *mover) execute(ctx context.Context, move pond.Move) *moveResult {
 	x := m.stream.x
 	fleet := x.relay.options.Fleet
-	source := m.stream.currentBackend()
+	run := m.stream.source.Load()
+	source := run.backend
 	log := x.log.WithFields(logrus.Fields{logs.Source: source.ID, logs.Target: move.Backend})
 	if !x.body.Replayable() {
 		// The target would get the request with a part of its body.
@@ -247,7 +282,7 @@
 		return nil
 	}
 	history, service := x.relay.history, x.service.Name
-	if m.tooLate(history.Move(service, time.Now())) {
+	if m.tooLate(source, history.Move(service, time.Now())) {
 		m.count(metric.MoveNotCopied)
 		log.WithField(logs.Event, "moveFailed").Info("the move would not end before this instance does")
 		return nil
@@ -275,16 +310,18 @@
 		m.dropCopy(source, first.Handle)
 		return nil
 	}
-	if m.tooLate(history.Pause(service, time.Now())) {
+	if m.tooLate(source, history.Pause(service, time.Now())) {
 		// The shutdown has begun, or its end has become earlier, or the copy took long.
 		m.count(metric.MoveNotCopied)
 		log.WithField(logs.Event, "moveFailed").Info("the run would not go on elsewhere before this instance ends")
 		m.dropCopy(source, first.Handle)
 		return nil
 	}
-	m.mu.Lock()
-	m.stopping = true
-	m.mu.Unlock()
+	if !m.orderStop(run) {
+		m.count(metric.MoveNotNecessary)
+		m.dropCopy(source, first.Handle)
+		return nil
+	}
 	result := &moveResult{move: move, cause: m.cause, handle: first.Handle, holder: source.Address, targets: []route.Backend{target}}
 	result.pause = history.BeginPause(service, time.Now())
 	log.WithField(logs.Event, "runStopping").Info("an engine is told to stop a run")
@@ -293,16 +330,14 @@
 	log.WithError(err).WithFields(logrus.Fields{
 		logs.Event: "runStopAnswered", "handle": final.Handle, "created": final.Events, "copyMillis": result.copyTime.Milliseconds(),
 	}).Info("an engine has answered the order to stop a run, or has not")
+	run.stopAnswered(err)
 	var copyErr *CopyError
 	switch {
 	case err == nil:
 		result.handle = final.Handle
-		body := m.stream.currentBody()
-		time.AfterFunc(closeDelay, func() { _ = body.Close() })
+		time.AfterFunc(closeDelay, func() { _ = run.body().Close() })
 	case errors.As(err, &copyErr) && copyErr.NoRun:
-		m.mu.Lock()
-		m.stopping = false // The run has ended; its stream delivers the rest.
-		m.mu.Unlock()
+		// The run has ended, and its stream delivers the rest, or an earlier order has stopped it.
 		result.pause.NotRun()
 		m.count(metric.MoveNotNecessary)
 		m.dropCopy(source, first.Handle)
@@ -316,11 +351,18 @@
 	return result
 }
 
-// tooLate reports whether what is left of a move, which takes the given time, is not expected to end before this instance does.
-func (m *mover) tooLate(need time.Duration) bool {
-	fleet, source := m.stream.x.relay.options.Fleet, m.stream.currentBackend().ID
-	_, leaving := fleet.LeavingSince(source)
-	return m.stream.x.relay.endsMoveTooLate(need, leaving || fleet.SaysLeaving(source))
+// orderStop records that the engine is about to be told to stop the run. It returns false if it must not be.
+func (m *mover) orderStop(run *source) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.stopped && run.orderStop()
+}
+
+// tooLate reports whether what is left of a move from an engine, which takes the given time, is not expected to end before this instance does.
+func (m *mover) tooLate(source route.Backend, need time.Duration) bool {
+	fleet := m.stream.x.relay.options.Fleet
+	_, leaving := fleet.LeavingSince(source.ID)
+	return m.stream.x.relay.endsMoveTooLate(need, leaving || fleet.SaysLeaving(source.ID))
 }
 
 func (m *mover) copy(ctx context.Context, source, target route.Backend, last bool) (Copy, error) {
@@ -330,8 +372,15 @@
 	return m.stream.x.relay.options.Copier.Copy(ctx, source, m.stream.x.call.ID, target, last)
 }
 
-// dropCopy frees a copy that is not needed. If the call fails, the engine frees it after some seconds.
+// dropCopy frees a copy that is not needed, unless the result of an earlier move has the same handle. If the call fails, the engine frees it after some
+// seconds.
 func (m *mover) dropCopy(source route.Backend, handle string) {
+	m.mu.Lock()
+	needed := m.finishedMove != nil && m.finishedMove.handle == handle
+	m.mu.Unlock()
+	if needed {
+		return
+	}
 	ctx, cancel := context.WithTimeout(reach.WithRegions(context.Background(), m.stream.x.regions()), dropTimeout)
 	defer cancel()
 	if err := m.stream.x.relay.options.Copier.Drop(ctx, source, handle); err != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,18 +22,15 @@
 // paceEvents is the number of events over which the pace of an engine is measured.
 const paceEvents = 16
 
-var (
-	errCallerLeft = errors.New("the caller's connection is closed")
-	errRunStopped = errors.New("the run was stopped for a move and could not go on elsewhere")
-)
+var errCallerLeft = errors.New("the caller's connection is closed")
 
 // stream forwards the events of one generation, also after it has moved to another engine.
 type stream struct {
 	x         *exchange
 	placement pond.Placement
 	scanner   *eventScanner
-	// attempt is the current engine's answer.
-	attempt attempt
+	// source is the run on the current engine. The mover reads it too.
+	source  atomic.Pointer[source]
 	head    http.Header
 	flusher *http.ResponseController
 	// lastNumericID is the last numeric event ID that the caller has. events counts the forwarded events, and
@@ -59,12 +55,6 @@
 	moves         int
 	mover         *mover
 	stall         *stallTimer
-
-	// mu protects the fields that the mover also reads.
-	mu      sync.Mutex
-	backend route.Backend
-	body    io.ReadCloser
-	via     tunnel // nil for a direct connection
 }
 
 func newStream(x *exchange, run startedRun) *stream {
@@ -82,37 +72,20 @@
 	}
 	x.stream = s
 	s.scanner = newEventScanner(nil)
-	s.setBackend(run.backend, run.attempt)
+	s.switchSource(newSource(run.backend, run.attempt))
 	return s
 }
 
-// setBackend switches to the events of an engine.
-func (s *stream) setBackend(backend route.Backend, a attempt) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.backend, s.body, s.via = backend, a.rest, a.via
-	s.attempt = a
-	s.scanner.reset(a.rest)
-}
-
-func (s *stream) currentBackend() route.Backend {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.backend
+// switchSource goes on with the events of another run.
+func (s *stream) switchSource(source *source) {
+	s.source.Store(source)
+	s.scanner.reset(source.body())
 }
 
-func (s *stream) currentBody() io.ReadCloser {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.body
-}
+func (s *stream) currentBackend() route.Backend { return s.source.Load().backend }
 
 // currentVia returns the connection through another instance that carries the current events, or nil.
-func (s *stream) currentVia() tunnel {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.via
-}
+func (s *stream) currentVia() tunnel { return s.source.Load().attempt.via }
 
 // sameWay returns a context for connections that lead through another instance if the current events do.
 func (s *stream) sameWay(ctx context.Context) context.Context {
@@ -132,7 +105,7 @@
 		s.sent.GivenUp(time.Now())
 		s.pause.GivenUp(time.Now())
 		s.mover.stop()
-		_ = s.currentBody().Close()
+		_ = s.source.Load().body().Close()
 		if s.placement != nil {
 			s.placement.Done(end, time.Now())
 		}
@@ -143,13 +116,11 @@
 			err = io.ErrUnexpectedEOF
 		}
 		end.Tokens = s.tokens()
-		if err == nil && s.mover.sourceStopping() {
+		if err == nil && s.source.Load().mayBeStopped() {
 			if s.resumeFromCopy(ctx) {
 				continue
 			}
-			if s.attempt.unframed && s.mover.sourceStopping() {
-				err = errRunStopped // Nothing else tells this end from that of a whole answer.
-			}
+			err = s.source.Load().checkEnd()
 		}
 		if err == nil {
 			end.Complete = true
@@ -162,9 +133,9 @@
 			continue
 		}
 		broken := ctx.Err() == nil && !callerLeft
-		end.BackendFailed = broken && !s.mover.sourceStopping() && !errors.Is(err, errHelperEnds)
+		end.BackendFailed = broken && !s.source.Load().mayBeStopped() && !errors.Is(err, errHelperEnds)
 		if end.BackendFailed && s.hardlyBegun() && mayBeCrash(err) {
-			s.x.recordBreak(ctx, s.currentBackend(), s.attempt, true)
+			s.x.recordBreak(ctx, s.currentBackend(), s.source.Load().attempt, true)
 		}
 		if broken && s.restart(ctx, err, end.BackendFailed) {
 			continue
@@ -176,9 +147,10 @@
 
 // logEnd logs what tells whether the end of the engine's stream is that of the answer.
 func (s *stream) logEnd() {
+	source := s.source.Load()
 	s.x.log.WithFields(logrus.Fields{
-		logs.Event: "streamEnded", logs.Backend: s.currentBackend().ID, logs.Position: s.x.run.position, "framed": !s.attempt.unframed,
-		"stopOrdered": s.mover.sourceStopping(), "tunneled": s.currentVia() != nil, logs.Moves: s.moves,
+		logs.Event: "streamEnded", logs.Backend: source.backend.ID, logs.Position: s.x.run.position, "framed": !source.attempt.unframed,
+		"run": source.current().String(), "tunneled": source.attempt.via != nil, logs.Moves: s.moves,
 		logs.RemainingMillis: time.Until(s.x.deadline).Milliseconds(),
 	}).Info("the stream of an engine has ended")
 }
@@ -348,12 +320,12 @@
 
 // fail ends a response that cannot be continued.
 func (s *stream) fail(ctx context.Context, err error) {
-	x := s.x
+	x, source := s.x, s.source.Load()
 	fields := logrus.Fields{
-		logs.Event: "streamBroken", logs.Backend: s.backend.ID, logs.Position: s.x.run.position, "events": s.events,
-		"accepting": x.relay.options.Fleet.Accepting(s.backend.ID),
+		logs.Event: "streamBroken", logs.Backend: source.backend.ID, logs.Position: x.run.position, "events": s.events,
+		"accepting": x.relay.options.Fleet.Accepting(source.backend.ID), "run": source.current().String(),
 	}
-	x.addPromptFields(fields, s.attempt.weightsVersion)
+	x.addPromptFields(fields, source.attempt.weightsVersion)
 	x.log.WithError(err).WithFields(fields).Info("the stream of an engine broke off")
 	switch {
 	case x.callerLeft() || errors.Is(err, errCallerLeft):
@@ -376,7 +348,7 @@
 		return false
 	}
 	resumeStart := time.Now()
-	_ = s.body.Close()
+	_ = s.source.Load().body().Close()
 	for _, target := range result.targets {
 		if s.x.forbids(target) != nil || !s.x.awaitPermit(ctx, target.ID) {
 			continue
@@ -385,10 +357,13 @@
 		a := s.x.send(s.sameWay(ctx), s.x.dispatch(target, resume))
 		if a.err == nil && a.resp.StatusCode == http.StatusOK {
 			s.logMove(target, result, time.Since(resumeStart))
-			s.setBackend(target, a)
+			s.switchSource(newSource(target, a))
 			s.pause.GivenUp(time.Now())
 			s.stall, s.pause = nil, result.pause
 			s.moves++
+			if result.placement != nil {
+				s.mover.stop() // Before the next move of this placement could begin.
+			}
 			s.mover.finish(result, true)
 			if result.placement != nil {
 				s.changePlacement(ctx, result.placement)
@@ -409,7 +384,6 @@
 
 // changePlacement goes on under the placement of the rest of the run.
 func (s *stream) changePlacement(ctx context.Context, placement pond.Placement) {
-	s.mover.stop()
 	s.placement.Done(pond.PlacementEnd{Tokens: s.tokens()}, time.Now())
 	s.x.run.deliveredTokens += s.tokens()
 	s.placement, s.eventsBefore = placement, s.events
@@ -428,7 +402,7 @@
 	s.pause.GivenUp(time.Now())
 	s.comments = nil
 	s.mover.stop()
-	_ = s.currentBody().Close()
+	_ = s.source.Load().body().Close()
 	s.placement.Done(pond.PlacementEnd{Tokens: s.tokens(), BackendFailed: backendFailed}, time.Now())
 	s.placement = nil
 	x.run.deliveredTokens += s.tokens()
@@ -442,17 +416,18 @@
 		return false
 	}
 	s.placement, s.stall, s.sent, s.pause = run.placement, run.stall, run.sent, nil
-	s.setBackend(run.backend, run.attempt)
+	s.switchSource(newSource(run.backend, run.attempt))
 	s.mover = newMover(s, ctx)
 	return true
 }
 
 func (s *stream) logMove(target route.Backend, result moveResult, pause time.Duration) {
+	source := s.currentBackend()
 	s.x.relay.options.Metrics.RecordMoveTimes(result.copyTime, pause)
 	s.x.log.WithFields(logrus.Fields{
-		logs.Event: "runMoved", logs.Source: s.backend.ID, logs.Target: target.ID, logs.Position: s.x.run.position,
+		logs.Event: "runMoved", logs.Source: source.ID, logs.Target: target.ID, logs.Position: s.x.run.position,
 		"copyMillis": result.copyTime.Milliseconds(), "pauseMillis": pause.Milliseconds(),
-		"cause": result.cause, "sourceLeaves": !s.x.relay.options.Fleet.Accepting(s.backend.ID),
+		"cause": result.cause, "sourceLeaves": !s.x.relay.options.Fleet.Accepting(source.ID),
 	}).Info("a run goes on on another engine")
 }
 
