relay: an engine's word that it stopped a run outweighs the framing of its stream

Callers would see: a stream in chunks that ends as complete after a part of its events, if the engine ends the body in order when it stops a run and the run can't go on elsewhere. An HTTP server does so by itself when a handler returns. Cause: the end of a response with chunks or a length passed for that of the answer also after the engine had confirmed the order to stop the run. Evidence: the row 'framed and stopped' of TestStoppedRunIsNotComplete, red before. Change: after the answer 200, or 503 with a handle, the end of the source's stream is never that of the answer. The outcome of an order that got no answer is open, and the framing decides. The row 'framed and ended' expected 200 although the copier of the test confirmed the stop. An engine answers 404 for a run that has ended; the row now does so, and three rows tell the cases apart: had ended, no answer, stopped with and without a copy. Measured: go test ./internal/relay -run 'TestStoppedRun|TestMove' passes.

--- a/internal/relay/moved_test.go
+++ b/internal/relay/moved_test.go
@@ -42,7 +42,10 @@
 		{"goes on", false, nil, goesOn, 200, total},
 		{"had ended before", false, &CopyError{NoRun: true}, respondNotRun, 200, sent},
 		{"last copy fails", false, &CopyError{}, respondNotRun, 0, sent},
-		{"framed and ended", true, nil, respondNotRun, 200, sent},
+		{"framed and had ended before", true, &CopyError{NoRun: true}, respondNotRun, 200, sent},
+		{"framed, last copy fails", true, io.ErrUnexpectedEOF, respondNotRun, 200, sent},
+		{"framed and stopped", true, nil, respondNotRun, 0, sent},
+		{"framed and stopped, not copied", true, &CopyError{Handle: "kept"}, respondNotRun, 0, sent},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -84,9 +84,11 @@
 	}
 }
 
-// checkEnd returns an error if the run may be stopped and nothing else tells the orderly end of its stream from that of the answer.
+// checkEnd returns an error if the run was stopped, so that the orderly end of its stream is not that of the answer. While the outcome of an order to
+// stop it is not known, a length or chunks show that an answer is whole.
 func (s *source) checkEnd() error {
-	if s.attempt.unframed && s.mayBeStopped() {
+	state := s.current()
+	if state == sourceStopped || state == sourceStopping && s.attempt.unframed {
 		return errRunStopped
 	}
 	return nil
