relay, platform: the end of a stream at its server's deadline is not that of the answer

Callers would see: a stream that ends as complete although its backend server stopped work at the deadline that it was given. Cause: X-Deadline-Ms was rounded down, so that a server could stop up to 1 ms before the relay gave the request up; during a shutdown servers of plain services get an earlier deadline than the request has. An orderly end was taken for that of the answer whenever it came.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -128,8 +128,9 @@
 			x.abortDisconnected()
 		}
 		if event, a.err = a.events.next(); errors.Is(a.err, io.EOF) {
-			a.err = nil
-			break
+			if a.err = a.checkDeadline(); a.err == nil {
+				break
+			}
 		}
 		if a.err == nil {
 			continue
@@ -138,7 +139,7 @@
 			a.err = nil
 			x.abortDisconnected()
 		}
-		if !time.Now().Before(x.deadline) {
+		if !time.Now().Before(x.deadline) || errors.Is(a.err, errEndAtDeadline) {
 			x.abort(pond.ReasonDeadline, "the answer was not complete in time")
 		}
 		a.onBroken()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -42,6 +42,9 @@
 	maxPermitPause = 200 * time.Millisecond
 )
 
+// errEndAtDeadline is the error of a body that ended in order when its server was to stop work.
+var errEndAtDeadline = errors.New("the response ended at the deadline of the backend server")
+
 var errForeignResponse = errors.New("the response did not come from the backend server or belongs to another request")
 
 // attempt is the result of sending a request to one replica.
@@ -61,6 +64,8 @@
 	onBroken func()
 	// unframed is true if the body has no length of its own and ends with its connection.
 	unframed bool
+	// deadline is the time at which the backend server was told to stop work.
+	deadline time.Time
 	err      error
 	// via is the connection through another instance; nil for a direct one.
 	via tunnel
@@ -489,8 +494,16 @@
 	}
 	return attempt{
 		resp: resp, leaving: reply.Leaving, rest: resp.Body, via: via, weightsVersion: reply.WeightsVersion,
-		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, deadline: d.Deadline,
+	}
+}
+
+// checkDeadline returns an error if an end of the body that has just been read may be that of the server's work at the deadline.
+func (a attempt) checkDeadline() error {
+	if !time.Now().Before(a.deadline) {
+		return errEndAtDeadline
 	}
+	return nil
 }
 
 // hear records what a backend server says about later requests. A server that was reached through another instance says it
@@ -526,6 +539,9 @@
 func (a *attempt) buffer() {
 	buffered, err := io.ReadAll(io.LimitReader(a.rest, responseBufferLimit+1))
 	a.buffered = buffered
+	if err == nil && a.unframed && len(buffered) <= responseBufferLimit {
+		err = a.checkDeadline()
+	}
 	if err != nil {
 		_ = a.rest.Close()
 		a.rest, a.err = nil, err
@@ -557,6 +573,9 @@
 		if err == nil {
 			rest := &brokenBody{ReadCloser: a.rest}
 			_, err = io.Copy(x.w, rest)
+			if err == nil && a.unframed {
+				err = a.checkDeadline()
+			}
 			if rest.broken && !x.callerLeft() && a.onBroken != nil {
 				a.onBroken()
 			}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -41,6 +41,7 @@
 	req.ContentLength = body.Length()
 	req.Header.Set("Call", call.ID)
 	req.Header.Set("Account", d.Account)
+	req.Header.Set("Until", strconv.FormatInt(d.Deadline.UnixMicro(), 10))
 	req.Header.Set("After", d.Position)
 	req.Header.Set("Urgent", strconv.FormatBool(d.Urgent))
 	if d.Resume != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -122,17 +122,20 @@
 			}
 			err = s.source.Load().checkEnd()
 		}
+		if err == nil {
+			err = s.source.Load().attempt.checkDeadline()
+		}
 		if err == nil {
 			end.Complete = true
 			s.logEnd()
 			s.finish()
 			return
 		}
-		callerLeft := errors.Is(err, errCallerLeft)
-		if ctx.Err() == nil && !callerLeft && s.resumeFromCopy(ctx) {
+		over := errors.Is(err, errCallerLeft) || errors.Is(err, errEndAtDeadline)
+		if !over && ctx.Err() == nil && s.resumeFromCopy(ctx) {
 			continue
 		}
-		broken := ctx.Err() == nil && !callerLeft
+		broken := !over && ctx.Err() == nil
 		end.BackendFailed = broken && !s.source.Load().mayBeStopped() && !errors.Is(err, errHelperEnds)
 		if end.BackendFailed && s.hardlyBegun() && mayBeCrash(err) {
 			s.x.recordBreak(ctx, s.currentBackend(), s.source.Load().attempt, true)
@@ -330,9 +333,9 @@
 	switch {
 	case x.callerLeft() || errors.Is(err, errCallerLeft):
 		x.abortDisconnected()
-	case ctx.Err() != nil && !s.headerWritten:
+	case (ctx.Err() != nil || errors.Is(err, errEndAtDeadline)) && !s.headerWritten:
 		x.failUnanswered("no event arrived in time")
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errEndAtDeadline):
 		x.abort(pond.ReasonDeadline, "the answer was not complete in time")
 	case !s.headerWritten:
 		x.fail(http.StatusBadGateway, pond.ReasonBackendFailed, err.Error())
