relay: the first event after a resumption has to follow the last one

Callers would see: a gap in a stream, or the rest of another run after the beginning of the first, as a whole answer. Cause: after a move the first event was compared with the last one only to leave repeated events out. A later one passed, and an answer that began again with other events was joined behind those that the caller had. Evidence: TestResumedRunMissesEvents, 2 of 4 rows red before. Change: the sequence of the events that a caller gets is kept in one place. If the IDs of a stream are regular, one that is later than the next breaks the stream off at a seam; so does, after a move, a repetition of the last event with other data. An engine is not taken for crashed by it. A resumable run that starts again may differ in its events, but not leave any out. Measured: the new tests and those of moves and resumptions pass.

--- /dev/null
+++ b/internal/relay/sequence.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+var (
+	errEventsMissing = errors.New("the run goes on after an event that the caller does not have")
+	errOtherRun      = errors.New("the events of another run follow")
+)
+
+// sequence checks that the events which a caller gets are those of one run, each once, also where the run goes on at another engine.
+type sequence struct {
+	// last is the last numeric event ID that the caller has, -1 for none, and lastData the data of that event.
+	last     int64
+	lastData []byte
+	// step is the difference between successive IDs as long as it is always the same; 0 before there are two, -1 if the IDs are irregular.
+	step int64
+	// seam is what the next event follows.
+	seam seam
+}
+
+// seam is a change of the source of events.
+type seam int
+
+const (
+	// seamNone is none: events of the same source.
+	seamNone seam = iota
+	// seamContinued is a run that goes on from its copy.
+	seamContinued
+	// seamRestarted is another run from the position of the caller on.
+	seamRestarted
+)
+
+// newSequence returns the sequence of a caller that has the events up to a position; empty for none.
+func newSequence(position string) sequence {
+	s := sequence{last: -1}
+	if number, err := strconv.ParseInt(position, 10, 64); err == nil {
+		s.last = number
+	}
+	return s
+}
+
+// join is called before the first event of another source.
+func (s *sequence) join(seam seam) { s.seam = seam }
+
+// accept reports whether the caller is to get an event, which it does not if it has it already. It returns an error if the event cannot follow. An
+// event without a number is not checked.
+func (s *sequence) accept(id string, event []byte) (isNew bool, err error) {
+	number, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		s.seam = seamNone
+		return true, nil
+	}
+	if number <= s.last {
+		if number == s.last && s.seam == seamContinued && s.lastData != nil && !bytes.Equal(s.lastData, eventData(nil, event)) {
+			return false, errOtherRun
+		}
+		return false, nil
+	}
+	if s.seam != seamNone && s.step > 0 && number-s.last > s.step {
+		return false, errEventsMissing
+	}
+	s.record(number, event)
+	return true, nil
+}
+
+func (s *sequence) record(number int64, event []byte) {
+	if s.last >= 0 {
+		switch difference := number - s.last; {
+		case s.step == 0:
+			s.step = difference
+		case s.step != difference:
+			s.step = -1
+		}
+	}
+	s.last, s.seam = number, seamNone
+	s.lastData = eventData(s.lastData[:0], event)
+}
+
+// eventData appends the data of an event to a buffer. Other fields may differ when an engine repeats the event.
+func eventData(buffer, event []byte) []byte {
+	for line := range bytes.Lines(event) {
+		if data, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			buffer = append(buffer, data...)
+		}
+	}
+	return buffer
+}
--- /dev/null
+++ b/internal/relay/sequence_test.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/dragonflypond/dragonflypond/internal/route"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
+)
+
+// TestSequence guards against a caller that misses an event, gets one twice or gets those of another run where a run goes on elsewhere, and against sound
+// streams that are cut because their IDs are not those of others.
+func TestSequence(t *testing.T) {
+	event := func(id int64, run string) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", id, run, id) }
+	tests := []struct {
+		name     string
+		position string
+		before   []int64 // IDs of the first source
+		seam     seam
+		run      string // "a" for the first run
+		after    []int64
+		wantNew  []int64 // of after
+		want     error
+	}{
+		{"goes on", "", []int64{1, 2, 3}, seamContinued, "a", []int64{4, 5}, []int64{4, 5}, nil},
+		{"repeats", "", []int64{1, 2, 3}, seamContinued, "a", []int64{2, 3, 4}, []int64{4}, nil},
+		{"from its beginning", "", []int64{1, 2, 3}, seamContinued, "a", []int64{1, 2, 3, 4}, []int64{4}, nil},
+		{"leaves one out", "", []int64{1, 2, 3}, seamContinued, "a", []int64{5, 6}, nil, errEventsMissing},
+		{"leaves one out, another run", "", []int64{1, 2, 3}, seamRestarted, "b", []int64{5, 6}, nil, errEventsMissing},
+		{"other run from its beginning", "", []int64{1, 2, 3}, seamContinued, "b", []int64{1, 2, 3, 4}, nil, errOtherRun},
+		{"other run where it may follow", "", []int64{1, 2, 3}, seamRestarted, "b", []int64{3, 4}, []int64{4}, nil},
+		{"leaves one out after a position", "7", []int64{8}, seamContinued, "a", []int64{10}, nil, errEventsMissing},
+		{"IDs count tokens", "", []int64{4, 8, 12}, seamContinued, "a", []int64{16, 18}, []int64{16, 18}, nil},
+		{"IDs count tokens, leaves one out", "", []int64{4, 8, 12}, seamContinued, "a", []int64{20}, nil, errEventsMissing},
+		{"IDs count bytes", "", []int64{320, 631, 950}, seamContinued, "a", []int64{1400, 1500}, []int64{1400, 1500}, nil},
+		{"one event, step unknown", "", []int64{1}, seamContinued, "a", []int64{5}, []int64{5}, nil},
+		{"gap without a seam", "", []int64{1, 2, 3}, seamNone, "a", []int64{5}, []int64{5}, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSequence(test.position)
+			for _, id := range test.before {
+				if isNew, err := s.accept(strconv.FormatInt(id, 10), []byte(event(id, "a"))); !isNew || err != nil {
+					t.Fatalf("event %d of the first source: new %v, error %v", id, isNew, err)
+				}
+			}
+			s.join(test.seam)
+			var got []int64
+			var failure error
+			for _, id := range test.after {
+				isNew, err := s.accept(strconv.FormatInt(id, 10), []byte(event(id, test.run)))
+				if isNew {
+					got = append(got, id)
+				}
+				if failure = err; err != nil {
+					break
+				}
+			}
+			if fmt.Sprint(got) != fmt.Sprint(test.wantNew) || !errors.Is(failure, test.want) {
+				t.Errorf("new events %v, error %v, want %v, %v", got, failure, test.wantNew, test.want)
+			}
+		})
+	}
+	s := newSequence("")
+	if isNew, err := s.accept("", []byte("data: without an ID\n\n")); !isNew || err != nil {
+		t.Errorf("event without an ID: new %v, error %v", isNew, err)
+	}
+}
+
+// TestResumedRunMissesEvents guards against a caller that gets a stream with a gap, or with the rest of another run, as a whole one.
+func TestResumedRunMissesEvents(t *testing.T) {
+	const sent, total = 3, 6
+	from := func(first int, text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			for id := first; id <= total; id++ {
+				fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", id, text, id)
+			}
+		}
+	}
+	tests := []struct {
+		name       string
+		target     http.HandlerFunc
+		wantStatus int
+		wantEvents int
+	}{
+		{"goes on", from(sent+1, "token"), 200, total},
+		{"repeats", from(1, "token"), 200, total},
+		{"leaves one out", from(sent+2, "token"), 0, sent},
+		{"is another run", from(1, "other"), 0, sent},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			begun, stop := make(chan struct{}), make(chan struct{})
+			source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = w.Write([]byte(eventsUntil(sent)))
+				_ = http.NewResponseController(w).Flush()
+				close(begun)
+				<-stop
+				resetConnection(w, r)
+			})
+			bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, newFakeBackend(t, test.target))
+			bed.copier.onLast = func() { close(stop) }
+			go func() {
+				<-begun
+				bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+			}()
+			status, body := bed.post(t, "key")
+			if status != test.wantStatus || !strings.HasPrefix(body, eventsUntil(sent)) || strings.Count(body, "id:") != test.wantEvents {
+				t.Errorf("status %d, body %q, want %d with %d events", status, body, test.wantStatus, test.wantEvents)
+			}
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -30,14 +29,13 @@
 	placement pond.Placement
 	scanner   *eventScanner
 	// source is the run on the current engine. The mover reads it too.
-	source  atomic.Pointer[source]
-	head    http.Header
-	flusher *http.ResponseController
-	// lastNumericID is the last numeric event ID that the caller has. events counts the forwarded events, and
-	// eventsBefore those forwarded before the current placement.
-	lastNumericID int64
-	events        int
-	eventsBefore  int
+	source   atomic.Pointer[source]
+	head     http.Header
+	flusher  *http.ResponseController
+	sequence sequence
+	// events counts the forwarded events, and eventsBefore those forwarded before the current placement.
+	events       int
+	eventsBefore int
 	// forwarded is events, for the mover.
 	forwarded     atomic.Int64
 	headerWritten bool
@@ -59,16 +57,13 @@
 
 func newStream(x *exchange, run startedRun) *stream {
 	s := &stream{
-		x:             x,
-		placement:     run.placement,
-		sent:          run.sent,
-		head:          run.attempt.resp.Header,
-		flusher:       http.NewResponseController(x.w),
-		stall:         run.stall,
-		lastNumericID: -1,
-	}
-	if number, err := strconv.ParseInt(x.run.position, 10, 64); err == nil {
-		s.lastNumericID = number
+		x:         x,
+		placement: run.placement,
+		sent:      run.sent,
+		head:      run.attempt.resp.Header,
+		flusher:   http.NewResponseController(x.w),
+		stall:     run.stall,
+		sequence:  newSequence(x.run.position),
 	}
 	x.stream = s
 	s.scanner = newEventScanner(nil)
@@ -180,11 +175,9 @@
 		return s.deliverComment(event)
 	}
 	id := eventID(event)
-	if number, err := strconv.ParseInt(id, 10, 64); err == nil {
-		if number <= s.lastNumericID {
-			return nil
-		}
-		s.lastNumericID = number
+	isNew, err := s.sequence.accept(id, event)
+	if !isNew {
+		return err
 	}
 	if id != "" {
 		s.x.run.position = id
@@ -361,6 +354,7 @@
 		if a.err == nil && a.resp.StatusCode == http.StatusOK {
 			s.logMove(target, result, time.Since(resumeStart))
 			s.switchSource(newSource(target, a))
+			s.sequence.join(seamContinued)
 			s.pause.GivenUp(time.Now())
 			s.stall, s.pause = nil, result.pause
 			s.moves++
@@ -420,6 +414,7 @@
 	}
 	s.placement, s.stall, s.sent, s.pause = run.placement, run.stall, run.sent, nil
 	s.switchSource(newSource(run.backend, run.attempt))
+	s.sequence.join(seamRestarted)
 	s.mover = newMover(s, ctx)
 	return true
 }
