relay, serve: the end of a server's process is not that of its response

Callers saw, in a test with real processes: streams without a length and chunks end as complete when the engine's process is killed or exits after whole events. The kernel closes the connections of a process in order if nothing unread is left on them. Answers without a length of plain services as well. Cause: an orderly end of the connection counts as the end of such a response, and nothing else was asked. With a length or chunks, or with unread bytes of the request, the same ends are errors already. Change: after such an end the server is asked whether it runs: an engine for its state, with the start that it states, a plain server by a connection. If it does not answer or has started anew, the response is broken off, a resumable stream starts again, and the server counts as failed. A server that must not be asked (back-off, limit, evacuation) is believed. The mechanism is named endChecks. What it costs: one control call or connection for each response without a length and chunks. Left: a server whose process lives and which ends a response early, in order and after a whole event, cannot be told from one that has ended it.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -114,6 +114,8 @@
 	// Leaving reports whether the engine says that it is about to leave. The error wraps ErrUnreadableStatus if the engine
 	// answered, but not with its state.
 	Leaving(ctx context.Context, backend route.Backend) (bool, error)
+	// StartedAt returns the start that the engine at the address states, in Unix milliseconds; 0 if it states none. Errors are those of Leaving.
+	StartedAt(ctx context.Context, backend route.Backend) (int64, error)
 }
 
 // ErrUnreadableStatus is the cause of an error about an engine that answers.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -128,7 +128,7 @@
 			x.abortDisconnected()
 		}
 		if event, a.err = a.events.next(); errors.Is(a.err, io.EOF) {
-			if a.err = a.checkDeadline(); a.err == nil {
+			if a.err = a.checkEnd(); a.err == nil {
 				break
 			}
 		}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
@@ -66,7 +66,9 @@
 	unframed bool
 	// deadline is the time at which the backend server was told to stop work.
 	deadline time.Time
-	err      error
+	// confirmEnd returns an error unless the backend server still runs after the end of its connection.
+	confirmEnd func() error
+	err        error
 	// via is the connection through another instance; nil for a direct one.
 	via tunnel
 	// weightsVersion is the version of the engine's weights; empty if it is not known.
@@ -495,14 +497,28 @@
 	return attempt{
 		resp: resp, leaving: reply.Leaving, rest: resp.Body, via: via, weightsVersion: reply.WeightsVersion,
 		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, deadline: d.Deadline,
+		confirmEnd: func() error {
+			ctx := reach.WithRegions(ctx, x.regions())
+			if via != nil {
+				ctx = reach.PreferHelper(ctx)
+			}
+			return x.relay.options.ConfirmEnd(ctx, d.Backend)
+		},
 	}
 }
 
-// checkDeadline returns an error if an end of the body that has just been read may be that of the server's work at the deadline.
-func (a attempt) checkDeadline() error {
+// checkEnd returns an error if an end of the body that has just been read may not be that of the response: the server was to stop work by then, or it may
+// have ended, and nothing else shows that the body is whole.
+func (a attempt) checkEnd() error {
 	if !time.Now().Before(a.deadline) {
 		return errEndAtDeadline
 	}
+	if !a.unframed {
+		return nil
+	}
+	if err := a.confirmEnd(); err != nil {
+		return errors.Wrap(err, "the response ended with its connection, and the backend server may have ended too")
+	}
 	return nil
 }
 
@@ -539,8 +555,8 @@
 func (a *attempt) buffer() {
 	buffered, err := io.ReadAll(io.LimitReader(a.rest, responseBufferLimit+1))
 	a.buffered = buffered
-	if err == nil && a.unframed && len(buffered) <= responseBufferLimit {
-		err = a.checkDeadline()
+	if err == nil && len(buffered) <= responseBufferLimit && a.unframed {
+		err = a.checkEnd()
 	}
 	if err != nil {
 		_ = a.rest.Close()
@@ -574,7 +590,7 @@
 			rest := &brokenBody{ReadCloser: a.rest}
 			_, err = io.Copy(x.w, rest)
 			if err == nil && a.unframed {
-				err = a.checkDeadline()
+				err = a.checkEnd()
 			}
 			if rest.broken && !x.callerLeft() && a.onBroken != nil {
 				a.onBroken()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,10 +56,13 @@
 	// Dial connects to a backend server.
 	Dial engine.DialFunc
 	// Blames reports whether a failure to connect to the address of a backend server is the server's own.
-	Blames  func(address string) bool
-	Budget  *RetryBudget
-	Limits  *quota.Gate
-	Hazards *hazard.Guard
+	Blames func(address string) bool
+	// ConfirmEnd returns an error unless the process of a backend server, whose connection has ended in order, still runs. The kernel ends the
+	// connections of a process that has ended in the same way.
+	ConfirmEnd func(ctx context.Context, backend route.Backend) error
+	Budget     *RetryBudget
+	Limits     *quota.Gate
+	Hazards    *hazard.Guard
 	// Requests is the guard against whole requests that crash backend servers; its parts are identities.
 	Requests *hazard.Guard
 	// Instances returns the number of instances in the fleet, and Others that of the other ones that serve callers.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -227,8 +227,15 @@
 	bed.placer = &fakePlacer{moves: make(chan pond.Move, 1)}
 	bed.relay = New(Options{
 		Fleet: bed.fleet, Placer: bed.placer, Protocol: fakeProtocol{}, Copier: bed.copier,
-		Dial:      new(net.Dialer).DialContext,
-		Blames:    func(string) bool { return true },
+		Dial:   new(net.Dialer).DialContext,
+		Blames: func(string) bool { return true },
+		ConfirmEnd: func(ctx context.Context, backend route.Backend) error {
+			conn, err := new(net.Dialer).DialContext(ctx, "tcp", backend.Address)
+			if err != nil {
+				return err
+			}
+			return conn.Close()
+		},
 		Budget:    NewRetryBudget(0.2, 50, 10*time.Second),
 		Limits:    newTestGate(bed.fleet),
 		Hazards:   newTestGuard((*hazard.Table).Check),
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -118,7 +118,7 @@
 			err = s.source.Load().checkEnd()
 		}
 		if err == nil {
-			err = s.source.Load().attempt.checkDeadline()
+			err = s.source.Load().attempt.checkEnd()
 		}
 		if err == nil {
 			end.Complete = true
--- a/internal/serve/contain.go
+++ b/internal/serve/contain.go
@@ -111,6 +111,12 @@
 	return b.Backends.Leaving(ctx, backend)
 }
 
+// StartedAt implements relay.Inspector.
+func (b containedBackends) StartedAt(ctx context.Context, backend route.Backend) (millis int64, err error) {
+	defer b.container.contain("start of an engine", &err)
+	return b.Backends.StartedAt(ctx, backend)
+}
+
 // Request implements relay.Protocol.
 func (b containedBackends) Request(
 	ctx context.Context, in *http.Request, call *relay.Call, dispatch relay.Dispatch, body relay.Body,
--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -108,11 +108,8 @@
 	return engine.Load{}, errNoLoadReport
 }
 
-// ask asks an engine whether it leaves. It returns errUnknown if that decides nothing, and another error only if the engine
-// does not answer at all.
-func (c *engineChecker) ask(ctx context.Context, backend route.Backend) error {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
+// mayAsk returns errUnknown if an engine must not be asked anything at present.
+func (c *engineChecker) mayAsk(ctx context.Context, backend route.Backend) error {
 	if _, backingOff := c.instance.fleet.BackoffUntil(backend.ID); backingOff {
 		return errors.Wrap(errUnknown, "the engine asked this instance to back off")
 	}
@@ -122,6 +119,17 @@
 	if !c.instance.limits.Permit(ctx, backend.ID).Granted() {
 		return errors.Wrap(errUnknown, "the limit is used up")
 	}
+	return nil
+}
+
+// ask asks an engine whether it leaves. It returns errUnknown if that decides nothing, and another error only if the engine
+// does not answer at all.
+func (c *engineChecker) ask(ctx context.Context, backend route.Backend) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if err := c.mayAsk(ctx, backend); err != nil {
+		return err
+	}
 	leaving, err := c.instance.engines.Leaving(ctx, backend)
 	if errors.Is(err, relay.ErrUnreadableStatus) {
 		c.instance.log.WithError(err).WithFields(logrus.Fields{logs.Event: "backendStateUnknown", logs.Backend: backend.ID}).
@@ -137,6 +145,38 @@
 	return err
 }
 
+// confirmEnd returns an error unless a backend server whose connection has ended in order is known to run, as the process that it was. One that must not be
+// asked counts as running.
+func (c *engineChecker) confirmEnd(ctx context.Context, backend route.Backend) error {
+	if c.instance.flags.disabled.Has(pond.MechanismEndChecks) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	if !c.instance.isEngine(backend) {
+		if c.instance.fleet.Evacuated(backend.DataCentre) {
+			return nil
+		}
+		conn, err := c.instance.dialer.DialContext(ctx, "tcp", backend.Address)
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	}
+	if c.mayAsk(ctx, backend) != nil {
+		return nil
+	}
+	startedAt, err := c.instance.engines.StartedAt(ctx, backend)
+	switch {
+	case errors.Is(err, relay.ErrUnreadableStatus):
+		return nil
+	case err == nil && startedAt > 0 && backend.StartedAtMillis > 0 && startedAt != backend.StartedAtMillis:
+		return errors.Errorf("the engine has started anew, at %d ms instead of %d ms", startedAt, backend.StartedAtMillis)
+	default:
+		return err
+	}
+}
+
 // ended reports whether a backend server that broke a request off has ended: it does not answer any more. If that is not known after
 // some questions, it is taken for alive. When several end at once, an instance doubts its own way to them for a moment. All requests that
 // a backend server broke off share the questions.
--- a/internal/serve/enginecheck_test.go
+++ b/internal/serve/enginecheck_test.go
@@ -47,6 +47,8 @@
 	err     error
 	leaving bool
 	asked   int
+	// startedAt is the start that all engines state.
+	startedAt int64
 }
 
 func (e *scriptedEngines) Leaving(context.Context, route.Backend) (bool, error) {
@@ -56,6 +58,13 @@
 	return e.leaving, e.err
 }
 
+func (e *scriptedEngines) StartedAt(context.Context, route.Backend) (int64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked++
+	return e.startedAt, e.err
+}
+
 func (e *scriptedEngines) askedCount() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/serve/instance.go
+++ b/internal/serve/instance.go
@@ -31,6 +31,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/quota"
 	"github.com/dragonflypond/dragonflypond/internal/reach"
 	"github.com/dragonflypond/dragonflypond/internal/relay"
+	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
@@ -328,6 +329,7 @@
 		Copier:      backends,
 		Dial:        i.dialer.DialContext,
 		Blames:      i.dialer.Blames,
+		ConfirmEnd:  i.checker.confirmEnd,
 		Limits:      i.limits,
 		Hazards:     i.hazards,
 		Requests:    i.requestHazards,
@@ -442,6 +444,16 @@
 	return backend.Service
 }
 
+// isEngine reports whether a backend server belongs to a service with engines.
+func (i *Instance) isEngine(backend route.Backend) bool {
+	catalogue := i.fleet.Catalogue()
+	if catalogue == nil {
+		return false
+	}
+	service, known := catalogue.Service(backend.Service)
+	return known && service.Engine != nil
+}
+
 // slots returns the number of requests that a backend server runs at a time; 0 for an engine, whose requests the home of its pool counts.
 func (i *Instance) slots(id string) int {
 	backend, _ := i.fleet.Backend(id)
--- a/pkg/pond/mechanism.go
+++ b/pkg/pond/mechanism.go
@@ -49,6 +49,8 @@
 	MechanismRebalancing
 	// MechanismEngineChecks asks engines themselves when the store or an engine fails.
 	MechanismEngineChecks
+	// MechanismEndChecks asks whether a backend server still runs after a response without a length and chunks has ended.
+	MechanismEndChecks
 	// MechanismRestarts runs resumable streams again after their engine failed.
 	MechanismRestarts
 	// MechanismTunnels connects to backend servers through another instance if this one does not reach them.
--- a/pkg/pond/mechanism_enumer.go
+++ b/pkg/pond/mechanism_enumer.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-const _MechanismName = "regionBalanceforecastlearnedLengthspredictedRefusalshortQueueshortShareaccountSharesagingprefillLoadurgencyslowEnginesstragglersprefixAffinitymovesmoveOrdernearTargetsrebalancingengineChecksrestartstunnelspermitscoldLimitsevacuationsbackoffshazards"
+const _MechanismName = "regionBalanceforecastlearnedLengthspredictedRefusalshortQueueshortShareaccountSharesagingprefillLoadurgencyslowEnginesstragglersprefixAffinitymovesmoveOrdernearTargetsrebalancingengineChecksendChecksrestartstunnelspermitscoldLimitsevacuationsbackoffshazards"
 
-var _MechanismIndex = [...]uint8{0, 13, 21, 35, 51, 61, 71, 84, 89, 100, 107, 118, 128, 142, 147, 156, 167, 178, 190, 198, 205, 212, 222, 233, 241, 248}
+var _MechanismIndex = [...]uint16{0, 13, 21, 35, 51, 61, 71, 84, 89, 100, 107, 118, 128, 142, 147, 156, 167, 178, 190, 199, 207, 214, 221, 231, 242, 250, 257}
 
-const _MechanismLowerName = "regionbalanceforecastlearnedlengthspredictedrefusalshortqueueshortshareaccountsharesagingprefillloadurgencyslowenginesstragglersprefixaffinitymovesmoveorderneartargetsrebalancingenginechecksrestartstunnelspermitscoldlimitsevacuationsbackoffshazards"
+const _MechanismLowerName = "regionbalanceforecastlearnedlengthspredictedrefusalshortqueueshortshareaccountsharesagingprefillloadurgencyslowenginesstragglersprefixaffinitymovesmoveorderneartargetsrebalancingenginechecksendchecksrestartstunnelspermitscoldlimitsevacuationsbackoffshazards"
 
 func (i Mechanism) String() string {
 	if i < 0 || i >= Mechanism(len(_MechanismIndex)-1) {
@@ -42,16 +42,17 @@
 	_ = x[MechanismNearTargets-(15)]
 	_ = x[MechanismRebalancing-(16)]
 	_ = x[MechanismEngineChecks-(17)]
-	_ = x[MechanismRestarts-(18)]
-	_ = x[MechanismTunnels-(19)]
-	_ = x[MechanismPermits-(20)]
-	_ = x[MechanismColdLimits-(21)]
-	_ = x[MechanismEvacuations-(22)]
-	_ = x[MechanismBackoffs-(23)]
-	_ = x[MechanismHazards-(24)]
+	_ = x[MechanismEndChecks-(18)]
+	_ = x[MechanismRestarts-(19)]
+	_ = x[MechanismTunnels-(20)]
+	_ = x[MechanismPermits-(21)]
+	_ = x[MechanismColdLimits-(22)]
+	_ = x[MechanismEvacuations-(23)]
+	_ = x[MechanismBackoffs-(24)]
+	_ = x[MechanismHazards-(25)]
 }
 
-var _MechanismValues = []Mechanism{MechanismRegionBalance, MechanismForecast, MechanismLearnedLengths, MechanismPredictedRefusal, MechanismShortQueue, MechanismShortShare, MechanismAccountShares, MechanismAging, MechanismPrefillLoad, MechanismUrgency, MechanismSlowEngines, MechanismStragglers, MechanismPrefixAffinity, MechanismMoves, MechanismMoveOrder, MechanismNearTargets, MechanismRebalancing, MechanismEngineChecks, MechanismRestarts, MechanismTunnels, MechanismPermits, MechanismColdLimits, MechanismEvacuations, MechanismBackoffs, MechanismHazards}
+var _MechanismValues = []Mechanism{MechanismRegionBalance, MechanismForecast, MechanismLearnedLengths, MechanismPredictedRefusal, MechanismShortQueue, MechanismShortShare, MechanismAccountShares, MechanismAging, MechanismPrefillLoad, MechanismUrgency, MechanismSlowEngines, MechanismStragglers, MechanismPrefixAffinity, MechanismMoves, MechanismMoveOrder, MechanismNearTargets, MechanismRebalancing, MechanismEngineChecks, MechanismEndChecks, MechanismRestarts, MechanismTunnels, MechanismPermits, MechanismColdLimits, MechanismEvacuations, MechanismBackoffs, MechanismHazards}
 
 var _MechanismNameToValueMap = map[string]Mechanism{
 	_MechanismName[0:13]:    MechanismRegionBalance,
@@ -72,13 +73,14 @@
 	_MechanismName[156:167]: MechanismNearTargets,
 	_MechanismName[167:178]: MechanismRebalancing,
 	_MechanismName[178:190]: MechanismEngineChecks,
-	_MechanismName[190:198]: MechanismRestarts,
-	_MechanismName[198:205]: MechanismTunnels,
-	_MechanismName[205:212]: MechanismPermits,
-	_MechanismName[212:222]: MechanismColdLimits,
-	_MechanismName[222:233]: MechanismEvacuations,
-	_MechanismName[233:241]: MechanismBackoffs,
-	_MechanismName[241:248]: MechanismHazards,
+	_MechanismName[190:199]: MechanismEndChecks,
+	_MechanismName[199:207]: MechanismRestarts,
+	_MechanismName[207:214]: MechanismTunnels,
+	_MechanismName[214:221]: MechanismPermits,
+	_MechanismName[221:231]: MechanismColdLimits,
+	_MechanismName[231:242]: MechanismEvacuations,
+	_MechanismName[242:250]: MechanismBackoffs,
+	_MechanismName[250:257]: MechanismHazards,
 }
 
 var _MechanismLowerNameToValueMap = map[string]Mechanism{
@@ -100,13 +102,14 @@
 	_MechanismLowerName[156:167]: MechanismNearTargets,
 	_MechanismLowerName[167:178]: MechanismRebalancing,
 	_MechanismLowerName[178:190]: MechanismEngineChecks,
-	_MechanismLowerName[190:198]: MechanismRestarts,
-	_MechanismLowerName[198:205]: MechanismTunnels,
-	_MechanismLowerName[205:212]: MechanismPermits,
-	_MechanismLowerName[212:222]: MechanismColdLimits,
-	_MechanismLowerName[222:233]: MechanismEvacuations,
-	_MechanismLowerName[233:241]: MechanismBackoffs,
-	_MechanismLowerName[241:248]: MechanismHazards,
+	_MechanismLowerName[190:199]: MechanismEndChecks,
+	_MechanismLowerName[199:207]: MechanismRestarts,
+	_MechanismLowerName[207:214]: MechanismTunnels,
+	_MechanismLowerName[214:221]: MechanismPermits,
+	_MechanismLowerName[221:231]: MechanismColdLimits,
+	_MechanismLowerName[231:242]: MechanismEvacuations,
+	_MechanismLowerName[242:250]: MechanismBackoffs,
+	_MechanismLowerName[250:257]: MechanismHazards,
 }
 
 var _MechanismNames = []string{
@@ -128,13 +131,14 @@
 	_MechanismName[156:167],
 	_MechanismName[167:178],
 	_MechanismName[178:190],
-	_MechanismName[190:198],
-	_MechanismName[198:205],
-	_MechanismName[205:212],
-	_MechanismName[212:222],
-	_MechanismName[222:233],
-	_MechanismName[233:241],
-	_MechanismName[241:248],
+	_MechanismName[190:199],
+	_MechanismName[199:207],
+	_MechanismName[207:214],
+	_MechanismName[214:221],
+	_MechanismName[221:231],
+	_MechanismName[231:242],
+	_MechanismName[242:250],
+	_MechanismName[250:257],
 }
 
 // MechanismString retrieves an enum value from the enum constants string name.
