relay: another response behind a stream without a length is no part of it

Cause: a faulty server may send a second response; without a length and chunks it passes for a part of the body. Evidence: TestEventsOfPlainService, the row 'followed by another response', red before. Change: a stream in which a response begins where an event is due is broken off. The server counts as spoiling its response, not as crashed. Measured: the test passes.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -22,6 +22,9 @@
 	maxEventBytes = 64 << 10
 )
 
+// errSecondResponse is the error of another response where an event is due. Without a length and chunks it passes for a part of the first.
+var errSecondResponse = errors.New("another response follows the events")
+
 var errEventTooLarge = errors.New("an event of the stream is too large")
 
 // eventScanner splits a stream into events.
@@ -38,7 +41,7 @@
 func (s *eventScanner) reset(stream io.Reader) { s.reader.Reset(stream) }
 
 // next returns the next event or comment with the blank line at its end. It is valid until the next call. The error is io.EOF at the end of the
-// stream, and io.ErrUnexpectedEOF at an end within an event.
+// stream, io.ErrUnexpectedEOF at an end within an event, and errSecondResponse at the beginning of another response.
 func (s *eventScanner) next() ([]byte, error) {
 	s.event = s.event[:0]
 	for {
@@ -55,6 +58,9 @@
 		case err != nil:
 			return nil, err
 		}
+		if bytes.HasPrefix(s.event, []byte("HTTP/")) {
+			return nil, errSecondResponse
+		}
 		if bytes.HasSuffix(s.event, []byte("\n\n")) || bytes.HasSuffix(s.event, []byte("\r\n\r\n")) {
 			return s.event, nil
 		}
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -39,6 +39,7 @@
 		{"cut before the blank line", "text/event-stream", false, whole[:len(whole)-1], 0, eventsUntil(4)},
 		{"cut and framed", "text/event-stream", true, cut, 0, eventsUntil(3)},
 		{"long and cut", "text/event-stream", false, long + "id", 0, long},
+		{"followed by another response", "text/event-stream", false, whole + "HTTP/1.1 200 OK\r\nCall: other\r\n\r\n" + whole, 0, whole},
 		{"cut within the first event", "text/event-stream", false, "id: 1", 502, ""},
 		{"nothing", "text/event-stream", false, "", 502, ""},
 		{"nothing, framed", "text/event-stream", true, "", 200, ""},
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -75,7 +75,7 @@
 // mayBeCrash reports whether an error of an answer may come from the end of its engine. Answers that are spoiled, or that this
 // instance has cut because they stalled or because the instance that carries them ends, do not.
 func mayBeCrash(err error) bool {
-	spoiled := errors.Is(err, errForeignResponse) || errors.Is(err, errEventsMissing) || errors.Is(err, errOtherRun) || errors.Is(err, errEventTooLarge) || errors.Is(err, bound.ErrMalformedHead)
+	spoiled := errors.Is(err, errForeignResponse) || errors.Is(err, errSecondResponse) || errors.Is(err, errEventsMissing) || errors.Is(err, errOtherRun) || errors.Is(err, errEventTooLarge) || errors.Is(err, bound.ErrMalformedHead)
 	return !spoiled && !errors.Is(err, errHelperEnds) && !errors.Is(err, context.Canceled)
 }
 
