relay: a moved run has not ended before the events that it had made

Callers would see: a stream that ends as complete after a move although the engine had made further events, if the engine that goes on ends its stream early. Cause: the answer to the last copy names the events that the run had made, and nothing compared them with what the caller got. Evidence: TestResumedRunMissesEvents, the rows 'ends before an event that it had made' and 'leaves one out, without IDs', red before. Change: the number is kept with the result of a move, and an orderly end before it breaks the stream off. It does not apply to a caller that had events from an earlier attempt. Measured: the tests pass.

--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -34,7 +34,9 @@
 	move   pond.Move
 	cause  string // why the run is moved, a constant of package metric
 	handle string
-	holder string // the address of the engine that made the copy
+	// created is the number of events that the run had made when it was copied last.
+	created int
+	holder  string // the address of the engine that made the copy
 	// targets are the engines to resume on, in the order in which they are tried.
 	targets  []route.Backend
 	copyTime time.Duration
@@ -322,7 +324,7 @@
 		m.dropCopy(source, first.Handle)
 		return nil
 	}
-	result := &moveResult{move: move, cause: m.cause, handle: first.Handle, holder: source.Address, targets: []route.Backend{target}}
+	result := &moveResult{move: move, cause: m.cause, handle: first.Handle, created: first.Events, holder: source.Address, targets: []route.Backend{target}}
 	result.pause = history.BeginPause(service, time.Now())
 	log.WithField(logs.Event, "runStopping").Info("an engine is told to stop a run")
 	final, err := m.copy(ctx, source, target, true)
@@ -334,7 +336,7 @@
 	var copyErr *CopyError
 	switch {
 	case err == nil:
-		result.handle = final.Handle
+		result.handle, result.created = final.Handle, max(final.Events, first.Events)
 		time.AfterFunc(closeDelay, func() { _ = run.body().Close() })
 	case errors.As(err, &copyErr) && copyErr.NoRun:
 		// The run has ended, and its stream delivers the rest, or an earlier order has stopped it.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -483,6 +483,7 @@
 	onFirst func()
 	onLast  func()
 	err     error // of the last copy
+	created int   // events, at the last copy
 	dropped chan string
 }
 
@@ -494,7 +495,7 @@
 		return Copy{Handle: "first"}, ctx.Err()
 	}
 	c.onLast()
-	return Copy{Handle: "last"}, c.err
+	return Copy{Handle: "last", Events: c.created}, c.err
 }
 
 func (c *fakeCopier) Drop(_ context.Context, _ route.Backend, handle string) error {
--- a/internal/relay/sequence_test.go
+++ b/internal/relay/sequence_test.go
@@ -81,16 +81,29 @@
 			}
 		}
 	}
+	withoutIDs := func(count int) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			for range count {
+				fmt.Fprint(w, "data: token\n\n")
+			}
+		}
+	}
+	nothing := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }
 	tests := []struct {
 		name       string
+		created    int // events that the run had made when it was stopped
 		target     http.HandlerFunc
 		wantStatus int
 		wantEvents int
 	}{
-		{"goes on", from(sent+1, "token"), 200, total},
-		{"repeats", from(1, "token"), 200, total},
-		{"leaves one out", from(sent+2, "token"), 0, sent},
-		{"is another run", from(1, "other"), 0, sent},
+		{"goes on", sent, from(sent+1, "token"), 200, total},
+		{"repeats", sent, from(1, "token"), 200, total},
+		{"leaves one out", sent, from(sent+2, "token"), 0, sent},
+		{"is another run", sent, from(1, "other"), 0, sent},
+		{"had made its last event", sent, nothing, 200, sent},
+		{"ends before an event that it had made", sent + 1, nothing, 0, sent},
+		{"goes on without IDs", sent + 2, withoutIDs(2), 200, sent + 2},
+		{"leaves one out, without IDs", sent + 2, withoutIDs(1), 0, sent + 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -103,13 +116,13 @@
 				resetConnection(w, r)
 			})
 			bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, newFakeBackend(t, test.target))
-			bed.copier.onLast = func() { close(stop) }
+			bed.copier.onLast, bed.copier.created = func() { close(stop) }, test.created
 			go func() {
 				<-begun
 				bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
 			}()
 			status, body := bed.post(t, "key")
-			if status != test.wantStatus || !strings.HasPrefix(body, eventsUntil(sent)) || strings.Count(body, "id:") != test.wantEvents {
+			if status != test.wantStatus || !strings.HasPrefix(body, eventsUntil(sent)) || strings.Count(body, "data:") != test.wantEvents {
 				t.Errorf("status %d, body %q, want %d with %d events", status, body, test.wantStatus, test.wantEvents)
 			}
 		})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -36,6 +36,10 @@
 	// events counts the forwarded events, and eventsBefore those forwarded before the current placement.
 	events       int
 	eventsBefore int
+	// created is the number of events that the run is known to have made; 0 for none, and if the caller had some from an earlier attempt.
+	created int
+	// continued is true if the caller had events from an earlier attempt.
+	continued bool
 	// forwarded is events, for the mover.
 	forwarded     atomic.Int64
 	headerWritten bool
@@ -120,6 +124,9 @@
 		if err == nil {
 			err = s.source.Load().attempt.checkEnd()
 		}
+		if err == nil && s.events < s.created {
+			err = errEventsMissing
+		}
 		if err == nil {
 			end.Complete = true
 			s.logEnd()
@@ -355,6 +362,9 @@
 			s.logMove(target, result, time.Since(resumeStart))
 			s.switchSource(newSource(target, a))
 			s.sequence.join(seamContinued)
+			if !s.continued {
+				s.created = max(s.created, result.created)
+			}
 			s.pause.GivenUp(time.Now())
 			s.stall, s.pause = nil, result.pause
 			s.moves++
