--- a/internal/relay/ends_test.go
+++ b/internal/relay/ends_test.go
@@ -192,8 +192,12 @@
 			mu.Lock()
 			conns = append(conns, near.(*net.TCPConn), far.(*net.TCPConn))
 			mu.Unlock()
-			go func() { _, _ = io.Copy(near, far) }()
-			go func() { _, _ = io.Copy(far, near) }()
+			pass := func(to, from net.Conn) {
+				_, _ = io.Copy(to, from)
+				_ = to.Close()
+			}
+			go pass(near, far)
+			go pass(far, near)
 		}
 	}()
 	end = func(reset bool) {
