--- a/internal/relay/ends_test.go
+++ b/internal/relay/ends_test.go
@@ -302,7 +302,7 @@
 				case stepStop:
 					helper.order(t, orderStop)
 				case stepFreeze:
-					_ = helper.cmd.Process.Signal(syscall.SIGSTOP)
+					helper.freeze(t)
 				case stepThaw:
 					_ = helper.cmd.Process.Signal(syscall.SIGCONT)
 				case stepReset, stepClose:
--- a/internal/relay/foreign_events_test.go
+++ b/internal/relay/foreign_events_test.go
@@ -167,3 +167,46 @@
 		}
 	}
 }
+
+// TestForeignEventsAfterRestart guards against the same where a stream that may be resumed goes on by a new run, after a caller's position or after
+// the events that its first engine sent before it was reset.
+func TestForeignEventsAfterRestart(t *testing.T) {
+	const sent = 3
+	whole := eventsUntil(streamEvents)
+	tests := []struct {
+		name      string
+		position  string // of the caller, who has the first three events; empty for a restart
+		events    string // of the engine that goes on
+		wantWhole bool
+	}{
+		{"restart goes on", "", eventsFrom(sent + 1), true},
+		{"restart begins at its first event", "", whole, true},
+		{"restart begins later", "", eventsFrom(sent + 2), false},
+		{"restart without IDs", "", event("", "token 4") + event("", "token 5"), false},
+		{"caller goes on", "3", eventsFrom(sent + 1), true},
+		{"caller gets the first event again", "3", whole, true},
+		{"caller lacks an event", "3", eventsFrom(sent + 2), false},
+		{"caller gets events without IDs", "3", event("", "token 4") + event("", "token 5"), false},
+		{"caller gets only events that it has", "3", eventsUntil(sent), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			goesOn := answerWith(unframedHead+test.events, nil, nil)
+			backends := []*fakeBackend{newFakeBackend(t, breakAfter(sent)), newFakeBackend(t, goesOn)}
+			want := whole
+			if test.position != "" {
+				backends, want = backends[1:], eventsFrom(sent+1)
+			}
+			bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, backends...)
+			bed.placer.spread = len(backends) > 1
+			bed.setResumable(callerPatience, len(backends))
+			status, body := bed.postAt(t, "key", test.position)
+			if test.wantWhole && (status != http.StatusOK || body != want) {
+				t.Errorf("status %d, body %q, want the rest of the stream", status, body)
+			}
+			if !test.wantWhole && status == http.StatusOK {
+				t.Errorf("status 200, body %q, want a response that does not look complete", body)
+			}
+		})
+	}
+}
--- a/internal/relay/process_test.go
+++ b/internal/relay/process_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -90,6 +91,24 @@
 	}
 }
 
+// freeze stops the process until it gets SIGCONT. It returns once the process has stopped: the signal takes its time to reach all threads.
+func (p *process) freeze(t *testing.T) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	var status syscall.WaitStatus
+	for {
+		switch _, err := syscall.Wait4(p.cmd.Process.Pid, &status, syscall.WUNTRACED, nil); {
+		case err == syscall.EINTR:
+		case err != nil || !status.Stopped():
+			t.Fatalf("the process has not stopped: status %v, error %v", status, err)
+		default:
+			return
+		}
+	}
+}
+
 // TestProcess is no test: it is the main function of the processes that other tests start.
 func TestProcess(*testing.T) {
 	role := os.Getenv(roleVariable)
