soak: tests of the check of streams, stories with the instances' log lines

Cause: a verdict that nothing checks may hide a fault, and an order that fails before it reaches an engine shows in the instances' logs only.

--- a/internal/soak/order_engine_test.go
+++ b/internal/soak/order_engine_test.go
@@ -363,7 +363,11 @@
 func (e *orderEngine) answerMove(conn net.Conn, o *orderOrder, answer orderAnswer, content string) {
 	modes := e.play.modes
 	if modes.has(orderModeLate) && e.random.chance(0.12) {
-		time.Sleep(e.random.between(200*time.Millisecond, 2500*time.Millisecond))
+		select {
+		case <-e.ended:
+			answer = orderAnswerReset
+		case <-time.After(e.random.between(200*time.Millisecond, 2500*time.Millisecond)):
+		}
 	}
 	lost := modes.has(orderModeLost) && e.random.chance(0.1)
 	e.play.answered(o, answer, lost)
--- a/internal/soak/order_story_test.go
+++ b/internal/soak/order_story_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 )
@@ -51,6 +52,7 @@
 	runs     []*orderRun
 	orders   []*orderOrder
 	resumes  []orderResume
+	logged   []orderLogLine // what the instances logged about its moves
 	timeline []string
 }
 
@@ -98,6 +100,12 @@
 	lost           bool // the answer was not sent
 }
 
+// orderLogLine is a line of an instance's log.
+type orderLogLine struct {
+	Request, Event, Error, Msg, Source, Target string
+	Time                                       time.Time
+}
+
 // orderResume is a request to go on from a copy.
 type orderResume struct {
 	engine, position string
@@ -105,8 +113,11 @@
 	at               time.Time
 }
 
+// timelineWidth is the width of the times in a timeline.
+const timelineWidth = 8
+
 func (s *orderStory) note(format string, args ...any) {
-	s.timeline = append(s.timeline, fmt.Sprintf("%7.3f ", time.Since(s.sentAt).Seconds())+fmt.Sprintf(format, args...))
+	s.timeline = append(s.timeline, fmt.Sprintf("%8.3f ", time.Since(s.sentAt).Seconds())+fmt.Sprintf(format, args...))
 }
 
 // cause tells what the engines saw at the end of the run whose events the caller got last. The play's mu must be held.
@@ -158,6 +169,11 @@
 			parts = append(parts, fmt.Sprintf("then order (%s) got %s", kind, o.outcome()))
 		}
 	}
+	if stopped >= 0 && stopped == len(s.orders)-1 && slices.ContainsFunc(s.logged, func(l orderLogLine) bool {
+		return l.Event == "moveFailed" && l.Time.After(s.orders[stopped].at)
+	}) {
+		parts = append(parts, "then a move failed that reached no engine")
+	}
 	resumes := "not asked to go on"
 	for _, r := range s.resumes {
 		if stopped >= 0 && r.at.After(s.orders[stopped].at) {
--- a/internal/soak/order_test.go
+++ b/internal/soak/order_test.go
@@ -83,6 +83,7 @@
 	orderWarmTime   = 1500 * time.Millisecond
 	orderTailTime   = 4 * time.Second // after the faults; streams that are open then are left by their callers
 	orderLongEvery  = 60 * time.Millisecond
+	timeOfDay       = "15:04:05.000"
 	orderShortEvery = 200 * time.Millisecond
 )
 
@@ -251,6 +252,7 @@
 				how = removalNotice
 			}
 		}
+		p.t.Logf("%s: %d engines leave in the %s, removal %d", time.Now().UTC().Format(timeOfDay), len(leaving), region, how)
 		saysLeaving, replaceAfter := random.IntN(2) == 0, time.Duration(random.IntN(600))*time.Millisecond
 		for _, e := range leaving {
 			group.Go(func() { p.remove(e, how, saysLeaving) })
@@ -292,12 +294,16 @@
 	}
 	switch random.IntN(3) {
 	case 0:
+		p.t.Logf("%s: %s stops", time.Now().UTC().Format(timeOfDay), i.name)
 		i.stop()
 	case 1:
+		p.t.Logf("%s: %s is killed", time.Now().UTC().Format(timeOfDay), i.name)
 		i.signal(syscall.SIGKILL)
 	default:
+		frozen := time.Duration(300+random.IntN(2700)) * time.Millisecond
+		p.t.Logf("%s: %s is frozen for %v", time.Now().UTC().Format(timeOfDay), i.name, frozen)
 		i.signal(syscall.SIGSTOP)
-		time.Sleep(time.Duration(300+random.IntN(2700)) * time.Millisecond)
+		time.Sleep(frozen)
 		i.signal(syscall.SIGCONT)
 	}
 }
@@ -332,6 +338,7 @@
 // cut cuts instances off from all engines for a while.
 func (p *orderPlay) cut(random *rand.Rand) {
 	c := p.cluster
+	p.t.Logf("%s: instances are cut off from engines", time.Now().UTC().Format(timeOfDay))
 	kind := cutKind(1 + random.IntN(cutKinds))
 	end := c.partition(kind, 1+random.IntN(2), random)
 	defer end()
@@ -557,6 +564,32 @@
 	o.story.note("order %d is answered %s, lost %v", o.number, answer, lost)
 }
 
+// readLogs adds to the stories what the instances have logged about moves. The lock must be held.
+func (p *orderPlay) readLogs() {
+	events := []string{"moveFailed", "moveIncomplete", "runMoved", "detourFailed", "requestEnded"}
+	for _, i := range p.cluster.instances {
+		content, err := os.ReadFile(i.log.Name())
+		if err != nil {
+			p.t.Logf("read the log of %s: %v", i.name, err)
+			continue
+		}
+		for line := range bytes.Lines(content) {
+			var entry orderLogLine
+			if json.Unmarshal(line, &entry) != nil || !slices.Contains(events, entry.Event) {
+				continue
+			}
+			if s := p.stories[entry.Request]; s != nil {
+				s.logged = append(s.logged, entry)
+				s.timeline = append(s.timeline, fmt.Sprintf("%8.3f     %s logs %s: %s %s (%s to %s)", entry.Time.Sub(s.sentAt).Seconds(), i.name, entry.Event, entry.Msg,
+					entry.Error, entry.Source, entry.Target))
+			}
+		}
+	}
+	for _, s := range p.stories {
+		slices.SortStableFunc(s.timeline, func(a, b string) int { return strings.Compare(a[:timelineWidth], b[:timelineWidth]) })
+	}
+}
+
 // writeStories writes what is known of all requests beside the logs of the instances. The lock must be held.
 func (p *orderPlay) writeStories() {
 	var text strings.Builder
@@ -598,6 +631,7 @@
 			}
 		}
 	}
+	p.readLogs()
 	p.writeStories()
 	var text []string
 	for v, count := range counts {
