--- a/internal/soak/order_test.go
+++ b/internal/soak/order_test.go
@@ -609,6 +609,8 @@
 func (p *orderPlay) report() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.readLogs()
+	p.writeStories()
 	counts, cuts, moved, carried := make([]int, orderVerdicts), make(map[string]int), 0, 0
 	for _, result := range p.answers {
 		s := result.story
@@ -631,8 +633,6 @@
 			}
 		}
 	}
-	p.readLogs()
-	p.writeStories()
 	var text []string
 	for v, count := range counts {
 		text = append(text, fmt.Sprintf("%d %s", count, orderVerdict(v)))
