soak: new engines at the addresses of engines that are gone

Cause: an order to an engine that has gone may reach another one, which answers 404. What: mode reuse.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -11,9 +11,14 @@
 // TestRegions plays the same faults in two regions, with routes and an account that name regions: the stand-ins check where each request arrives,
 // and through which instance.
 //
+// TestOrder plays long streams on stand-ins for engines that write their answers byte by byte, with or without framing, and end them in order or by a
+// reset: after the last event, for a move, at the deadline, with their process. It compares each event that callers get with what the engines made,
+// and prints the story of each stream that is wrong. With -soak.logs the stories of all streams are beside the logs of the instances.
+//
 // # Usage
 //
 //	go test ./internal/soak                                    # a short run with fixed seeds, as in CI
 //	go test ./internal/soak -soak.seeds 100-149 -soak.length 20s -v -timeout 1h
 //	go test ./internal/soak -run TestSoak -soak.seeds 1101-1101 -soak.kinds 20 # a seed that failed with fewer kinds of faults
+//	go test ./internal/soak -run TestOrder -soak.orderSeeds 1001-1006 -soak.orderLength 20s -soak.orderModes all,-exit,-deadline -soak.logs DIR -v
 package soak
--- a/internal/soak/order_engine_test.go
+++ b/internal/soak/order_engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -65,7 +67,8 @@
 	return low + time.Duration(r.random.Int64N(int64(high-low)))
 }
 
-func newOrderEngine(p *orderPlay, id, dataCentre string, seed uint64) (*orderEngine, error) {
+// newOrderEngine starts an engine that is reached at an address. If that is taken meanwhile, it gets another one.
+func newOrderEngine(p *orderPlay, id, dataCentre, address string, seed uint64) (*orderEngine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -76,7 +79,10 @@
 		stopped: make(map[string]orderCopy), copies: make(map[string]orderCopy),
 	}
 	e.endsInOrder = p.modes.has(orderModeExit) && e.random.chance(0.5)
-	if e.proxy, err = newProxy("127.0.0.1:0", listener.Addr().String()); err != nil {
+	if e.proxy, err = newProxy(address, listener.Addr().String()); errors.Is(err, syscall.EADDRINUSE) {
+		e.proxy, err = newProxy("127.0.0.1:0", listener.Addr().String())
+	}
+	if err != nil {
 		return nil, err
 	}
 	e.proxy.cutOff(p.cluster.partitionOf)
--- a/internal/soak/order_judge_test.go
+++ b/internal/soak/order_judge_test.go
@@ -112,7 +112,7 @@
 		{"none", "", false},
 		{"none,exit", "exit", false},
 		{"exit, lost", "exit,lost", false},
-		{"all,-exit,-deadline", "unframed,stopReset,late,lost,noRoom,noResume,resetResume,home,crash,cut,short", false},
+		{"all,-exit,-deadline", "unframed,stopReset,late,lost,noRoom,noResume,resetResume,home,crash,cut,short,reuse", false},
 		{"everything", "", true},
 	} {
 		set, err := parseOrderModes(test.list)
--- a/internal/soak/order_test.go
+++ b/internal/soak/order_test.go
@@ -44,12 +44,13 @@
 	orderModeCrash                        // engines end without leaving first
 	orderModeCut                          // instances are cut off from engines, so that others carry their requests
 	orderModeShort                        // some callers give a deadline before the end of the answer
+	orderModeReuse                        // new engines take the addresses of engines that are gone
 	orderModePosition                     // a run that goes on from a copy begins after the events that the copy holds; not in "all"
 	orderModes
 )
 
 var orderModeNames = []string{
-	"unframed", "deadline", "exit", "stopReset", "late", "lost", "noRoom", "noResume", "resetResume", "home", "crash", "cut", "short", "position",
+	"unframed", "deadline", "exit", "stopReset", "late", "lost", "noRoom", "noResume", "resetResume", "home", "crash", "cut", "short", "reuse", "position",
 }
 
 type orderModeSet [orderModes]bool
@@ -79,6 +80,7 @@
 	orderInstances  = 7
 	orderEngines    = 14
 	orderLeaveTime  = 2 * time.Second // from the notice, or the removal of the entry, to the end of the process
+	orderReuseTime  = 2 * time.Second // from the end of an engine until another one may take its address
 	orderSettleTime = time.Second     // in which the instances get to know each other
 	orderWarmTime   = 1500 * time.Millisecond
 	orderTailTime   = 4 * time.Second // after the faults; streams that are open then are left by their callers
@@ -108,9 +110,16 @@
 	lastRun    int
 	stories    map[string]*orderStory
 	used       map[string]bool // handles that were used
+	freed      []freedAddress
 	answers    []orderResult
 }
 
+// freedAddress is the address of an engine that is gone.
+type freedAddress struct {
+	address string
+	at      time.Time
+}
+
 // orderResult is one answer, as its caller got it.
 type orderResult struct {
 	story *orderStory
@@ -183,9 +192,12 @@
 func (p *orderPlay) startEngine(dataCentre string) {
 	p.mu.Lock()
 	p.lastEngine++
-	number := p.lastEngine
+	number, address := p.lastEngine, "127.0.0.1:0"
+	if len(p.freed) > 0 && time.Since(p.freed[0].at) > orderReuseTime && p.modes.has(orderModeReuse) {
+		address, p.freed = p.freed[0].address, p.freed[1:]
+	}
 	p.mu.Unlock()
-	e, err := newOrderEngine(p, fmt.Sprintf("i-%04d", number), dataCentre, p.seed<<16+uint64(number))
+	e, err := newOrderEngine(p, fmt.Sprintf("i-%04d", number), dataCentre, address, p.seed<<16+uint64(number))
 	if err != nil {
 		p.t.Error(err)
 		return
@@ -238,6 +250,9 @@
 	}
 	e.exit()
 	p.cluster.store.put("servers/"+e.id, nil)
+	p.mu.Lock()
+	p.freed = append(p.freed, freedAddress{e.address(), time.Now()})
+	p.mu.Unlock()
 }
 
 // disrupt has engines leave and come, and instances fail, until a time.
