--- a/internal/soak/order_judge_test.go
+++ b/internal/soak/order_judge_test.go
@@ -51,7 +51,7 @@
 		{"gap and too early", []*orderRun{first}, []orderPiece{piece(1, 2)}, 200, false, []orderVerdict{orderTooEarly, orderGap}},
 	} {
 		s := &orderStory{id: id, total: 3, runs: test.runs}
-		if got, _ := s.judge(orderAnswerSeen{test.status, test.pieces, !test.cut}); !slices.Equal(got, test.want) {
+		if got := s.judge(orderAnswerSeen{test.status, test.pieces, !test.cut}); !slices.Equal(got, test.want) {
 			t.Errorf("%s: %v, want %v", test.name, got, test.want)
 		}
 	}
@@ -72,6 +72,10 @@
 			run.end, run.inOrder, run.client = orderEndExit, false, "127.0.0.9"
 		},
 			"engine exits, unframed, by a reset; through another instance"},
+		{"the run that went on ends without an event", func(s *orderStory, run *orderRun) {
+			run.end = orderEndStopped
+			s.runs = append(s.runs, &orderRun{number: 2, parent: run, end: orderEndExit, inOrder: true, unframed: true, client: run.client})
+		}, "engine exits, unframed, in order"},
 		{"stopped, second order", func(s *orderStory, run *orderRun) {
 			run.end = orderEndStopped
 			s.orders = []*orderOrder{
@@ -94,7 +98,7 @@
 		run := &orderRun{number: 1, unframed: true, inOrder: true, client: "127.0.0.1"}
 		s := &orderStory{address: "127.0.0.1:80", runs: []*orderRun{run}}
 		test.set(s, run)
-		if got := s.cause(1); got != test.want {
+		if got := s.cause(); got != test.want {
 			t.Errorf("%s: %q, want %q", test.name, got, test.want)
 		}
 	}
--- a/internal/soak/order_story_test.go
+++ b/internal/soak/order_story_test.go
@@ -120,20 +120,12 @@
 	s.timeline = append(s.timeline, fmt.Sprintf("%8.3f ", time.Since(s.sentAt).Seconds())+fmt.Sprintf(format, args...))
 }
 
-// cause tells what the engines saw at the end of the run whose events the caller got last. The play's mu must be held.
-func (s *orderStory) cause(lastRun int) string {
-	var run *orderRun
-	for _, r := range s.runs {
-		if r.number == lastRun {
-			run = r
-		}
-	}
-	if run == nil && len(s.runs) > 0 {
-		run = s.runs[len(s.runs)-1]
-	}
-	if run == nil {
+// cause tells what the engines saw at the end of the last run, which may have made no event. The play's mu must be held.
+func (s *orderStory) cause() string {
+	if len(s.runs) == 0 {
 		return "no run"
 	}
+	run := s.runs[len(s.runs)-1]
 	var parts []string
 	how := "in order"
 	if !run.inOrder {
@@ -237,9 +229,9 @@
 	inOrder bool // the answer ended in order
 }
 
-// judge compares what a caller got with what the engines made. It returns all verdicts that break a promise, or the one that does not, and the number
-// of the run that the caller saw last. The play's mu must be held.
-func (s *orderStory) judge(seen orderAnswerSeen) (verdicts []orderVerdict, lastRun int) {
+// judge compares what a caller got with what the engines made. It returns all verdicts that break a promise, or the one that does not. The play's mu must
+// be held.
+func (s *orderStory) judge(seen orderAnswerSeen) (verdicts []orderVerdict) {
 	found := make([]bool, orderVerdicts)
 	if fresh := s.freshRuns(); fresh > 1 {
 		found[orderTwice] = true
@@ -257,7 +249,7 @@
 		}
 		found[orderGap] = found[orderGap] || p.number > number+1
 		found[orderRepeat] = found[orderRepeat] || p.number <= number
-		number, former, lastRun = max(number, p.number), run, p.run
+		number, former = max(number, p.number), run
 	}
 	ok := seen.status == 200
 	found[orderTooEarly] = ok && seen.inOrder && number < s.total
@@ -275,7 +267,7 @@
 	default:
 		verdicts = append(verdicts, orderWhole)
 	}
-	return verdicts, lastRun
+	return verdicts
 }
 
 // freshRuns counts the runs from the beginning.
--- a/internal/soak/order_test.go
+++ b/internal/soak/order_test.go
@@ -610,8 +610,8 @@
 	var text strings.Builder
 	for _, result := range p.answers {
 		s := result.story
-		verdicts, lastRun := s.judge(result.seen)
-		fmt.Fprintf(&text, "%s at %s, sent %s: %v | %s\n\t%s\n", s.id, s.address, s.sentAt.UTC().Format(time.RFC3339Nano), verdicts, s.cause(lastRun),
+		verdicts := s.judge(result.seen)
+		fmt.Fprintf(&text, "%s at %s, sent %s: %v | %s\n\t%s\n", s.id, s.address, s.sentAt.UTC().Format(time.RFC3339Nano), verdicts, s.cause(),
 			strings.Join(s.timeline, "\n\t"))
 	}
 	path := filepath.Join(filepath.Dir(p.cluster.instances[0].log.Name()), "stories.txt")
@@ -629,7 +629,7 @@
 	counts, cuts, moved, carried := make([]int, orderVerdicts), make(map[string]int), 0, 0
 	for _, result := range p.answers {
 		s := result.story
-		verdicts, lastRun := s.judge(result.seen)
+		verdicts := s.judge(result.seen)
 		if len(s.runs) > s.freshRuns() {
 			moved++
 		}
@@ -638,7 +638,7 @@
 		}
 		for _, v := range verdicts {
 			counts[v]++
-			cause := s.cause(lastRun)
+			cause := s.cause()
 			switch {
 			case v.broken():
 				p.t.Errorf("ORDER seed %d | %s | %s | request %s got %d of %d events\n\t%s", p.seed, v, cause, s.id, len(result.seen.pieces), s.total,
