relay: events that lose their IDs at a seam, and streams that count from 1

Callers saw, in TestForeignEventsAfterMove and TestForeignEventsAfterRestart: events without IDs, or with others, behind those that had numbers. Cause: an event without a number was not checked, and neither was the second event of a stream, because no step was known. Change: the first event after a seam needs a number if those before it had one; IDs that begin with 1 are taken as counted until they turn out otherwise.

--- a/internal/relay/sequence.go
+++ b/internal/relay/sequence.go
@@ -16,7 +16,7 @@
 	// last is the last numeric event ID that the caller has, -1 for none, and lastData the data of that event.
 	last     int64
 	lastData []byte
-	// step is the difference between successive IDs as long as it is always the same; 0 before there are two, -1 if the IDs are irregular.
+	// step is the difference between successive IDs as long as it is always the same; 0 while it is not known, -1 if the IDs are irregular.
 	step int64
 	// seam is what the next event follows.
 	seam seam
@@ -38,7 +38,7 @@
 func newSequence(position string) sequence {
 	s := sequence{last: -1}
 	if number, err := strconv.ParseInt(position, 10, 64); err == nil {
-		s.last = number
+		s.last, s.seam = number, seamRestarted
 	}
 	return s
 }
@@ -46,11 +46,14 @@
 // join is called before the first event of another source.
 func (s *sequence) join(seam seam) { s.seam = seam }
 
-// accept reports whether the caller is to get an event, which it does not if it has it already. It returns an error if the event cannot follow. An
-// event without a number is not checked.
+// accept reports whether the caller is to get an event, which it does not if it has it already. It returns an error if the event cannot follow. Of
+// events without numbers only the first one after a seam is checked: nothing tells where it belongs if those before it had numbers.
 func (s *sequence) accept(id string, event []byte) (isNew bool, err error) {
 	number, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
+		if s.seam != seamNone && s.last >= 0 {
+			return false, errOtherRun
+		}
 		s.seam = seamNone
 		return true, nil
 	}
@@ -68,9 +71,12 @@
 }
 
 func (s *sequence) record(number int64, event []byte) {
-	if s.last >= 0 {
+	switch {
+	case s.last < 0 && number == 1:
+		s.step = 1 // They are counted, as far as is known.
+	case s.last >= 0:
 		switch difference := number - s.last; {
-		case s.step == 0:
+		case s.step == 0, s.last == 1:
 			s.step = difference
 		case s.step != difference:
 			s.step = -1
