relay: orders to stop a run that were refused, replaced or got no answer

Cause: 409 counted like an order without an answer. An order without an answer was forgotten with the source it had been sent for, although the engine knows the run by the request's ID. A replaced result was never reported to the home. Change: a refused order does not count; a run that goes on at an engine which has not answered inherits the doubt; the home gets the end of a replaced move. An order that arrives between the stop and the resumption is refused at once.

--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -122,12 +122,11 @@
 
 // carryOut carries out an order of the placer.
 func (m *mover) carryOut(ctx context.Context, move pond.Move) {
-	for !m.begin() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-m.resumed:
-		}
+	if !m.begin() {
+		// The run has been stopped, or its stream has ended, since the order was taken.
+		m.placement.FinishMove(move, false, time.Now())
+		m.count(metric.MoveNotNecessary)
+		return
 	}
 	if current := m.stream.currentBackend(); current.ID != move.From && m.stream.x.relay.options.Fleet.Accepting(current.ID) {
 		// The placer does not know yet that the run has already moved away from that engine.
@@ -164,16 +163,21 @@
 
 func (m *mover) count(outcome string) { m.stream.x.relay.options.Metrics.CountMove(m.cause, outcome) }
 
-// publish ends the move in progress, makes its result available, nil for none, and reports whether there is one.
+// publish ends the move in progress, makes its result available, nil for none, and reports whether there is one. It replaces that of an earlier move.
 func (m *mover) publish(result *moveResult) bool {
 	m.mu.Lock()
-	defer m.mu.Unlock()
+	var replaced *moveResult
 	if result != nil {
+		replaced = m.finishedMove
 		m.dropResult()
 		m.finishedMove = result
 	}
 	close(m.inProgress)
 	m.inProgress = nil
+	m.mu.Unlock()
+	if replaced != nil && replaced.placement == nil {
+		m.placement.FinishMove(replaced.move, false, time.Now())
+	}
 	return result != nil
 }
 
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -10,8 +10,8 @@
 
 //go:generate go tool enumer -type=sourceState -trimprefix=source -transform=title-lower -output=sourcestate_enumer.go
 
-// sourceState is what is known about the run on one engine. It never goes back: an engine that was told to stop a run may have done so, whatever is
-// ordered later.
+// sourceState is what is known about the run on one engine. It only advances, unless the engine has refused the only order to stop the run: an engine
+// that was told to stop a run may have done so, whatever is ordered later.
 type sourceState int
 
 // States of a run, in their order.
@@ -35,7 +35,8 @@
 
 	mu    sync.Mutex
 	state sourceState
-	stops int // orders to stop the run that were sent
+	stops int // orders to stop the run that were sent and not refused
+	open  int // orders to stop the run that got no answer, as far as is known
 }
 
 func newSource(backend route.Backend, a attempt) *source {
@@ -66,6 +67,7 @@
 	}
 	s.state = sourceStopping
 	s.stops++
+	s.open++
 	return true
 }
 
@@ -75,13 +77,35 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var refusal *CopyError
+	if err == nil || errors.As(err, &refusal) {
+		s.open--
+	}
 	switch {
 	case s.state > sourceStopping:
-	case err == nil, errors.As(err, &refusal) && refusal.Handle != "":
+	case err == nil, refusal != nil && refusal.Handle != "":
 		s.state = sourceStopped
 	case refusal != nil && refusal.NoRun && s.stops == 1:
 		s.state = sourceEnded
+	case refusal != nil && refusal.Busy:
+		if s.stops--; s.stops == 0 {
+			s.state = sourceRunning
+		}
+	}
+}
+
+// inherit takes over from an earlier run of the request on the same engine what an order that got no answer may still do.
+func (s *source) inherit(earlier *source) {
+	earlier.mu.Lock()
+	open := earlier.open
+	earlier.mu.Unlock()
+	if open == 0 || earlier.backend.ID != s.backend.ID {
+		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = sourceStopping
+	s.stops += open
+	s.open += open
 }
 
 // checkEnd returns an error if the run was stopped, so that the orderly end of its stream is not that of the answer. While the outcome of an order to
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -28,7 +28,8 @@
 	x         *exchange
 	placement pond.Placement
 	scanner   *eventScanner
-	// source is the run on the current engine. The mover reads it too.
+	// source is the run on the current engine, which the mover reads too, and earlier holds those before.
+	earlier  []*source
 	source   atomic.Pointer[source]
 	head     http.Header
 	flusher  *http.ResponseController
@@ -77,6 +78,12 @@
 
 // switchSource goes on with the events of another run.
 func (s *stream) switchSource(source *source) {
+	if former := s.source.Load(); former != nil {
+		s.earlier = append(s.earlier, former)
+	}
+	for _, former := range s.earlier {
+		source.inherit(former)
+	}
 	s.source.Store(source)
 	s.scanner.reset(source.body())
 }
