sched: the failed move of an earlier order does not end the one in progress

Callers would see: a run whose place on the target of its move is given to others while it goes on there, and a further move of it. Cause: FinishMove ignored the target of a failed move. The relay reports a result that a later order has replaced, and orders that it refuses. Change: a failure that names another target than that of the move in progress says nothing about it.

--- a/internal/sched/moves.go
+++ b/internal/sched/moves.go
@@ -204,6 +204,9 @@
 		return
 	}
 	r := s.requests.At(slot)
+	if !ok && r.moving && s.engines.Key(r.engine) != target {
+		return // Another move is in progress since.
+	}
 	wasMoving, source := r.moving, r.source
 	s.endMove(r)
 	r.moveFailed = ""
