serve: only a refused connection or another start shows that a server has ended

Callers would see: sound streams without a length and chunks that break off because the question to their engine was reset, timed out or got no permit. Cause: confirmEnd took each failure for the end of the process, and believed servers that it must not ask. Change: the kernel that ends the connections of a process in order refuses the next one, so that a refusal, a failure for which the server is to blame, or another start is the proof; other failures are asked again, three times at most, logged (endNotConfirmed) and prove nothing. A server that wants no requests, has a limit or is none with engines gets two connections without a request, 10 ms apart: a process that ends may still take the first. No permit is used up.

--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -43,6 +44,12 @@
 	// maxEndedTime bounds all questions to a backend server that may have ended.
 	maxEndedTime = 3 * time.Second
 
+	// maxConfirmAttempts bounds the questions whether a backend server still runs after the end of a connection, and confirmRetryDelay is the time between
+	// two. secondDialDelay exceeds the time in which the kernel closes what a process that ends has open.
+	maxConfirmAttempts = 3
+	confirmRetryDelay  = 50 * time.Millisecond
+	secondDialDelay    = 10 * time.Millisecond
+
 	// maxSuspects bounds the failed engines that wait for their first question. More are ignored until they fail again.
 	maxSuspects = 256
 )
@@ -51,6 +58,9 @@
 // permits no question, its data centre is evacuated, or this instance does not reach it while other instances may.
 var errUnknown = errors.New("it is not known whether the engine answers")
 
+// errStartedAnew is returned for an engine that is not the process that it was.
+var errStartedAnew = errors.New("the engine has started anew")
+
 // errNoLoadReport is returned instead of a load report.
 var errNoLoadReport = errors.New("load reports are not used; engines are only checked when the store or an engine fails")
 
@@ -108,8 +118,11 @@
 	return engine.Load{}, errNoLoadReport
 }
 
-// mayAsk returns errUnknown if an engine must not be asked anything at present.
-func (c *engineChecker) mayAsk(ctx context.Context, backend route.Backend) error {
+// ask asks an engine whether it leaves. It returns errUnknown if that decides nothing, and another error only if the engine
+// does not answer at all.
+func (c *engineChecker) ask(ctx context.Context, backend route.Backend) error {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
 	if _, backingOff := c.instance.fleet.BackoffUntil(backend.ID); backingOff {
 		return errors.Wrap(errUnknown, "the engine asked this instance to back off")
 	}
@@ -119,17 +132,6 @@
 	if !c.instance.limits.Permit(ctx, backend.ID).Granted() {
 		return errors.Wrap(errUnknown, "the limit is used up")
 	}
-	return nil
-}
-
-// ask asks an engine whether it leaves. It returns errUnknown if that decides nothing, and another error only if the engine
-// does not answer at all.
-func (c *engineChecker) ask(ctx context.Context, backend route.Backend) error {
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	if err := c.mayAsk(ctx, backend); err != nil {
-		return err
-	}
 	leaving, err := c.instance.engines.Leaving(ctx, backend)
 	if errors.Is(err, relay.ErrUnreadableStatus) {
 		c.instance.log.WithError(err).WithFields(logrus.Fields{logs.Event: "backendStateUnknown", logs.Backend: backend.ID}).
@@ -145,38 +147,81 @@
 	return err
 }
 
-// confirmEnd returns an error unless a backend server whose connection has ended in order is known to run, as the process that it was. One that must not be
-// asked counts as running.
+// confirmEnd returns an error if a backend server whose connection has ended in order has ended too: nobody listens at its address, or another process
+// does. Other failures prove nothing: the kernel that ended the connection is there to refuse the next one.
 func (c *engineChecker) confirmEnd(ctx context.Context, backend route.Backend) error {
-	if c.instance.flags.disabled.Has(pond.MechanismEndChecks) {
+	if c.instance.flags.disabled.Has(pond.MechanismEndChecks) || c.instance.fleet.Evacuated(backend.DataCentre) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	if !c.instance.isEngine(backend) {
-		if c.instance.fleet.Evacuated(backend.DataCentre) {
+	for attempt := 1; ; attempt++ {
+		err := c.askEnd(ctx, backend)
+		switch {
+		case err == nil:
+			return nil
+		case c.provesEnd(backend, err):
+			return errors.Wrap(err, "ask whether the backend server still runs")
+		case attempt == maxConfirmAttempts || ctx.Err() != nil:
+			c.instance.log.WithError(err).WithFields(logrus.Fields{logs.Event: "endNotConfirmed", logs.Backend: backend.ID}).
+				Info("a backend server that has ended a connection could not be asked whether it still runs")
 			return nil
 		}
-		conn, err := c.instance.dialer.DialContext(ctx, "tcp", backend.Address)
-		if err != nil {
+		sleepUntil(ctx, time.Now().Add(confirmRetryDelay))
+	}
+}
+
+// askEnd asks an engine for its start. One that wants no requests at present, or has a limit, and a replica get connections without a request: a process
+// that ends may still take the first one.
+func (c *engineChecker) askEnd(ctx context.Context, backend route.Backend) error {
+	_, backingOff := c.instance.fleet.BackoffUntil(backend.ID)
+	if backingOff || c.instance.limits.Restricted(backend.ID) || !c.instance.isEngine(backend) {
+		if err := c.dial(ctx, backend); err != nil {
 			return err
 		}
-		return conn.Close()
-	}
-	if c.mayAsk(ctx, backend) != nil {
-		return nil
+		sleepUntil(ctx, time.Now().Add(secondDialDelay))
+		return c.dial(ctx, backend)
 	}
 	startedAt, err := c.instance.engines.StartedAt(ctx, backend)
 	switch {
 	case errors.Is(err, relay.ErrUnreadableStatus):
-		return nil
+		return nil // It answers.
 	case err == nil && startedAt > 0 && backend.StartedAtMillis > 0 && startedAt != backend.StartedAtMillis:
-		return errors.Errorf("the engine has started anew, at %d ms instead of %d ms", startedAt, backend.StartedAtMillis)
+		return errors.Wrapf(errStartedAnew, "at %d ms instead of %d ms", startedAt, backend.StartedAtMillis)
 	default:
 		return err
 	}
 }
 
+// dial connects to a backend server and closes the connection.
+func (c *engineChecker) dial(ctx context.Context, backend route.Backend) error {
+	conn, err := c.instance.dialer.DialContext(ctx, "tcp", backend.Address)
+	if err != nil {
+		return &dialError{cause: err}
+	}
+	return conn.Close()
+}
+
+// provesEnd reports whether an error of askEnd shows that the backend server has ended.
+func (c *engineChecker) provesEnd(backend route.Backend, err error) bool {
+	if errors.Is(err, errStartedAnew) || errors.Is(err, syscall.ECONNREFUSED) {
+		return true
+	}
+	// Through another instance the reason is not known.
+	var failure *engine.Error
+	notSent := errors.As(err, new(*dialError)) || errors.As(err, &failure) && failure.Outcome() == pond.OutcomeNotSent
+	return notSent && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) && c.blames(backend.Address)
+}
+
+// dialError is a failure to connect.
+type dialError struct{ cause error }
+
+// Error implements error.
+func (e *dialError) Error() string { return "dial: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *dialError) Unwrap() error { return e.cause }
+
 // ended reports whether a backend server that broke a request off has ended: it does not answer any more. If that is not known after
 // some questions, it is taken for alive. When several end at once, an instance doubts its own way to them for a moment. All requests that
 // a backend server broke off share the questions.
