relay: the question after an end, and answers that are whole by their framing

Callers would see: answers with chunks cut because their caller took the events slowly and read the last one after the deadline; all answers without a length refused to a caller that waits less than 50 ms; sound streams of a leaving server cut where only another instance reaches it; HEAD refused; a resumed stream cut that had moved. Change: a length or chunks show a whole answer at any time; the margin is a tenth of the time that the server was given, 50 ms at most; the question has the context from before the marks; an end at the deadline is no crash.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -31,9 +31,10 @@
 	// that a truncated response can be replaced by one of another replica.
 	responseBufferLimit = 64 << 10
 
-	// deadlineMargin is the time before a deadline within which the end of a response without a length and chunks may be due to it: the timers
-	// of servers are not exact.
-	deadlineMargin = 50 * time.Millisecond
+	// maxDeadlineMargin is the time before a deadline within which the end of a response without a length and chunks may be due to it, because the
+	// timers of servers are not exact; and 1/deadlineShare its largest share of the time that the server was given.
+	maxDeadlineMargin = 50 * time.Millisecond
+	deadlineShare     = 10
 
 	// maxAttempts bounds the attempts of a request, including those that no backend server ran. The MaxAttempts of a
 	// route counts only the others.
@@ -68,8 +69,8 @@
 	onBroken func()
 	// unframed is true if the body has no length of its own and ends with its connection.
 	unframed bool
-	// deadline is the time at which the backend server was told to stop work.
-	deadline time.Time
+	// endsEarlyFrom is the time from which an end of such a body may be due to the deadline that the backend server was given.
+	endsEarlyFrom time.Time
 	// confirmEnd returns an error unless the backend server still runs after the end of its connection.
 	confirmEnd func() error
 	err        error
@@ -437,6 +438,7 @@
 	if x.body.Sent() {
 		return attempt{notRun: true, err: errBodySent}
 	}
+	began, confirmCtx := time.Now(), ctx // The marks of the request do not hold for the question after its end.
 	req, err := x.relay.options.Protocol.Request(ctx, x.in, x.call, d, x.body)
 	if err != nil {
 		return attempt{notRun: true, err: err}
@@ -500,9 +502,10 @@
 	}
 	return attempt{
 		resp: resp, leaving: reply.Leaving, rest: resp.Body, via: via, weightsVersion: reply.WeightsVersion,
-		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0, deadline: d.Deadline,
+		unframed:      resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead,
+		endsEarlyFrom: d.Deadline.Add(-deadlineMargin(began, d.Deadline)),
 		confirmEnd: func() error {
-			ctx := reach.WithRegions(ctx, x.regions())
+			ctx := reach.WithRegions(confirmCtx, x.regions())
 			if via != nil {
 				ctx = reach.PreferHelper(ctx)
 			}
@@ -511,16 +514,19 @@
 	}
 }
 
-// checkEnd returns an error if an end of the body that has just been read may not be that of the response: the server was to stop work by then, or it may
-// have ended, and nothing else shows that the body is whole.
+// deadlineMargin returns the time before a deadline within which the end of a response may be due to it.
+func deadlineMargin(sentAt, deadline time.Time) time.Duration {
+	return min(maxDeadlineMargin, deadline.Sub(sentAt)/deadlineShare)
+}
+
+// checkEnd returns an error if a body without a length and chunks may have ended early: its server was due to stop, or nothing shows that it still runs.
 func (a attempt) checkEnd() error {
-	left := time.Until(a.deadline)
-	switch {
-	case left <= 0, a.unframed && left <= deadlineMargin:
-		return errEndAtDeadline
-	case !a.unframed:
+	if !a.unframed {
 		return nil
 	}
+	if !time.Now().Before(a.endsEarlyFrom) {
+		return errEndAtDeadline
+	}
 	if err := a.confirmEnd(); err != nil {
 		return errors.Wrap(err, "the response ended with its connection, and the backend server may have ended too")
 	}
@@ -560,7 +566,7 @@
 func (a *attempt) buffer() {
 	buffered, err := io.ReadAll(io.LimitReader(a.rest, responseBufferLimit+1))
 	a.buffered = buffered
-	if err == nil && len(buffered) <= responseBufferLimit && a.unframed {
+	if err == nil && len(buffered) <= responseBufferLimit {
 		err = a.checkEnd()
 	}
 	if err != nil {
@@ -594,7 +600,7 @@
 		if err == nil {
 			rest := &brokenBody{ReadCloser: a.rest}
 			_, err = io.Copy(x.w, rest)
-			if err == nil && a.unframed {
+			if err == nil {
 				err = a.checkEnd()
 			}
 			if rest.broken && !x.callerLeft() && a.onBroken != nil {
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 
 	"github.com/sirupsen/logrus"
 
@@ -72,11 +73,15 @@
 	x.fail(http.StatusBadGateway, pond.ReasonUnsafePrompt, "backend servers crashed under the request or a part of its prompt")
 }
 
+// noCrashes are errors of answers that are spoiled, or that this instance has cut or given up.
+var noCrashes = []error{
+	errForeignResponse, errSecondResponse, errEventsMissing, errOtherRun, errEventTooLarge, errEndAtDeadline, bound.ErrMalformedHead, errHelperEnds, context.Canceled,
+}
+
 // mayBeCrash reports whether an error of an answer may come from the end of its engine. Answers that are spoiled, or that this
 // instance has cut because they stalled or because the instance that carries them ends, do not.
 func mayBeCrash(err error) bool {
-	spoiled := errors.Is(err, errForeignResponse) || errors.Is(err, errSecondResponse) || errors.Is(err, errEventsMissing) || errors.Is(err, errOtherRun) || errors.Is(err, errEventTooLarge) || errors.Is(err, bound.ErrMalformedHead)
-	return !spoiled && !errors.Is(err, errHelperEnds) && !errors.Is(err, context.Canceled)
+	return !slices.ContainsFunc(noCrashes, func(target error) bool { return errors.Is(err, target) })
 }
 
 // recordBreak records that an engine broke off a generation that it had hardly begun to answer. writing is true if the head
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -69,6 +69,7 @@
 		flusher:   http.NewResponseController(x.w),
 		stall:     run.stall,
 		sequence:  newSequence(x.run.position),
+		continued: x.run.position != "",
 	}
 	x.stream = s
 	s.scanner = newEventScanner(nil)
