relay: names for the run on one engine and for changes of the source

Cause: the type source met variables of that name for the engine, and 'seam' is no term of the field. Change: engineRun, engineRunState and sourceChange; files and tests named after their subjects. No change of logic.

--- /dev/null
+++ b/internal/relay/enginerun.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"sync"
+
+	"github.com/dragonflypond/dragonflypond/internal/route"
+)
+
+//go:generate go tool enumer -type=engineRunState -trimprefix=state -transform=title-lower -output=enginerunstate_enumer.go
+
+// engineRunState is what is known about the run on one engine. It only advances, unless the engine has refused the only order to stop the run: an engine
+// that was told to stop a run may have done so, whatever is ordered later.
+type engineRunState int
+
+// States of a run, in their order.
+const (
+	// stateRunning is a run that the engine was not told to stop.
+	stateRunning engineRunState = iota
+	// stateStopping is a run that the engine was told to stop, with an outcome that is not known.
+	stateStopping
+	// stateStopped is a run that the engine has stopped.
+	stateStopped
+	// stateEnded is a run that had ended by itself when the engine was told to stop it.
+	stateEnded
+)
+
+var errRunStopped = errors.New("the run was stopped for a move and could not go on elsewhere")
+
+// engineRun is the run of a stream on one engine. It is safe for concurrent use.
+type engineRun struct {
+	backend route.Backend
+	attempt attempt
+
+	mu    sync.Mutex
+	state engineRunState
+	stops int // orders to stop the run that were sent and not refused
+	open  int // orders to stop the run that got no answer, as far as is known
+}
+
+func newEngineRun(backend route.Backend, a attempt) *engineRun {
+	return &engineRun{backend: backend, attempt: a}
+}
+
+func (r *engineRun) body() io.ReadCloser { return r.attempt.rest }
+
+// known returns what is known about the run.
+func (r *engineRun) known() engineRunState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+// mayBeStopped reports whether the engine has stopped the run or may have done so.
+func (r *engineRun) mayBeStopped() bool {
+	state := r.known()
+	return state == stateStopping || state == stateStopped
+}
+
+// orderStop records that the engine is about to be told to stop the run. It returns false if it must not be, because the run is over.
+func (r *engineRun) orderStop() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state > stateStopping {
+		return false
+	}
+	r.state = stateStopping
+	r.stops++
+	r.open++
+	return true
+}
+
+// stopAnswered records what the engine has answered to the order to stop the run. That it has no such run means that the run had ended by itself only
+// if no earlier order can have stopped it.
+func (r *engineRun) stopAnswered(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var refusal *CopyError
+	if err == nil || errors.As(err, &refusal) {
+		r.open--
+	}
+	switch {
+	case r.state > stateStopping:
+	case err == nil, refusal != nil && refusal.Handle != "":
+		r.state = stateStopped
+	case refusal != nil && refusal.NoRun && r.stops == 1:
+		r.state = stateEnded
+	case refusal != nil && refusal.Busy:
+		if r.stops--; r.stops == 0 {
+			r.state = stateRunning
+		}
+	}
+}
+
+// inherit takes over from an earlier run of the request on the same engine what an order that got no answer may still do.
+func (r *engineRun) inherit(earlier *engineRun) {
+	earlier.mu.Lock()
+	open := earlier.open
+	earlier.mu.Unlock()
+	if open == 0 || earlier.backend.ID != r.backend.ID {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = stateStopping
+	r.stops += open
+	r.open += open
+}
+
+// checkEnd returns an error if the run was stopped, so that the orderly end of its stream is not that of the answer. While the outcome of an order to
+// stop it is not known, a length or chunks show that an answer is whole.
+func (r *engineRun) checkEnd() error {
+	state := r.known()
+	if state == stateStopped || state == stateStopping && r.attempt.unframed {
+		return errRunStopped
+	}
+	return nil
+}
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -117,7 +117,7 @@
 // occupied reports whether no move can begin: the stream has ended, or its run has been stopped and goes on from the copy of an earlier move. The lock
 // must be held.
 func (m *mover) occupied() bool {
-	return m.streamEnded || m.finishedMove != nil && m.stream.source.Load().current() == sourceStopped
+	return m.streamEnded || m.finishedMove != nil && m.stream.current.Load().known() == stateStopped
 }
 
 // carryOut carries out an order of the placer.
@@ -252,7 +252,7 @@
 func (m *mover) execute(ctx context.Context, move pond.Move) *moveResult {
 	x := m.stream.x
 	fleet := x.relay.options.Fleet
-	run := m.stream.source.Load()
+	run := m.stream.current.Load()
 	source := run.backend
 	log := x.log.WithFields(logrus.Fields{logs.Source: source.ID, logs.Target: move.Backend})
 	if !x.body.Replayable() {
@@ -358,7 +358,7 @@
 }
 
 // orderStop records that the engine is about to be told to stop the run. It returns false if it must not be.
-func (m *mover) orderStop(run *source) bool {
+func (m *mover) orderStop(run *engineRun) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return !m.stopped && run.orderStop()
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -98,7 +98,7 @@
 
 // recordBegun records that an engine answers the prompt without harm.
 func (s *stream) recordBegun() {
-	weightsVersion := s.source.Load().attempt.weightsVersion
+	weightsVersion := s.current.Load().attempt.weightsVersion
 	s.x.relay.options.Hazards.Begun(s.x.sharedParts(), weightsVersion)
 	s.x.recordAnswered(weightsVersion)
 }
@@ -108,5 +108,5 @@
 
 // endedEmpty reports whether the end of an answer without a length and without events may be the end of its connection only.
 func (s *stream) endedEmpty() bool {
-	return s.source.Load().attempt.unframed && s.events == s.eventsBefore && s.x.run.position == "" && s.moves == 0
+	return s.current.Load().attempt.unframed && s.events == s.eventsBefore && s.x.run.position == "" && s.moves == 0
 }
--- a/internal/relay/sequence.go
+++ b/internal/relay/sequence.go
@@ -18,52 +18,52 @@
 	lastData []byte
 	// step is the difference between successive IDs as long as it is always the same; 0 while it is not known, -1 if the IDs are irregular.
 	step int64
-	// seam is what the next event follows.
-	seam seam
+	// change is what the next event follows.
+	change sourceChange
 }
 
-// seam is a change of the source of events.
-type seam int
+// sourceChange is a change of the source of events.
+type sourceChange int
 
 const (
-	// seamNone is none: events of the same source.
-	seamNone seam = iota
-	// seamContinued is a run that goes on from its copy.
-	seamContinued
-	// seamRestarted is another run from the position of the caller on.
-	seamRestarted
+	// changeNone is none: events of the same source.
+	changeNone sourceChange = iota
+	// changeContinued is a run that goes on from its copy.
+	changeContinued
+	// changeRestarted is another run from the position of the caller on.
+	changeRestarted
 )
 
 // newSequence returns the sequence of a caller that has the events up to a position; empty for none.
 func newSequence(position string) sequence {
 	s := sequence{last: -1}
 	if number, err := strconv.ParseInt(position, 10, 64); err == nil {
-		s.last, s.seam = number, seamRestarted
+		s.last, s.change = number, changeRestarted
 	}
 	return s
 }
 
-// join is called before the first event of another source.
-func (s *sequence) join(seam seam) { s.seam = seam }
+// follow is called before the first event of another source.
+func (s *sequence) follow(change sourceChange) { s.change = change }
 
 // accept reports whether the caller is to get an event, which it does not if it has it already. It returns an error if the event cannot follow. Of
-// events without numbers only the first one after a seam is checked: nothing tells where it belongs if those before it had numbers.
+// events without numbers only the first one after a change of the source is checked: nothing tells where it belongs if those before it had numbers.
 func (s *sequence) accept(id string, event []byte) (isNew bool, err error) {
 	number, err := strconv.ParseInt(id, 10, 64)
 	if err != nil {
-		if s.seam != seamNone && s.last >= 0 {
+		if s.change != changeNone && s.last >= 0 {
 			return false, errOtherRun
 		}
-		s.seam = seamNone
+		s.change = changeNone
 		return true, nil
 	}
 	if number <= s.last {
-		if number == s.last && s.seam == seamContinued && s.lastData != nil && !bytes.Equal(s.lastData, eventData(nil, event)) {
+		if number == s.last && s.change == changeContinued && s.lastData != nil && !bytes.Equal(s.lastData, eventData(nil, event)) {
 			return false, errOtherRun
 		}
 		return false, nil
 	}
-	if s.seam != seamNone && s.step > 0 && number-s.last > s.step {
+	if s.change != changeNone && s.step > 0 && number-s.last > s.step {
 		return false, errEventsMissing
 	}
 	s.record(number, event)
@@ -82,7 +82,7 @@
 			s.step = -1
 		}
 	}
-	s.last, s.seam = number, seamNone
+	s.last, s.change = number, changeNone
 	s.lastData = eventData(s.lastData[:0], event)
 }
 
--- a/internal/relay/sequence_test.go
+++ b/internal/relay/sequence_test.go
@@ -20,27 +20,27 @@
 		name     string
 		position string
 		before   []int64 // IDs of the first source
-		seam     seam
+		change   sourceChange
 		run      string // "a" for the first run
 		after    []int64
 		wantNew  []int64 // of after
 		want     error
 	}{
-		{"goes on", "", []int64{1, 2, 3}, seamContinued, "a", []int64{4, 5}, []int64{4, 5}, nil},
-		{"repeats", "", []int64{1, 2, 3}, seamContinued, "a", []int64{2, 3, 4}, []int64{4}, nil},
-		{"from its beginning", "", []int64{1, 2, 3}, seamContinued, "a", []int64{1, 2, 3, 4}, []int64{4}, nil},
-		{"leaves one out", "", []int64{1, 2, 3}, seamContinued, "a", []int64{5, 6}, nil, errEventsMissing},
-		{"leaves one out, another run", "", []int64{1, 2, 3}, seamRestarted, "b", []int64{5, 6}, nil, errEventsMissing},
-		{"other run from its beginning", "", []int64{1, 2, 3}, seamContinued, "b", []int64{1, 2, 3, 4}, nil, errOtherRun},
-		{"other run where it may follow", "", []int64{1, 2, 3}, seamRestarted, "b", []int64{3, 4}, []int64{4}, nil},
-		{"leaves one out after a position", "7", []int64{8}, seamContinued, "a", []int64{10}, nil, errEventsMissing},
-		{"IDs count tokens", "", []int64{4, 8, 12}, seamContinued, "a", []int64{16, 18}, []int64{16, 18}, nil},
-		{"IDs count tokens, leaves one out", "", []int64{4, 8, 12}, seamContinued, "a", []int64{20}, nil, errEventsMissing},
-		{"IDs count bytes", "", []int64{320, 631, 950}, seamContinued, "a", []int64{1400, 1500}, []int64{1400, 1500}, nil},
-		{"one event, counted", "", []int64{1}, seamContinued, "a", []int64{3}, nil, errEventsMissing},
-		{"one event, step unknown", "", []int64{4}, seamContinued, "a", []int64{12}, []int64{12}, nil},
-		{"IDs count tokens from 1", "", []int64{1, 5, 9}, seamContinued, "a", []int64{13}, []int64{13}, nil},
-		{"gap without a seam", "", []int64{1, 2, 3}, seamNone, "a", []int64{5}, []int64{5}, nil},
+		{"goes on", "", []int64{1, 2, 3}, changeContinued, "a", []int64{4, 5}, []int64{4, 5}, nil},
+		{"repeats", "", []int64{1, 2, 3}, changeContinued, "a", []int64{2, 3, 4}, []int64{4}, nil},
+		{"from its beginning", "", []int64{1, 2, 3}, changeContinued, "a", []int64{1, 2, 3, 4}, []int64{4}, nil},
+		{"leaves one out", "", []int64{1, 2, 3}, changeContinued, "a", []int64{5, 6}, nil, errEventsMissing},
+		{"leaves one out, another run", "", []int64{1, 2, 3}, changeRestarted, "b", []int64{5, 6}, nil, errEventsMissing},
+		{"other run from its beginning", "", []int64{1, 2, 3}, changeContinued, "b", []int64{1, 2, 3, 4}, nil, errOtherRun},
+		{"other run where it may follow", "", []int64{1, 2, 3}, changeRestarted, "b", []int64{3, 4}, []int64{4}, nil},
+		{"leaves one out after a position", "7", []int64{8}, changeContinued, "a", []int64{10}, nil, errEventsMissing},
+		{"IDs count tokens", "", []int64{4, 8, 12}, changeContinued, "a", []int64{16, 18}, []int64{16, 18}, nil},
+		{"IDs count tokens, leaves one out", "", []int64{4, 8, 12}, changeContinued, "a", []int64{20}, nil, errEventsMissing},
+		{"IDs count bytes", "", []int64{320, 631, 950}, changeContinued, "a", []int64{1400, 1500}, []int64{1400, 1500}, nil},
+		{"one event, counted", "", []int64{1}, changeContinued, "a", []int64{3}, nil, errEventsMissing},
+		{"one event, step unknown", "", []int64{4}, changeContinued, "a", []int64{12}, []int64{12}, nil},
+		{"IDs count tokens from 1", "", []int64{1, 5, 9}, changeContinued, "a", []int64{13}, []int64{13}, nil},
+		{"gap without a change", "", []int64{1, 2, 3}, changeNone, "a", []int64{5}, []int64{5}, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -50,7 +50,7 @@
 					t.Fatalf("event %d of the first source: new %v, error %v", id, isNew, err)
 				}
 			}
-			s.join(test.seam)
+			s.follow(test.change)
 			var got []int64
 			var failure error
 			for _, id := range test.after {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -28,9 +28,9 @@
 	x         *exchange
 	placement pond.Placement
 	scanner   *eventScanner
-	// source is the run on the current engine, which the mover reads too, and earlier holds those before.
-	earlier  []*source
-	source   atomic.Pointer[source]
+	// current is the run on the current engine, which the mover reads too, and earlier holds those before.
+	earlier  []*engineRun
+	current  atomic.Pointer[engineRun]
 	head     http.Header
 	flusher  *http.ResponseController
 	sequence sequence
@@ -73,26 +73,26 @@
 	}
 	x.stream = s
 	s.scanner = newEventScanner(nil)
-	s.switchSource(newSource(run.backend, run.attempt))
+	s.switchSource(newEngineRun(run.backend, run.attempt))
 	return s
 }
 
 // switchSource goes on with the events of another run.
-func (s *stream) switchSource(source *source) {
-	if former := s.source.Load(); former != nil {
+func (s *stream) switchSource(run *engineRun) {
+	if former := s.current.Load(); former != nil {
 		s.earlier = append(s.earlier, former)
 	}
 	for _, former := range s.earlier {
-		source.inherit(former)
+		run.inherit(former)
 	}
-	s.source.Store(source)
-	s.scanner.reset(source.body())
+	s.current.Store(run)
+	s.scanner.reset(run.body())
 }
 
-func (s *stream) currentBackend() route.Backend { return s.source.Load().backend }
+func (s *stream) currentBackend() route.Backend { return s.current.Load().backend }
 
 // currentVia returns the connection through another instance that carries the current events, or nil.
-func (s *stream) currentVia() tunnel { return s.source.Load().attempt.via }
+func (s *stream) currentVia() tunnel { return s.current.Load().attempt.via }
 
 // sameWay returns a context for connections that lead through another instance if the current events do.
 func (s *stream) sameWay(ctx context.Context) context.Context {
@@ -112,7 +112,7 @@
 		s.sent.GivenUp(time.Now())
 		s.pause.GivenUp(time.Now())
 		s.mover.stop()
-		_ = s.source.Load().body().Close()
+		_ = s.current.Load().body().Close()
 		if s.placement != nil {
 			s.placement.Done(end, time.Now())
 		}
@@ -123,14 +123,14 @@
 			err = io.ErrUnexpectedEOF
 		}
 		end.Tokens = s.tokens()
-		if err == nil && s.source.Load().mayBeStopped() {
+		if err == nil && s.current.Load().mayBeStopped() {
 			if s.resumeFromCopy(ctx) {
 				continue
 			}
-			err = s.source.Load().checkEnd()
+			err = s.current.Load().checkEnd()
 		}
 		if err == nil {
-			err = s.source.Load().attempt.checkEnd()
+			err = s.current.Load().attempt.checkEnd()
 		}
 		if err == nil && s.events < s.created {
 			err = errEventsMissing
@@ -146,9 +146,9 @@
 			continue
 		}
 		broken := !over && ctx.Err() == nil
-		end.BackendFailed = broken && !s.source.Load().mayBeStopped() && !errors.Is(err, errHelperEnds)
+		end.BackendFailed = broken && !s.current.Load().mayBeStopped() && !errors.Is(err, errHelperEnds)
 		if end.BackendFailed && s.hardlyBegun() && mayBeCrash(err) {
-			s.x.recordBreak(ctx, s.currentBackend(), s.source.Load().attempt, true)
+			s.x.recordBreak(ctx, s.currentBackend(), s.current.Load().attempt, true)
 		}
 		if broken && s.restart(ctx, err, end.BackendFailed) {
 			continue
@@ -160,10 +160,10 @@
 
 // logEnd logs what tells whether the end of the engine's stream is that of the answer.
 func (s *stream) logEnd() {
-	source := s.source.Load()
+	run := s.current.Load()
 	s.x.log.WithFields(logrus.Fields{
-		logs.Event: "streamEnded", logs.Backend: source.backend.ID, logs.Position: s.x.run.position, "framed": !source.attempt.unframed,
-		"run": source.current().String(), "tunneled": source.attempt.via != nil, logs.Moves: s.moves,
+		logs.Event: "streamEnded", logs.Backend: run.backend.ID, logs.Position: s.x.run.position, "framed": !run.attempt.unframed,
+		"run": run.known().String(), "tunneled": run.attempt.via != nil, logs.Moves: s.moves,
 		logs.RemainingMillis: time.Until(s.x.deadline).Milliseconds(),
 	}).Info("the stream of an engine has ended")
 }
@@ -331,12 +331,12 @@
 
 // fail ends a response that cannot be continued.
 func (s *stream) fail(ctx context.Context, err error) {
-	x, source := s.x, s.source.Load()
+	x, run := s.x, s.current.Load()
 	fields := logrus.Fields{
-		logs.Event: "streamBroken", logs.Backend: source.backend.ID, logs.Position: x.run.position, "events": s.events,
-		"accepting": x.relay.options.Fleet.Accepting(source.backend.ID), "run": source.current().String(),
+		logs.Event: "streamBroken", logs.Backend: run.backend.ID, logs.Position: x.run.position, "events": s.events,
+		"accepting": x.relay.options.Fleet.Accepting(run.backend.ID), "run": run.known().String(),
 	}
-	x.addPromptFields(fields, source.attempt.weightsVersion)
+	x.addPromptFields(fields, run.attempt.weightsVersion)
 	x.log.WithError(err).WithFields(fields).Info("the stream of an engine broke off")
 	switch {
 	case x.callerLeft() || errors.Is(err, errCallerLeft):
@@ -359,7 +359,7 @@
 		return false
 	}
 	resumeStart := time.Now()
-	_ = s.source.Load().body().Close()
+	_ = s.current.Load().body().Close()
 	for _, target := range result.targets {
 		if s.x.forbids(target) != nil || !s.x.awaitPermit(ctx, target.ID) {
 			continue
@@ -368,8 +368,8 @@
 		a := s.x.send(s.sameWay(ctx), s.x.dispatch(target, resume))
 		if a.err == nil && a.resp.StatusCode == http.StatusOK {
 			s.logMove(target, result, time.Since(resumeStart))
-			s.switchSource(newSource(target, a))
-			s.sequence.join(seamContinued)
+			s.switchSource(newEngineRun(target, a))
+			s.sequence.follow(changeContinued)
 			if !s.continued {
 				s.created = max(s.created, result.created)
 			}
@@ -417,7 +417,7 @@
 	s.pause.GivenUp(time.Now())
 	s.comments = nil
 	s.mover.stop()
-	_ = s.source.Load().body().Close()
+	_ = s.current.Load().body().Close()
 	s.placement.Done(pond.PlacementEnd{Tokens: s.tokens(), BackendFailed: backendFailed}, time.Now())
 	s.placement = nil
 	x.run.deliveredTokens += s.tokens()
@@ -431,8 +431,8 @@
 		return false
 	}
 	s.placement, s.stall, s.sent, s.pause = run.placement, run.stall, run.sent, nil
-	s.switchSource(newSource(run.backend, run.attempt))
-	s.sequence.join(seamRestarted)
+	s.switchSource(newEngineRun(run.backend, run.attempt))
+	s.sequence.follow(changeRestarted)
 	s.mover = newMover(s, ctx)
 	return true
 }
