--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -46,7 +46,7 @@
 	placement pond.Placement
 }
 
-// mover carries out the moves that the placer orders while the stream is being forwarded. What is known about the run itself is in its source.
+// mover carries out the moves that the placer orders while the stream is being forwarded. What is known about the run itself is in its engineRun.
 type mover struct {
 	stream    *stream
 	placement pond.MovablePlacement
