serve: a connection that the kernel accepts does not show that a server runs

Callers would see: an answer without a length of a plain service ends as complete although its process was killed. Cause: a plain server was asked by connections only, and the kernel accepts them until the process has closed its listener, which takes longer on a loaded machine. TestConfirmEnd, the new row 'replica ends', fails with two connections 10 ms apart. Change: the connection is watched for 50 ms; one that does not stay open is tried again, and a refusal is the proof. The test bed watches for 100 ms. Measured: the tests of serve and those of relay on ends of connections pass.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -195,6 +197,9 @@
 	})
 }
 
+// confirmWatch is the time for which the test bed watches a connection to a backend server that may have ended.
+const confirmWatch = 100 * time.Millisecond
+
 func newTestBed(t *testing.T, kind route.Kind, engine *route.EngineSpec, backends ...*fakeBackend) *testBed {
 	content := route.Content{
 		Version: 1,
@@ -230,11 +235,19 @@
 		Dial:   new(net.Dialer).DialContext,
 		Blames: func(string) bool { return true },
 		ConfirmEnd: func(ctx context.Context, backend route.Backend) error {
-			conn, err := new(net.Dialer).DialContext(ctx, "tcp", backend.Address)
-			if err != nil {
-				return err
+			for {
+				conn, err := new(net.Dialer).DialContext(ctx, "tcp", backend.Address)
+				if err != nil {
+					return err
+				}
+				// The kernel accepts connections for a process that is about to end, and resets them with it.
+				_ = conn.SetReadDeadline(time.Now().Add(confirmWatch))
+				_, err = conn.Read(make([]byte, 1))
+				_ = conn.Close()
+				if errors.Is(err, os.ErrDeadlineExceeded) {
+					return nil
+				}
 			}
-			return conn.Close()
 		},
 		Budget:    NewRetryBudget(0.2, 50, 10*time.Second),
 		Limits:    newTestGate(bed.fleet),
--- a/internal/serve/confirm_test.go
+++ b/internal/serve/confirm_test.go
@@ -41,6 +41,11 @@
 		t.Fatal(err)
 	}
 	_ = closed.Close()
+	ending, err := net.Listen("tcp", "127.0.0.1:0") // It has connections that nobody has accepted.
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ending.Close()
 	tests := []struct {
 		name       string
 		service    string
@@ -59,6 +64,7 @@
 		{"engine wants no requests", "llm", listener.Addr().String(), scriptedEngines{}, true, false, 0},
 		{"engine wants no requests and is gone", "llm", closed.Addr().String(), scriptedEngines{}, true, true, 0},
 		{"replica runs", "shop", listener.Addr().String(), scriptedEngines{}, false, false, 0},
+		{"replica ends", "shop", ending.Addr().String(), scriptedEngines{}, false, true, 0},
 		{"replica is gone", "shop", closed.Addr().String(), scriptedEngines{}, false, true, 0},
 	}
 	for i := range tests {
@@ -69,6 +75,9 @@
 				Decoder: catalogueDecoder{}, Regions: map[string][]string{"north": {"north-a"}}, Clock: clock.Now, Log: logs.New(io.Discard),
 			})
 			instance.fleet.Apply([]feed.Record{{Key: "catalogue", Revision: 1}, {Key: "e1", Revision: 2}}, feed.Knowledge{})
+			if test.address == ending.Addr().String() {
+				time.AfterFunc(endWatchTime/2, func() { _ = ending.Close() })
+			}
 			if test.backingOff {
 				instance.fleet.ApplySignal("e1", fleet.Signal{Backoff: time.Minute}, fleet.SourceRequest)
 			}
--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,10 +46,11 @@
 	maxEndedTime = 3 * time.Second
 
 	// maxConfirmAttempts bounds the questions whether a backend server still runs after the end of a connection, and confirmRetryDelay is the time between
-	// two. secondDialDelay exceeds the time in which the kernel closes what a process that ends has open.
+	// two. endWatchTime is the time for which a connection without a request is watched; it exceeds that in which the kernel closes what a process that
+	// ends has open.
 	maxConfirmAttempts = 3
 	confirmRetryDelay  = 50 * time.Millisecond
-	secondDialDelay    = 10 * time.Millisecond
+	endWatchTime       = 50 * time.Millisecond
 
 	// maxSuspects bounds the failed engines that wait for their first question. More are ignored until they fail again.
 	maxSuspects = 256
@@ -171,16 +173,11 @@
 	}
 }
 
-// askEnd asks an engine for its start. One that wants no requests at present, or has a limit, and a replica get connections without a request: a process
-// that ends may still take the first one.
+// askEnd asks an engine for its start. One that wants no requests at present, or has a limit, and a replica get a connection without a request.
 func (c *engineChecker) askEnd(ctx context.Context, backend route.Backend) error {
 	_, backingOff := c.instance.fleet.BackoffUntil(backend.ID)
 	if backingOff || c.instance.limits.Restricted(backend.ID) || !c.instance.isEngine(backend) {
-		if err := c.dial(ctx, backend); err != nil {
-			return err
-		}
-		sleepUntil(ctx, time.Now().Add(secondDialDelay))
-		return c.dial(ctx, backend)
+		return c.watchConnection(ctx, backend)
 	}
 	startedAt, err := c.instance.engines.StartedAt(ctx, backend)
 	switch {
@@ -193,13 +190,25 @@
 	}
 }
 
-// dial connects to a backend server and closes the connection.
-func (c *engineChecker) dial(ctx context.Context, backend route.Backend) error {
+// watchConnection connects to a backend server and returns an error if the connection does not stay open for endWatchTime: the kernel accepts one for a
+// process that is about to end, and resets it with the process.
+func (c *engineChecker) watchConnection(ctx context.Context, backend route.Backend) error {
 	conn, err := c.instance.dialer.DialContext(ctx, "tcp", backend.Address)
 	if err != nil {
 		return &dialError{cause: err}
 	}
-	return conn.Close()
+	var stayed atomic.Bool
+	closeConn := func() { _ = conn.Close() } // Nothing was sent on it.
+	timer := time.AfterFunc(endWatchTime, func() {
+		stayed.Store(true)
+		closeConn()
+	})
+	defer closeConn()
+	defer timer.Stop()
+	if _, err := conn.Read(make([]byte, 1)); err != nil && !stayed.Load() {
+		return errors.Wrap(err, "watch a connection to a backend server")
+	}
+	return nil
 }
 
 // provesEnd reports whether an error of askEnd shows that the backend server has ended.
