relay: the stand-in for an engine keeps its connection

The goroutine that waits for the order to end no longer referred to the connection, so that the collector closed it in order in a process that lived, which is the end that cannot be told from that of an answer. Ruled out: a listener that stays open after the process has closed the stream; the row failed with a second connection 100 ms later as well. Change: the connection is kept until the process ends.

--- a/internal/relay/process_test.go
+++ b/internal/relay/process_test.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"os"
 	"os/exec"
+	"runtime"
 	"strconv"
 	"strings"
 	"syscall"
@@ -154,6 +155,7 @@
 			go func() {
 				serveUnframed(conn)
 				<-orders
+				runtime.KeepAlive(conn) // The collector closes connections that nothing refers to.
 				panic("ordered")
 			}()
 		}
