--- a/cmd/dragonflypond/memory_test.go
+++ b/cmd/dragonflypond/memory_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -63,38 +63,55 @@
 	}
 	service := fakes.NewConfigService()
 	service.Publish(manifestWithFaultyService(t, startServer(t, fakes.NewService("sound")), startServer(t, faulty), engines))
-	address := freeAddress(t)
 	log, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	command := newCommand("serve", "-instance=entry-0", "-data-centre=norte-1", "-region=norte",
-		"-http-address="+address, "-peer-address="+freeAddress(t), "-config-address="+startServer(t, service), "-secret=secret of the test of memory")
+		"-http-address=127.0.0.1:0", "-peer-address=127.0.0.1:0", "-config-address="+startServer(t, service), "-secret=secret of the test of memory")
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	p := &instanceProcess{t: t, command: command, address: address}
+	p := &instanceProcess{t: t, command: command}
 	t.Cleanup(func() {
 		_ = command.Process.Kill()
 		_ = command.Wait() // It was killed.
 		_ = log.Close()
 	})
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		resp, err := http.Get("http://" + address + "/readyz")
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return p
+		text, err := os.ReadFile(log.Name())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if p.address = loggedAddress(text); p.address != "" {
+			resp, err := http.Get("http://" + p.address + "/readyz")
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					return p
+				}
 			}
 		}
 		if time.Now().After(deadline) {
-			text, _ := os.ReadFile(log.Name())
 			t.Fatalf("the instance is not ready\n%s", text)
 		}
 	}
 }
 
+// loggedAddress returns the address at which an instance listens for callers, by the log of its phases, or "".
+func loggedAddress(log []byte) string {
+	for line := range bytes.Lines(log) {
+		var entry struct {
+			HTTP string `json:"http"`
+		}
+		if err := json.Unmarshal(line, &entry); err == nil && entry.HTTP != "" { // The last line may not be whole yet.
+			return entry.HTTP
+		}
+	}
+	return ""
+}
+
 func startServer(t *testing.T, handler http.Handler) (address string) {
 	server, err := fakes.Serve("127.0.0.1:0", handler)
 	if err != nil {
@@ -104,15 +121,6 @@
 	return server.Address()
 }
 
-func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // manifestWithFaultyService returns a manifest with the services "sound" and "faulty", each with one replica.
 func manifestWithFaultyService(t *testing.T, sound, faulty string, engines []string) []byte {
 	batch := fakes.DefaultBatchConfig()
