relay: a moved run that ends without events is not complete

Cause: the check for an empty answer without a length was left out after a move, and the number of events that a run had made was not used for callers who had some from an earlier attempt. A target that closes the connection first thing gave an empty answer, or one without the last events, as a whole one. Change: the check holds after moves, and IDs that count the events are compared with the number. Measured: two rows of TestMovedRunEndsWithoutEvents fail before; it and the tests of moves, sequences and streams pass.

--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -108,5 +108,14 @@
 
 // endedEmpty reports whether the end of an answer without a length and without events may be the end of its connection only.
 func (s *stream) endedEmpty() bool {
-	return s.current.Load().attempt.unframed && s.events == s.eventsBefore && s.x.run.position == "" && s.moves == 0
+	return s.current.Load().attempt.unframed && s.events == 0 && s.x.run.position == ""
+}
+
+// endedEarly reports whether the caller lacks events that the run is known to have made. Those of a caller who had some from an earlier attempt are known
+// only by IDs that count them.
+func (s *stream) endedEarly() bool {
+	if s.continued {
+		return s.sequence.step == 1 && s.sequence.last < int64(s.created)
+	}
+	return s.events < s.created
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,7 +37,7 @@
 	// events counts the forwarded events, and eventsBefore those forwarded before the current placement.
 	events       int
 	eventsBefore int
-	// created is the number of events that the run is known to have made; 0 for none, and if the caller had some from an earlier attempt.
+	// created is the number of events that the run is known to have made, 0 for none.
 	created int
 	// continued is true if the caller had events from an earlier attempt.
 	continued bool
@@ -132,7 +132,7 @@
 		if err == nil {
 			err = s.current.Load().attempt.checkEnd()
 		}
-		if err == nil && s.events < s.created {
+		if err == nil && s.endedEarly() {
 			err = errEventsMissing
 		}
 		if err == nil {
@@ -370,9 +370,7 @@
 			s.logMove(target, result, time.Since(resumeStart))
 			s.switchSource(newEngineRun(target, a))
 			s.sequence.follow(changeContinued)
-			if !s.continued {
-				s.created = max(s.created, result.created)
-			}
+			s.created = max(s.created, result.created)
 			s.pause.GivenUp(time.Now())
 			s.stall, s.pause = nil, result.pause
 			s.moves++
