relay: a stopped run whose engine leaves the stream open goes on

Cause: the relay closes the stream of a run some time after its stop, but only if the rest was copied as well. With 503 and a handle (stopped, not copied) a stream that the engine left open held the caller until the deadline. Change: the stream is closed whenever the engine has confirmed the stop.

--- a/internal/relay/moved_end_test.go
+++ b/internal/relay/moved_end_test.go
@@ -3,7 +3,12 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
+
+	"github.com/dragonflypond/dragonflypond/internal/route"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 // sendCloseDelimited sends a response without a length and chunks, whose end is that of the connection after hold is closed.
@@ -22,3 +27,46 @@
 		<-hold
 	}
 }
+
+// TestMovedRunEndsWithoutEvents guards against a run that was moved and whose next engine closes the connection before the first event: the caller gets an
+// empty answer, or one without the events that the run had made, as a whole one.
+func TestMovedRunEndsWithoutEvents(t *testing.T) {
+	tests := []struct {
+		name     string
+		position string // of the caller
+		events   []int  // of the source
+		created  int    // that the run had made when it was stopped
+		complete bool
+	}{
+		{"before its first event", "", nil, 0, false},
+		{"after its last event", "", []int{1, 2}, 2, true},
+		{"caller had some, two missing", "5", []int{6}, 8, false},
+		{"caller had some, none missing", "5", []int{6}, 6, true},
+		{"caller had some, events counted from there", "5", []int{6, 7}, 2, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			begun, stop := make(chan struct{}), make(chan struct{})
+			source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				body := ""
+				for _, id := range test.events {
+					body += fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id)
+				}
+				time.AfterFunc(50*time.Millisecond, func() { close(begun) })
+				sendCloseDelimited(t, w, r, body, stop)
+			})
+			target := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) { sendCloseDelimited(t, w, r, "", nil) })
+			bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, target)
+			bed.setResumable(4*time.Second, 1)
+			bed.copier.onLast, bed.copier.created = func() { close(stop) }, test.created
+			go func() {
+				<-begun
+				bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+			}()
+			status, body := bed.postAt(t, "key", test.position)
+			if complete := status == http.StatusOK; complete != test.complete || strings.Count(body, "data:") > len(test.events) {
+				t.Errorf("status %d, body %q, want a complete answer: %v", status, body, test.complete)
+			}
+		})
+	}
+}
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -337,11 +337,13 @@
 		logs.Event: "runStopAnswered", "handle": final.Handle, "created": final.Events, "copyMillis": result.copyTime.Milliseconds(),
 	}).Info("an engine has answered the order to stop a run, or has not")
 	run.stopAnswered(err)
+	if run.known() == stateStopped {
+		time.AfterFunc(closeDelay, func() { _ = run.body().Close() })
+	}
 	var copyErr *CopyError
 	switch {
 	case err == nil:
 		result.handle, result.created = final.Handle, max(final.Events, first.Events)
-		time.AfterFunc(closeDelay, func() { _ = run.body().Close() })
 	case errors.As(err, &copyErr) && copyErr.NoRun:
 		// The run has ended, and its stream delivers the rest, or an earlier order has stopped it.
 		result.pause.NotRun()
