relay: a new run is not judged by the former one

Cause: a run that was placed again after its engine had failed was compared with the number of events, and moved before its first event with the text of the events, of the run before it, so that whole answers were broken off. Change: the number is dropped with the run; a run that begins again stays another one until its first new event.

--- a/internal/relay/moved_end_test.go
+++ b/internal/relay/moved_end_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,3 +72,39 @@
 		})
 	}
 }
+
+// TestStoppedRunStaysOpen guards against a caller who waits until the deadline for a run that its engine has stopped, because the engine leaves the connection
+// open.
+func TestStoppedRunStaysOpen(t *testing.T) {
+	const sent, total = 3, 4
+	for _, copyErr := range []error{nil, &CopyError{Handle: "kept"}} {
+		t.Run(fmt.Sprint(copyErr), func(t *testing.T) {
+			begun := make(chan struct{})
+			var requests atomic.Int32
+			source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				if requests.Add(1) > 1 {
+					writeEvent(w, total)
+					return
+				}
+				for id := 1; id <= sent; id++ {
+					writeEvent(w, id)
+				}
+				_, _ = io.Copy(io.Discard, r.Body) // So that the end of the connection is seen.
+				close(begun)
+				<-r.Context().Done()
+			})
+			target := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, total) })
+			bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, target)
+			bed.copier.onLast, bed.copier.err = func() {}, copyErr
+			go func() {
+				<-begun
+				bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+			}()
+			began := time.Now()
+			status, body := bed.post(t, "key")
+			if took := time.Since(began); status != http.StatusOK || body != eventsUntil(total) || took > closeDelay+time.Second {
+				t.Errorf("status %d, body %q after %v", status, body, took)
+			}
+		})
+	}
+}
--- a/internal/relay/sequence.go
+++ b/internal/relay/sequence.go
@@ -22,7 +22,7 @@
 	change sourceChange
 }
 
-// sourceChange is a change of the source of events.
+// sourceChange is a change of the source of events. Of several before an event, the greatest holds.
 type sourceChange int
 
 const (
@@ -43,8 +43,8 @@
 	return s
 }
 
-// follow is called before the first event of another source.
-func (s *sequence) follow(change sourceChange) { s.change = change }
+// follow is called before the first event of another source. A run that is moved before its first event remains another run.
+func (s *sequence) follow(change sourceChange) { s.change = max(s.change, change) }
 
 // accept reports whether the caller is to get an event, which it does not if it has it already. It returns an error if the event cannot follow. Of
 // events without numbers only the first one after a change of the source is checked: nothing tells where it belongs if those before it had numbers.
--- a/internal/relay/sequence_test.go
+++ b/internal/relay/sequence_test.go
@@ -67,6 +67,19 @@
 			}
 		})
 	}
+	t.Run("restarted, then moved before an event", func(t *testing.T) {
+		s := newSequence("")
+		for _, id := range []string{"1", "2"} {
+			if isNew, err := s.accept(id, []byte(event(2, "a"))); !isNew || err != nil {
+				t.Fatalf("event %s: new %v, error %v", id, isNew, err)
+			}
+		}
+		s.follow(changeRestarted)
+		s.follow(changeContinued)
+		if isNew, err := s.accept("2", []byte(event(2, "b"))); isNew || err != nil {
+			t.Errorf("event of the other run: new %v, error %v", isNew, err)
+		}
+	})
 	s := newSequence("")
 	if isNew, err := s.accept("", []byte("data: without an ID\n\n")); !isNew || err != nil {
 		t.Errorf("event without an ID: new %v, error %v", isNew, err)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,7 +39,7 @@
 	eventsBefore int
 	// created is the number of events that the run is known to have made, 0 for none.
 	created int
-	// continued is true if the caller had events from an earlier attempt.
+	// continued is true if the caller had events before the run began.
 	continued bool
 	// forwarded is events, for the mover.
 	forwarded     atomic.Int64
@@ -431,6 +431,7 @@
 	s.placement, s.stall, s.sent, s.pause = run.placement, run.stall, run.sent, nil
 	s.switchSource(newEngineRun(run.backend, run.attempt))
 	s.sequence.follow(changeRestarted)
+	s.created, s.continued = 0, x.run.position != ""
 	s.mover = newMover(s, ctx)
 	return true
 }
