--- a/internal/relay/enginerun.go
+++ b/internal/relay/enginerun.go
@@ -5,12 +5,14 @@
 	"io"
 	"sync"
 
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/route"
+	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
 //go:generate go tool enumer -type=engineRunState -trimprefix=state -transform=title-lower -output=enginerunstate_enumer.go
 
-// engineRunState is what is known about the run on one engine. It only advances, unless the engine has refused the only order to stop the run: an engine
+// engineRunState is what is known about the run on one engine. It only advances, unless the only order to stop the run was refused or not sent: an engine
 // that was told to stop a run may have done so, whatever is ordered later.
 type engineRunState int
 
@@ -35,7 +37,7 @@
 
 	mu    sync.Mutex
 	state engineRunState
-	stops int // orders to stop the run that were sent and not refused
+	stops int // orders to stop the run that may have been sent and were not refused
 	open  int // orders to stop the run that got no answer, as far as is known
 }
 
@@ -71,13 +73,15 @@
 	return true
 }
 
-// stopAnswered records what the engine has answered to the order to stop the run. That it has no such run means that the run had ended by itself only
-// if no earlier order can have stopped it.
+// stopAnswered records what became of the order to stop the run. That the engine has no such run means that the run had ended by itself
+// only if no earlier order can have stopped it.
 func (r *engineRun) stopAnswered(err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var refusal *CopyError
-	if err == nil || errors.As(err, &refusal) {
+	var failure *engine.Error
+	notSent := errors.As(err, &failure) && failure.Outcome() == pond.OutcomeNotSent
+	if err == nil || notSent || errors.As(err, &refusal) {
 		r.open--
 	}
 	switch {
@@ -86,7 +90,7 @@
 		r.state = stateStopped
 	case refusal != nil && refusal.NoRun && r.stops == 1:
 		r.state = stateEnded
-	case refusal != nil && refusal.Busy:
+	case notSent, refusal != nil && refusal.Busy:
 		if r.stops--; r.stops == 0 {
 			r.state = stateRunning
 		}
--- a/internal/relay/moved_end_test.go
+++ b/internal/relay/moved_end_test.go
@@ -108,3 +108,43 @@
 		})
 	}
 }
+
+// TestRestartedRunIsShorter guards against a whole answer that is broken off because a former run of the request had made more events.
+func TestRestartedRunIsShorter(t *testing.T) {
+	const sent, total, formerTotal = 3, 6, 8
+	begun, stop := make(chan struct{}), make(chan struct{})
+	source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		for id := 1; id <= sent; id++ {
+			writeEvent(w, id)
+		}
+		close(begun)
+		<-stop
+		resetConnection(w, r)
+	})
+	target := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		writeEvent(w, sent+1)
+		time.Sleep(50 * time.Millisecond)
+		resetConnection(w, r)
+	})
+	third := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+		for id := sent + 2; id <= total; id++ {
+			writeEvent(w, id)
+		}
+	})
+	bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, target, third)
+	bed.setResumable(4*time.Second, 3)
+	bed.copier.created = formerTotal
+	bed.copier.onLast = func() {
+		bed.placer.mu.Lock()
+		defer bed.placer.mu.Unlock()
+		bed.placer.next = 2
+		close(stop)
+	}
+	go func() {
+		<-begun
+		bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+	}()
+	if status, body := bed.post(t, "key"); status != http.StatusOK || body != eventsUntil(total) {
+		t.Errorf("status %d, body %q", status, body)
+	}
+}
