relay: a run without event IDs is not begun again

Cause: a resumable stream that broke off after events without IDs was placed again from its beginning, and its caller got the events twice. The platform promises IDs; nothing checked them. Change: without a position to go on from the stream is broken off.

--- a/internal/relay/moved_end_test.go
+++ b/internal/relay/moved_end_test.go
@@ -6,9 +6,11 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -148,3 +150,49 @@
 		t.Errorf("status %d, body %q", status, body)
 	}
 }
+
+// TestStopNotSent guards against a whole answer that is broken off because its engine could not be told to stop the run.
+func TestStopNotSent(t *testing.T) {
+	const total = 5
+	begun, end := make(chan struct{}), make(chan struct{})
+	source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		time.AfterFunc(50*time.Millisecond, func() { close(begun) })
+		sendCloseDelimited(t, w, r, eventsUntil(total), end)
+	})
+	bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, newFakeBackend(t, respondNotRun))
+	bed.copier.onLast = func() { time.AfterFunc(100*time.Millisecond, func() { close(end) }) }
+	bed.copier.err = engine.NewError(pond.OutcomeNotSent, 0, false, syscall.ECONNREFUSED)
+	go func() {
+		<-begun
+		bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+	}()
+	if status, body := bed.post(t, "key"); status != http.StatusOK || body != eventsUntil(total) {
+		t.Errorf("status %d, body %q", status, body)
+	}
+}
+
+// TestEventsWithoutIDsComeTwice guards against a run that begins again although nothing tells it where the caller is.
+func TestEventsWithoutIDsComeTwice(t *testing.T) {
+	const sent, total = 2, 3
+	events := func(first, last int) (text string) {
+		for number := first; number <= last; number++ {
+			text += fmt.Sprintf("data: token %d\n\n", number)
+		}
+		return text
+	}
+	first := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.WriteString(w, events(1, sent)); err != nil {
+			t.Error(err)
+		}
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+		resetConnection(w, r)
+	})
+	second := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, events(1, total)) })
+	bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, first, second)
+	bed.setResumable(4*time.Second, 2)
+	bed.placer.spread = true
+	if status, body := bed.post(t, "key"); status == http.StatusOK || body != events(1, sent) {
+		t.Errorf("status %d, body %q", status, body)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -403,11 +403,11 @@
 	s.mover = newMover(s, ctx)
 }
 
-// restart runs a resumable stream again on another engine, from the last event that the caller has. The response keeps
-// the header of the first engine.
+// restart runs a resumable stream again on another engine, from the last event that the caller has, which its ID tells. The response
+// keeps the header of the first engine.
 func (s *stream) restart(ctx context.Context, cause error, backendFailed bool) bool {
 	x := s.x
-	if !x.mayRunAgain(ctx) {
+	if !x.mayRunAgain(ctx) || s.events > 0 && x.run.position == "" {
 		return false
 	}
 	failed := s.currentBackend()
