relay: an end shortly before a short deadline is not that of the answer

Cause: the time before a deadline within which the end of a response without a length is attributed to it was a share of the time given. A run that begins a few milliseconds before the caller's deadline gets a share below the fault of a timer. Change: that time is at least 5 ms. The shortest case is a row of TestStreamSequences, which fails before.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -31,8 +31,9 @@
 	// that a truncated response can be replaced by one of another replica.
 	responseBufferLimit = 64 << 10
 
-	// maxDeadlineMargin is the time before a deadline within which the end of a response without a length and chunks may be due to it, because the
-	// timers of servers are not exact; and 1/deadlineShare its largest share of the time that the server was given.
+	// The end of a response without a length and chunks is attributed to its deadline from 1/deadlineShare of the time given before it, because the timers
+	// of servers are inexact, but from minDeadlineMargin before it at the latest and not earlier than maxDeadlineMargin.
+	minDeadlineMargin = 5 * time.Millisecond
 	maxDeadlineMargin = 50 * time.Millisecond
 	deadlineShare     = 10
 
@@ -516,7 +517,7 @@
 
 // deadlineMargin returns the time before a deadline within which the end of a response may be due to it.
 func deadlineMargin(sentAt, deadline time.Time) time.Duration {
-	return min(maxDeadlineMargin, deadline.Sub(sentAt)/deadlineShare)
+	return min(max(deadline.Sub(sentAt)/deadlineShare, minDeadlineMargin), maxDeadlineMargin)
 }
 
 // checkEnd returns an error if a body without a length and chunks may have ended early: its server was due to stop, or nothing shows that it still runs.
--- a/internal/relay/stream_order_test.go
+++ b/internal/relay/stream_order_test.go
@@ -354,6 +354,11 @@
 			events: 5, pace: 10 * ms, lasts: []copyPlay{{answer: copyBusy}}, orders: []orderPlay{order(21*ms, 1)},
 			resumes: []resumePlay{{answer: resumeNotRun}},
 		}},
+		// The time that the new engine is given is so short that a share of it is less than the fault of a timer.
+		{"an engine that began shortly before the deadline ends early", replayCase{
+			framed: true, events: 5, pace: 7175 * time.Microsecond, resumable: true, wait: 14712 * time.Microsecond, end: endInOrder, endAfter: 5,
+			restarted: true, endsAtDeadline: true, early: 1898 * time.Microsecond,
+		}},
 		// Three orders that the first move's answer outlasts are taken, and two of them never answered.
 		{"orders whose moves are dropped", replayCase{
 			framed: true, targetsFramed: true, events: 8, pace: 10 * ms, stopEnd: endInOrder, lasts: []copyPlay{{answer: copyRefused}},
