serve: an evacuated server is asked whether it still runs

Cause: confirmEnd believed each server of an evacuated data centre, so that a process that is killed while its data centre is emptied passed for the end of its answer. Change: such a server gets a connection without a request, as one that backs off; an evacuation forbids requests only. Measured: TestEndInEvacuatedDataCentre, 3 of 6 rows red before (engine, engine through another instance and replica that are gone: no error); with the race detector 3 of 3 runs pass, together with the tests of confirmEnd, of engine checks and of evacuation in this package.

--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -152,7 +152,7 @@
 // confirmEnd returns an error if a backend server whose connection has ended in order has ended too: nobody listens at its address, or another process
 // does. Other failures prove nothing: the kernel that ended the connection is there to refuse the next one.
 func (c *engineChecker) confirmEnd(ctx context.Context, backend route.Backend) error {
-	if c.instance.flags.disabled.Has(pond.MechanismEndChecks) || c.instance.fleet.Evacuated(backend.DataCentre) {
+	if c.instance.flags.disabled.Has(pond.MechanismEndChecks) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
@@ -173,10 +173,11 @@
 	}
 }
 
-// askEnd asks an engine for its start. One that wants no requests at present, or has a limit, and a replica get a connection without a request.
+// askEnd asks an engine for its start. One that may get no requests at present or has a limit, and a replica, get a connection without a request.
 func (c *engineChecker) askEnd(ctx context.Context, backend route.Backend) error {
-	_, backingOff := c.instance.fleet.BackoffUntil(backend.ID)
-	if backingOff || c.instance.limits.Restricted(backend.ID) || !c.instance.isEngine(backend) {
+	fleet := c.instance.fleet
+	_, backingOff := fleet.BackoffUntil(backend.ID)
+	if backingOff || fleet.Evacuated(backend.DataCentre) || c.instance.limits.Restricted(backend.ID) || !c.instance.isEngine(backend) {
 		return c.watchConnection(ctx, backend)
 	}
 	startedAt, err := c.instance.engines.StartedAt(ctx, backend)
