--- a/internal/reach/tunnel.go
+++ b/internal/reach/tunnel.go
@@ -52,6 +52,16 @@
 	leaving string // the ID of the server if it takes no new requests
 }
 
+// HelperError is the answer of a helper that has not connected to a backend server, other than that it connects to none. The server may have refused the
+// connection: the message holds no errno, and a helper takes a connection that hangs for a server that is down as well.
+type HelperError struct{ cause error }
+
+// Error implements error.
+func (e *HelperError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *HelperError) Unwrap() error { return e.cause }
+
 // EndsError is the error of a connection that only helpers would carry which end too early for it. Nothing was sent.
 type EndsError struct {
 	// At is the latest of their ends.
@@ -201,11 +211,11 @@
 		err := errors.New(answer.GetError())
 		switch {
 		case answer.GetUnable():
-			err = unableError{error: err, named: pond.InstanceID(answer.GetNamed())}
+			return nil, unableError{error: err, named: pond.InstanceID(answer.GetNamed())}
 		case answer.GetDeclined():
 			err = declinedError{error: err, leaving: answer.GetLeaving()}
 		}
-		return nil, err
+		return nil, &HelperError{cause: err}
 	}
 	c.recordEnd(answer)
 	return c, nil
--- a/internal/serve/confirm_evacuated_test.go
+++ b/internal/serve/confirm_evacuated_test.go
@@ -11,7 +11,6 @@
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
-	"github.com/dragonflypond/dragonflypond/internal/logs"
 	"github.com/dragonflypond/dragonflypond/internal/metric"
 	"github.com/dragonflypond/dragonflypond/internal/peer"
 	"github.com/dragonflypond/dragonflypond/internal/peerpb"
@@ -60,10 +59,14 @@
 	return s.bytes.Load()
 }
 
-// useHelper replaces the ways of an instance by one through another instance that evacuates the data centres of all servers, and lets the instance know that
-// it reaches the server at an address only through that one.
-func useHelper(t *testing.T, instance *Instance, address string) {
+// noAddress is a source address with which no direct connection succeeds.
+const noAddress = "192.0.2.1"
+
+// useHelper gives an instance a source address and another instance that evacuates the data centres of all servers. That one connects to no server any more
+// once shutDown has been called.
+func useHelper(t *testing.T, instance *Instance, sourceIP string) (shutDown func()) {
 	t.Helper()
+	var leaving atomic.Bool
 	network, err := peer.NewNetwork([]byte("a secret of the test"))
 	if err != nil {
 		t.Fatal(err)
@@ -83,7 +86,7 @@
 	no := func(string) bool { return false }
 	server := network.NewServer()
 	if err := peerpb.DRPCRegisterTunnels(server.Mux(), reach.NewServer(carrier, reach.ServerOptions{
-		Known: func(string) bool { return true }, Leaving: no, BackingOff: no, EndsAt: func() time.Time { return time.Time{} },
+		Known: func(string) bool { return true }, Leaving: func(string) bool { return leaving.Load() }, BackingOff: no, EndsAt: func() time.Time { return time.Time{} },
 		Leaves: func(string) (string, bool) { return "", false }, Evacuated: func(string) (string, bool) { return "e1", true },
 		ApplySignal: func(string, fleet.Signal) {},
 	})); err != nil {
@@ -91,7 +94,7 @@
 	}
 	go func() { _ = server.Serve(t.Context(), listener) }()
 	helper := pond.NewInstance(pond.InstanceRef{ID: "helper"}, pond.InstanceLive, "", listener.Addr().String(), "north-a", "north").WithCapacity(100)
-	options.SourceIP = "192.0.2.1" // No direct connection succeeds.
+	options.SourceIP = sourceIP
 	options.Helpers = func(string) []reach.Helper { return []reach.Helper{reach.NewHelper(helper, 1)} }
 	instance.dialer = reach.NewDialer(options)
 	t.Cleanup(func() {
@@ -99,6 +102,12 @@
 		carrier.Close()
 		_ = network.Close()
 	})
+	return func() { leaving.Store(true) }
+}
+
+// connectOnce connects an instance to a server, so that the instance knows whether only another one reaches it.
+func connectOnce(t *testing.T, instance *Instance, address string) {
+	t.Helper()
 	conn, err := instance.dialer.DialContext(t.Context(), "tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -154,17 +163,12 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			engines := new(scriptedEngines)
-			instance := newCheckedInstance(engines, time.Now())
-			defer instance.log.Close()
-			instance.fleet = fleet.New(fleet.Options{
-				Decoder: catalogueDecoder{}, Regions: map[string][]string{"north": {"north-a"}}, Clock: clock.Now, Log: logs.New(io.Discard),
-			})
-			instance.fleet.Apply([]feed.Record{
-				{Key: "catalogue", Revision: 1}, {Key: "e1", Revision: 2}, {Key: "evacuate/north-a", Revision: 3},
-			}, feed.Knowledge{})
+			instance := newConfirmer(t, engines).instance
+			instance.fleet.Apply([]feed.Record{{Key: "evacuate/north-a", Revision: 3}}, feed.Knowledge{})
 			server := newSilentServer(t)
 			if test.helper {
-				useHelper(t, instance, server.address())
+				_ = useHelper(t, instance, noAddress)
+				connectOnce(t, instance, server.address())
 			}
 			if !test.runs {
 				if err := server.Close(); err != nil {
--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflypond/dragonflypond/internal/clock"
 	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
+	"github.com/dragonflypond/dragonflypond/internal/reach"
 	"github.com/dragonflypond/dragonflypond/internal/relay"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
@@ -149,8 +150,8 @@
 	return err
 }
 
-// confirmEnd returns an error if a backend server whose connection has ended in order has ended too: nobody listens at its address, or another process
-// does. Other failures prove nothing: the kernel that ended the connection is there to refuse the next one.
+// confirmEnd returns an error if a backend server whose connection has ended in order has ended too: the kernel that ended the connection refuses the next
+// one, or another process listens at the address. Other failures prove nothing (see provesEnd); the answer then counts as whole.
 func (c *engineChecker) confirmEnd(ctx context.Context, backend route.Backend) error {
 	if c.instance.flags.disabled.Has(pond.MechanismEndChecks) {
 		return nil
@@ -162,7 +163,7 @@
 		switch {
 		case err == nil:
 			return nil
-		case c.provesEnd(backend, err):
+		case c.provesEnd(ctx, backend, err):
 			return errors.Wrap(err, "ask whether the backend server still runs")
 		case attempt == maxConfirmAttempts || ctx.Err() != nil:
 			c.instance.log.WithError(err).WithFields(logrus.Fields{logs.Event: "endNotConfirmed", logs.Backend: backend.ID}).
@@ -196,7 +197,7 @@
 func (c *engineChecker) watchConnection(ctx context.Context, backend route.Backend) error {
 	conn, err := c.instance.dialer.DialContext(ctx, "tcp", backend.Address)
 	if err != nil {
-		return &dialError{cause: err}
+		return errors.Wrap(err, "connect to a backend server")
 	}
 	var stayed atomic.Bool
 	closeConn := func() { _ = conn.Close() } // Nothing was sent on it.
@@ -212,26 +213,17 @@
 	return nil
 }
 
-// provesEnd reports whether an error of askEnd shows that the backend server has ended.
-func (c *engineChecker) provesEnd(backend route.Backend, err error) bool {
+// provesEnd reports whether an error of askEnd shows that the backend server has ended: it has started anew or refuses connections. Others may be due to this
+// instance, which lacks descriptors, ports or a route, or to a way that hangs. Through another instance a refusal cannot be told apart, because the protocol
+// between instances has no field for it. What another instance answers therefore counts if the server is to blame and the answer came in time: until then,
+// the own way may just hang.
+func (c *engineChecker) provesEnd(ctx context.Context, backend route.Backend, err error) bool {
 	if errors.Is(err, errStartedAnew) || errors.Is(err, syscall.ECONNREFUSED) {
 		return true
 	}
-	// Through another instance the reason is not known.
-	var failure *engine.Error
-	notSent := errors.As(err, new(*dialError)) || errors.As(err, &failure) && failure.Outcome() == pond.OutcomeNotSent
-	return notSent && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled) && c.blames(backend.Address)
+	return ctx.Err() == nil && errors.As(err, new(*reach.HelperError)) && c.blames(backend.Address)
 }
 
-// dialError is a failure to connect.
-type dialError struct{ cause error }
-
-// Error implements error.
-func (e *dialError) Error() string { return "dial: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *dialError) Unwrap() error { return e.cause }
-
 // ended reports whether a backend server that broke a request off has ended: it does not answer any more. If that is not known after
 // some questions, it is taken for alive. When several end at once, an instance doubts its own way to them for a moment. All requests that
 // a backend server broke off share the questions.
