--- a/internal/serve/enginecheck.go
+++ b/internal/serve/enginecheck.go
@@ -58,7 +58,7 @@
 )
 
 // errUnknown is returned if it is not known whether an engine answers: it has asked for a back-off, the limit that it names
-// permits no question, its data centre is evacuated, or this instance does not reach it while other instances may.
+// permits no question, its data centre is evacuated, its answer broke off, or this instance does not reach it while other instances may.
 var errUnknown = errors.New("it is not known whether the engine answers")
 
 // errStartedAnew is returned for an engine that is not the process that it was.
@@ -141,6 +141,10 @@
 			Info("backend server answers, but not with its state")
 		return nil
 	}
+	var failure *engine.Error
+	if errors.As(err, &failure) && failure.Outcome() == pond.OutcomeAnswered {
+		return errors.Wrap(errUnknown, err.Error()) // The state broke off: the engine ran, and may have ended meanwhile.
+	}
 	if err == nil && leaving {
 		c.instance.fleet.MarkLeaving(backend.ID)
 	}
--- a/internal/serve/enginecheck_test.go
+++ b/internal/serve/enginecheck_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/dragonflypond/dragonflypond/internal/clock"
+	"github.com/dragonflypond/dragonflypond/internal/engine"
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
 	"github.com/dragonflypond/dragonflypond/internal/logs"
@@ -214,6 +216,31 @@
 	})
 }
 
+// TestEngineCheckBreaksOff guards against an engine that is taken for ended or for running because its state breaks off, which decides neither.
+func TestEngineCheckBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &scriptedEngines{err: engine.NewError(pond.OutcomeAnswered, http.StatusOK, false, io.ErrUnexpectedEOF)}
+		i := newCheckedInstance(engines, clock.Now())
+		defer i.log.Close()
+		checker := newEngineChecker(i)
+		defer checker.start(t)()
+		checker.suspect("e1")
+		synctest.Wait()
+		if !i.fleet.Accepting("e1") || checker.ended(t.Context(), "e1") {
+			t.Error("an engine whose state breaks off is taken for ended")
+		}
+		if !i.fleet.Suspend("e2", clock.Now().Add(time.Minute)) {
+			t.Fatal("not suspended")
+		}
+		checker.suspect("e2")
+		time.Sleep(2 * suspectCheckInterval)
+		synctest.Wait()
+		if i.fleet.Accepting("e2") {
+			t.Error("an engine whose state breaks off is taken for running")
+		}
+	})
+}
+
 // TestEngineCheckOfInstanceCutOff guards against a home that takes its own broken way for broken engines, so that all instances
 // refuse what they could serve.
 func TestEngineCheckOfInstanceCutOff(t *testing.T) {
