calls: an answer cut by the end of its replica is not whole

Cause: a close-delimited answer ended with its connection, and the kernel ends the connections of a killed replica in order: the first part was returned as the answer, also to idempotent calls, which share readAnswer. Change: before such an answer is returned, a new connection is watched for 50 ms. If it is refused or ends, or the time of the call is over, the outcome is unknown. Other failures prove nothing. Other answers take no further connection. Each whole close-delimited answer takes 50 ms longer.

--- a/internal/calls/doc.go
+++ b/internal/calls/doc.go
@@ -9,6 +9,9 @@
 // A refusal with "run: no" is final. Only the executor returns it for a valid key, and it keeps a record or a
 // tombstone of the key until the key has expired, so a copy of the request that arrives later is refused as well.
 //
+// Replicas need not frame their answers. The end of a close-delimited one counts only if the replica still runs, which
+// takes another connection and 50 ms; otherwise the outcome of the call is unknown.
+//
 // The decisions are made by stateMachine, which takes the current time as a parameter and starts no goroutine. Executor
 // adds locking, the connections to plain services and the drpc service for forwarded calls.
 //
--- a/internal/calls/idempotent.go
+++ b/internal/calls/idempotent.go
@@ -29,7 +29,7 @@
 
 // newClient returns the HTTP client for idempotent calls, which reuses connections.
 func newClient() *http.Client {
-	transport := bound.NewTransport(nil)
+	transport := bound.NewTransport(dialDirect)
 	transport.MaxIdleConnsPerHost = maxIdlePerReplica
 	transport.IdleConnTimeout = idleTimeout
 	transport.DisableCompression = true
@@ -224,7 +224,7 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBodyBytes))
 		return pond.Answer{}, pond.OutcomeAnswered, errUnavailable
 	}
-	answer, err := readAnswer(response, e.options.Answers.Open(address, cancel))
+	answer, err := readAnswer(response, e.options.Answers.Open(address, cancel), func() error { return confirmEnd(ctx, dialDirect, address) })
 	return answer, pond.OutcomeAnswered, err
 }
 
--- a/internal/calls/send.go
+++ b/internal/calls/send.go
@@ -36,10 +36,15 @@
 	answers *bound.Budget
 }
 
+// dialDirect connects to a replica without a helper.
+func dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+}
+
 // newUnpooledSender returns a sender that uses the dial function and holds answers within a budget. Nil connects directly.
 func newUnpooledSender(dial engine.DialFunc, answers *bound.Budget) *unpooledSender {
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+		dial = dialDirect
 	}
 	return &unpooledSender{dial: dial, answers: answers}
 }
@@ -63,12 +68,14 @@
 	if err := check(); err != nil {
 		return pond.Answer{}, pond.OutcomeNotSent, err
 	}
-	return s.exchange(conn, req, address)
+	return s.exchange(ctx, conn, req, address)
 }
 
 // exchange writes the request and reads the answer, which may have come before the whole request was written. After an error, the replica may have
 // received the request.
-func (s *unpooledSender) exchange(conn net.Conn, req *http.Request, address string) (pond.Answer, pond.Outcome, error) {
+func (s *unpooledSender) exchange(
+	ctx context.Context, conn net.Conn, req *http.Request, address string,
+) (pond.Answer, pond.Outcome, error) {
 	conn = bound.CheckEnd(conn)
 	writeErr := req.Write(conn)
 	response, err := bound.ReadResponse(conn, req)
@@ -79,7 +86,7 @@
 		return pond.Answer{}, pond.OutcomeMaybeSent, errors.Wrap(err, "read answer")
 	}
 	defer response.Body.Close()
-	answer, err := readAnswer(response, s.answers.Open(address, func() { _ = conn.Close() }))
+	answer, err := readAnswer(response, s.answers.Open(address, func() { _ = conn.Close() }), func() error { return confirmEnd(ctx, s.dial, address) })
 	if errors.Is(err, bound.ErrTooLarge) || errors.Is(err, bound.ErrNoRoom) { // The replica has answered.
 		return pond.Answer{}, pond.OutcomeAnswered, err
 	}
@@ -89,9 +96,13 @@
 	return answer, pond.OutcomeAnswered, nil
 }
 
-// readAnswer reads the body of a response. The holding is closed when the answer is released.
-func readAnswer(response *http.Response, holding *bound.Holding) (pond.Answer, error) {
+// readAnswer reads the body of a response. If the end of the connection was that of the body, confirm returns whether that holds. The holding is closed
+// when the answer is released.
+func readAnswer(response *http.Response, holding *bound.Holding, confirm func() error) (pond.Answer, error) {
 	body, err := holding.ReadAll(response.Body, maxAnswerBodyBytes)
+	if err == nil && isCloseDelimited(response) {
+		err = confirm()
+	}
 	if err != nil {
 		holding.Close()
 		return pond.Answer{}, errors.Wrap(err, "read answer body")
