bound: a response without chunks ends with a reset until its handler returns

Cause: net/http closes the connection in order after an abort and after Close, as the kernel does for a killed process. A caller of HTTP/1.0 gets neither a length nor chunks and took that for the end of the response, on both interfaces. Change: Group sets the linger time of such a connection to 0 until the handler returns. internal/front aborts an answer whose caller stops reading, which returned as if it were whole.

--- a/internal/bound/conn.go
+++ b/internal/bound/conn.go
@@ -263,6 +263,17 @@
 	return nil
 }
 
+// resetOnClose sets whether the end of the connection is a reset.
+func (c *Conn) resetOnClose(reset bool) {
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(seconds) // Fails only on a connection that is closed.
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
--- a/internal/bound/doc.go
+++ b/internal/bound/doc.go
@@ -7,7 +7,8 @@
 // many: a Budget does, for bodies that are kept in memory until they are complete.
 //
 // Callers are limited by a Guard: the memory of request heads, from their first line until their request ends, and the connections of each
-// listener.
+// listener. A connection of theirs whose response may be close-delimited, that of HTTP/1.0, ends with a reset until the handler returns. A handler that
+// cannot complete its response panics with http.ErrAbortHandler.
 //
 // # Usage
 //
--- a/internal/bound/guard.go
+++ b/internal/bound/guard.go
@@ -322,7 +322,15 @@
 			forwarded.Body = &bodyWithoutTrailer{ReadCloser: r.Body, request: r}
 			r = forwarded
 		}
+		if r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		// Without chunks, the end of the connection may be that of the response. It is not in order before the handler returns: after a panic, by the
+		// server's Close or with the process.
+		conn.resetOnClose(true)
 		next.ServeHTTP(w, r)
+		conn.resetOnClose(false)
 	})
 }
 
--- a/internal/bound/guard_test.go
+++ b/internal/bound/guard_test.go
@@ -43,6 +43,7 @@
 	group    *Group
 	guard    *Guard
 	refusals refusals
+	server   *http.Server
 	address  string
 }
 
@@ -62,6 +63,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{Handler: handler, Protocols: protocols, MaxHeaderBytes: 256 << 10, IdleTimeout: time.Minute, ReadHeaderTimeout: time.Minute}
 	g.group.Install(server)
+	g.server = server
 	go func() { _ = server.Serve(g.group.Listener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return g
--- a/internal/front/services.go
+++ b/internal/front/services.go
@@ -104,7 +104,7 @@
 	return nil
 }
 
-// writeAnswer writes a body to a caller until it is done or the caller stops reading.
+// writeAnswer writes a body to a caller. If the caller stops reading, it aborts the handler, so that a part is not taken for the whole.
 func writeAnswer(w http.ResponseWriter, body []byte) {
 	control := http.NewResponseController(w)
 	// A deadline that stays set would end the connection while the next answer is written.
@@ -112,7 +112,7 @@
 	for part := range slices.Chunk(body, answerPartBytes) {
 		_ = control.SetWriteDeadline(time.Now().Add(answerPartTimeout))
 		if _, err := w.Write(part); err != nil {
-			return
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
