relay: terms of HTTP for the ends of responses

Cause: a review by a newcomer stopped at names and phrases: "without a length and chunks" for close-delimited, two methods checkEnd in a row, counters named open and stops. Change: closeDelimited, confirmComplete, checkNotStopped, currentState, stopOrders, unansweredStops, resuming, sourceChanged; the log field framed becomes its opposite closeDelimited. No change of behavior.

--- a/internal/relay/deadline_test.go
+++ b/internal/relay/deadline_test.go
@@ -75,7 +75,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			a := attempt{rest: io.NopCloser(strings.NewReader("a part")), unframed: test.unframed, endsEarlyFrom: time.Now().Add(test.left), confirmEnd: func() error { return nil }}
+			a := attempt{rest: io.NopCloser(strings.NewReader("a part")), closeDelimited: test.unframed, endsEarlyFrom: time.Now().Add(test.left), confirmEnd: func() error { return nil }}
 			if a.buffer(); !errors.Is(a.err, test.want) {
 				t.Errorf("error %v, want %v", a.err, test.want)
 			}
--- a/internal/relay/enginerun.go
+++ b/internal/relay/enginerun.go
@@ -37,8 +37,8 @@
 
 	mu    sync.Mutex
 	state engineRunState
-	stops int // orders to stop the run that may have been sent and were not refused
-	open  int // orders to stop the run that got no answer, as far as is known
+	// stopOrders counts the orders to stop the run that may have been sent and were not refused, and unansweredStops those of them without an answer.
+	stopOrders, unansweredStops int
 }
 
 func newEngineRun(backend route.Backend, a attempt) *engineRun {
@@ -47,8 +47,8 @@
 
 func (r *engineRun) body() io.ReadCloser { return r.attempt.rest }
 
-// known returns what is known about the run.
-func (r *engineRun) known() engineRunState {
+// currentState returns what is known about the run.
+func (r *engineRun) currentState() engineRunState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.state
@@ -56,7 +56,7 @@
 
 // mayBeStopped reports whether the engine has stopped the run or may have done so.
 func (r *engineRun) mayBeStopped() bool {
-	state := r.known()
+	state := r.currentState()
 	return state == stateStopping || state == stateStopped
 }
 
@@ -68,8 +68,8 @@
 		return false
 	}
 	r.state = stateStopping
-	r.stops++
-	r.open++
+	r.stopOrders++
+	r.unansweredStops++
 	return true
 }
 
@@ -82,41 +82,41 @@
 	var failure *engine.Error
 	notSent := errors.As(err, &failure) && failure.Outcome() == pond.OutcomeNotSent
 	if err == nil || notSent || errors.As(err, &refusal) {
-		r.open--
+		r.unansweredStops--
 	}
 	switch {
 	case r.state > stateStopping:
 	case err == nil, refusal != nil && refusal.Handle != "":
 		r.state = stateStopped
-	case refusal != nil && refusal.NoRun && r.stops == 1:
+	case refusal != nil && refusal.NoRun && r.stopOrders == 1:
 		r.state = stateEnded
 	case notSent, refusal != nil && refusal.Busy:
-		if r.stops--; r.stops == 0 {
+		if r.stopOrders--; r.stopOrders == 0 {
 			r.state = stateRunning
 		}
 	}
 }
 
-// inherit takes over from an earlier run of the request on the same engine what an order that got no answer may still do.
+// inherit counts the unanswered orders to stop an earlier run of the request on the same engine: they may still stop this one.
 func (r *engineRun) inherit(earlier *engineRun) {
 	earlier.mu.Lock()
-	open := earlier.open
+	unanswered := earlier.unansweredStops
 	earlier.mu.Unlock()
-	if open == 0 || earlier.backend.ID != r.backend.ID {
+	if unanswered == 0 || earlier.backend.ID != r.backend.ID {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state = stateStopping
-	r.stops += open
-	r.open += open
+	r.stopOrders += unanswered
+	r.unansweredStops += unanswered
 }
 
-// checkEnd returns an error if the run was stopped, so that the orderly end of its stream is not that of the answer. While the outcome of an order to
+// checkNotStopped returns an error if the run was stopped, so that the orderly end of its stream is not that of the answer. While the outcome of an order to
 // stop it is not known, a length or chunks show that an answer is whole.
-func (r *engineRun) checkEnd() error {
-	state := r.known()
-	if state == stateStopped || state == stateStopping && r.attempt.unframed {
+func (r *engineRun) checkNotStopped() error {
+	state := r.currentState()
+	if state == stateStopped || state == stateStopping && r.attempt.closeDelimited {
 		return errRunStopped
 	}
 	return nil
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -75,7 +75,7 @@
 	}
 	contentType := a.resp.Header.Get("Content-Type")
 	if contentType == "" {
-		return a.unframed
+		return a.closeDelimited
 	}
 	mediaType, _, err := mime.ParseMediaType(contentType)
 	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && mediaType == "text/event-stream"
@@ -87,7 +87,7 @@
 	for {
 		event, err := a.events.next()
 		switch {
-		case errors.Is(err, io.EOF) && !a.unframed:
+		case errors.Is(err, io.EOF) && !a.closeDelimited:
 			_ = a.rest.Close()
 			a.rest, a.events = nil, nil
 			return
@@ -134,7 +134,7 @@
 			x.abortDisconnected()
 		}
 		if event, a.err = a.events.next(); errors.Is(a.err, io.EOF) {
-			if a.err = a.checkEnd(); a.err == nil {
+			if a.err = a.confirmComplete(); a.err == nil {
 				break
 			}
 		}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -31,7 +31,7 @@
 	// that a truncated response can be replaced by one of another replica.
 	responseBufferLimit = 64 << 10
 
-	// The end of a response without a length and chunks is attributed to its deadline from 1/deadlineShare of the time given before it, because the timers
+	// The end of a close-delimited response is attributed to its deadline from 1/deadlineShare of the time given before it, because the timers
 	// of servers are inexact, but from minDeadlineMargin before it at the latest and not earlier than maxDeadlineMargin.
 	minDeadlineMargin = 5 * time.Millisecond
 	maxDeadlineMargin = 50 * time.Millisecond
@@ -68,8 +68,8 @@
 	onEnd  func(a attempt)
 	// onBroken is called if rest cannot be read to its end; nil for nothing.
 	onBroken func()
-	// unframed is true if the body has no length of its own and ends with its connection.
-	unframed bool
+	// closeDelimited is true if the body ends with its connection: it has neither a length nor chunks.
+	closeDelimited bool
 	// endsEarlyFrom is the time from which an end of such a body may be due to the deadline that the backend server was given.
 	endsEarlyFrom time.Time
 	// confirmEnd returns an error unless the backend server still runs after the end of its connection.
@@ -503,8 +503,8 @@
 	}
 	return attempt{
 		resp: resp, leaving: reply.Leaving, rest: resp.Body, via: via, weightsVersion: reply.WeightsVersion,
-		unframed:      resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead,
-		endsEarlyFrom: d.Deadline.Add(-deadlineMargin(began, d.Deadline)),
+		closeDelimited: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && req.Method != http.MethodHead,
+		endsEarlyFrom:  d.Deadline.Add(-deadlineMargin(began, d.Deadline)),
 		confirmEnd: func() error {
 			ctx := reach.WithRegions(confirmCtx, x.regions())
 			if via != nil {
@@ -520,9 +520,9 @@
 	return min(max(deadline.Sub(sentAt)/deadlineShare, minDeadlineMargin), maxDeadlineMargin)
 }
 
-// checkEnd returns an error if a body without a length and chunks may have ended early: its server was due to stop, or nothing shows that it still runs.
-func (a attempt) checkEnd() error {
-	if !a.unframed {
+// confirmComplete returns an error if a close-delimited body may have ended early: its server was due to stop, or nothing shows that it still runs.
+func (a attempt) confirmComplete() error {
+	if !a.closeDelimited {
 		return nil
 	}
 	if !time.Now().Before(a.endsEarlyFrom) {
@@ -568,7 +568,7 @@
 	buffered, err := io.ReadAll(io.LimitReader(a.rest, responseBufferLimit+1))
 	a.buffered = buffered
 	if err == nil && len(buffered) <= responseBufferLimit {
-		err = a.checkEnd()
+		err = a.confirmComplete()
 	}
 	if err != nil {
 		_ = a.rest.Close()
@@ -602,7 +602,7 @@
 			rest := &brokenBody{ReadCloser: a.rest}
 			_, err = io.Copy(x.w, rest)
 			if err == nil {
-				err = a.checkEnd()
+				err = a.confirmComplete()
 			}
 			if rest.broken && !x.callerLeft() && a.onBroken != nil {
 				a.onBroken()
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -61,7 +61,7 @@
 	mu           sync.Mutex
 	inProgress   chan struct{} // closed at the end of the move in progress; nil without one
 	finishedMove *moveResult
-	taken        bool // the stream goes on with finishedMove
+	resuming     bool // the stream goes on with finishedMove
 	streamEnded  bool // the stream of the source has ended, and nothing else of it is moved
 	stopped      bool // no further move begins
 }
@@ -117,7 +117,7 @@
 // occupied reports whether no move can begin: the stream has ended, or its run has been stopped and goes on from the copy of an earlier move. The lock
 // must be held.
 func (m *mover) occupied() bool {
-	return m.streamEnded || m.finishedMove != nil && m.stream.current.Load().known() == stateStopped
+	return m.streamEnded || m.finishedMove != nil && m.stream.current.Load().currentState() == stateStopped
 }
 
 // carryOut carries out an order of the placer.
@@ -199,7 +199,7 @@
 	if m.finishedMove == nil {
 		return moveResult{}, false
 	}
-	m.taken = true
+	m.resuming = true
 	return *m.finishedMove, true
 }
 
@@ -213,7 +213,7 @@
 
 // dropResult ends what belongs to a result that the stream has not taken. The lock must be held.
 func (m *mover) dropResult() {
-	if m.finishedMove == nil || m.taken {
+	if m.finishedMove == nil || m.resuming {
 		return
 	}
 	m.stream.x.log.WithFields(logrus.Fields{logs.Event: "moveDropped", logs.Target: m.finishedMove.move.Backend, "handle": m.finishedMove.handle}).
@@ -227,7 +227,7 @@
 // finish ends a move after the run was resumed elsewhere or could not be resumed.
 func (m *mover) finish(result moveResult, ok bool) {
 	m.mu.Lock()
-	m.finishedMove, m.taken, m.streamEnded = nil, false, !ok
+	m.finishedMove, m.resuming, m.streamEnded = nil, false, !ok
 	m.mu.Unlock()
 	select {
 	case m.resumed <- struct{}{}:
@@ -337,7 +337,7 @@
 		logs.Event: "runStopAnswered", "handle": final.Handle, "created": final.Events, "copyMillis": result.copyTime.Milliseconds(),
 	}).Info("an engine has answered the order to stop a run, or has not")
 	run.stopAnswered(err)
-	if run.known() == stateStopped {
+	if run.currentState() == stateStopped {
 		time.AfterFunc(closeDelay, func() { _ = run.body().Close() })
 	}
 	var copyErr *CopyError
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -106,9 +106,9 @@
 // hardlyBegun reports whether the current engine has sent fewer events than show that the prompt does no harm.
 func (s *stream) hardlyBegun() bool { return s.events-s.eventsBefore < begunEvents }
 
-// endedEmpty reports whether the end of an answer without a length and without events may be the end of its connection only.
+// endedEmpty reports whether the end of a close-delimited answer without events may be the end of its connection only.
 func (s *stream) endedEmpty() bool {
-	return s.current.Load().attempt.unframed && s.events == 0 && s.x.run.position == ""
+	return s.current.Load().attempt.closeDelimited && s.events == 0 && s.x.run.position == ""
 }
 
 // endedEarly reports whether the caller lacks events that the run is known to have made. Those of a caller who had some from an earlier attempt are known
--- a/internal/relay/sequence.go
+++ b/internal/relay/sequence.go
@@ -11,12 +11,14 @@
 	errOtherRun      = errors.New("the events of another run follow")
 )
 
+const irregularStep = -1
+
 // sequence checks that the events which a caller gets are those of one run, each once, also where the run goes on at another engine.
 type sequence struct {
 	// last is the last numeric event ID that the caller has, -1 for none, and lastData the data of that event.
 	last     int64
 	lastData []byte
-	// step is the difference between successive IDs as long as it is always the same; 0 while it is not known, -1 if the IDs are irregular.
+	// step is the difference between successive IDs as long as it is always the same; 0 while it is not known, irregularStep if it varies.
 	step int64
 	// change is what the next event follows.
 	change sourceChange
@@ -43,8 +45,8 @@
 	return s
 }
 
-// follow is called before the first event of another source. A run that is moved before its first event remains another run.
-func (s *sequence) follow(change sourceChange) { s.change = max(s.change, change) }
+// sourceChanged records that the next event comes from another source. A run that is moved before its first event remains another run.
+func (s *sequence) sourceChanged(change sourceChange) { s.change = max(s.change, change) }
 
 // accept reports whether the caller is to get an event, which it does not if it has it already. It returns an error if the event cannot follow. Of
 // events without numbers only the first one after a change of the source is checked: nothing tells where it belongs if those before it had numbers.
@@ -73,13 +75,13 @@
 func (s *sequence) record(number int64, event []byte) {
 	switch {
 	case s.last < 0 && number == 1:
-		s.step = 1 // They are counted, as far as is known.
+		s.step = 1 // A guess: the IDs may count the events.
 	case s.last >= 0:
 		switch difference := number - s.last; {
-		case s.step == 0, s.last == 1:
+		case s.step == 0, s.last == 1: // The step was unknown or guessed.
 			s.step = difference
 		case s.step != difference:
-			s.step = -1
+			s.step = irregularStep
 		}
 	}
 	s.last, s.change = number, changeNone
--- a/internal/relay/sequence_test.go
+++ b/internal/relay/sequence_test.go
@@ -50,7 +50,7 @@
 					t.Fatalf("event %d of the first source: new %v, error %v", id, isNew, err)
 				}
 			}
-			s.follow(test.change)
+			s.sourceChanged(test.change)
 			var got []int64
 			var failure error
 			for _, id := range test.after {
@@ -74,8 +74,8 @@
 				t.Fatalf("event %s: new %v, error %v", id, isNew, err)
 			}
 		}
-		s.follow(changeRestarted)
-		s.follow(changeContinued)
+		s.sourceChanged(changeRestarted)
+		s.sourceChanged(changeContinued)
 		if isNew, err := s.accept("2", []byte(event(2, "b"))); isNew || err != nil {
 			t.Errorf("event of the other run: new %v, error %v", isNew, err)
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -127,10 +127,10 @@
 			if s.resumeFromCopy(ctx) {
 				continue
 			}
-			err = s.current.Load().checkEnd()
+			err = s.current.Load().checkNotStopped()
 		}
 		if err == nil {
-			err = s.current.Load().attempt.checkEnd()
+			err = s.current.Load().attempt.confirmComplete()
 		}
 		if err == nil && s.endedEarly() {
 			err = errEventsMissing
@@ -162,8 +162,8 @@
 func (s *stream) logEnd() {
 	run := s.current.Load()
 	s.x.log.WithFields(logrus.Fields{
-		logs.Event: "streamEnded", logs.Backend: run.backend.ID, logs.Position: s.x.run.position, "framed": !run.attempt.unframed,
-		"run": run.known().String(), "tunneled": run.attempt.via != nil, logs.Moves: s.moves,
+		logs.Event: "streamEnded", logs.Backend: run.backend.ID, logs.Position: s.x.run.position, "closeDelimited": run.attempt.closeDelimited,
+		"run": run.currentState().String(), "tunneled": run.attempt.via != nil, logs.Moves: s.moves,
 		logs.RemainingMillis: time.Until(s.x.deadline).Milliseconds(),
 	}).Info("the stream of an engine has ended")
 }
@@ -334,7 +334,7 @@
 	x, run := s.x, s.current.Load()
 	fields := logrus.Fields{
 		logs.Event: "streamBroken", logs.Backend: run.backend.ID, logs.Position: x.run.position, "events": s.events,
-		"accepting": x.relay.options.Fleet.Accepting(run.backend.ID), "run": run.known().String(),
+		"accepting": x.relay.options.Fleet.Accepting(run.backend.ID), "run": run.currentState().String(),
 	}
 	x.addPromptFields(fields, run.attempt.weightsVersion)
 	x.log.WithError(err).WithFields(fields).Info("the stream of an engine broke off")
@@ -369,7 +369,7 @@
 		if a.err == nil && a.resp.StatusCode == http.StatusOK {
 			s.logMove(target, result, time.Since(resumeStart))
 			s.switchSource(newEngineRun(target, a))
-			s.sequence.follow(changeContinued)
+			s.sequence.sourceChanged(changeContinued)
 			s.created = max(s.created, result.created)
 			s.pause.GivenUp(time.Now())
 			s.stall, s.pause = nil, result.pause
@@ -430,7 +430,7 @@
 	}
 	s.placement, s.stall, s.sent, s.pause = run.placement, run.stall, run.sent, nil
 	s.switchSource(newEngineRun(run.backend, run.attempt))
-	s.sequence.follow(changeRestarted)
+	s.sequence.sourceChanged(changeRestarted)
 	s.created, s.continued = 0, x.run.position != ""
 	s.mover = newMover(s, ctx)
 	return true
--- a/pkg/pond/mechanism.go
+++ b/pkg/pond/mechanism.go
@@ -49,7 +49,7 @@
 	MechanismRebalancing
 	// MechanismEngineChecks asks engines themselves when the store or an engine fails.
 	MechanismEngineChecks
-	// MechanismEndChecks asks whether a backend server still runs after a response without a length and chunks has ended.
+	// MechanismEndChecks asks whether a backend server still runs after a close-delimited response has ended.
 	MechanismEndChecks
 	// MechanismRestarts runs resumable streams again after their engine failed.
 	MechanismRestarts
