relay: a run that went on at its source has not moved

Callers: a run whose last copy failed goes on at its source; if that leaves, nobody moves the run again, and it is lost with its engine. Cause: mover.finish reported each resumption as a move to the target, so the placer accounted the run there, or replaced its placement. Change: finish is told the engine that took the run; the placer hears of a move only if that is the target. Measured: TestMoveDeclined, "not copied to the end": reported moves [b1true] before, [b1false] now.

--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -224,25 +224,28 @@
 	}
 }
 
-// finish ends a move after the run was resumed elsewhere or could not be resumed.
-func (m *mover) finish(result moveResult, ok bool) {
+// finish ends a move. The run was resumed at the given engine, which may be its source, or nowhere; then the ID is empty.
+func (m *mover) finish(result moveResult, resumedAt string) {
+	resumed, moved := resumedAt != "", resumedAt == result.move.Backend
 	m.mu.Lock()
-	m.finishedMove, m.resuming, m.streamEnded = nil, false, !ok
+	m.finishedMove, m.resuming, m.streamEnded = nil, false, !resumed
 	m.mu.Unlock()
 	select {
 	case m.resumed <- struct{}{}:
 	default:
 	}
-	outcome := metric.MoveResumed
-	if !ok {
+	outcome := metric.MoveNotResumed
+	if moved {
+		outcome = metric.MoveResumed
+	}
+	if !resumed {
 		result.pause.GivenUp(time.Now())
-		outcome = metric.MoveNotResumed
 	}
 	m.stream.x.relay.options.Metrics.CountMove(result.cause, outcome)
 	switch {
 	case result.placement == nil:
-		m.placement.FinishMove(result.move, ok, time.Now())
-	case !ok:
+		m.placement.FinishMove(result.move, moved, time.Now())
+	case !moved:
 		result.placement.Done(pond.PlacementEnd{}, time.Now())
 	}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -374,11 +374,12 @@
 			s.pause.GivenUp(time.Now())
 			s.stall, s.pause = nil, result.pause
 			s.moves++
-			if result.placement != nil {
+			replaced := result.placement != nil && target.ID == result.move.Backend
+			if replaced {
 				s.mover.stop() // Before the next move of this placement could begin.
 			}
-			s.mover.finish(result, true)
-			if result.placement != nil {
+			s.mover.finish(result, target.ID)
+			if replaced {
 				s.changePlacement(ctx, result.placement)
 			}
 			return true
@@ -391,7 +392,7 @@
 			break
 		}
 	}
-	s.mover.finish(result, false)
+	s.mover.finish(result, "")
 	return false
 }
 
