relay: a run whose target declines it goes on at its source

Callers: a stream breaks off although an engine holds its whole run, when the target of its move declines the resumption or has gone. Cause: after a complete copy only the target was asked to go on. The source keeps the run's memory too. Change: the source is asked after the target. It is allowed also while it leaves; the placer then orders another move, to another target.

--- a/internal/relay/move_declined_test.go
+++ b/internal/relay/move_declined_test.go
@@ -31,9 +31,13 @@
 		wantWhole bool
 		want      moves
 	}{
+		{"by the target", []http.HandlerFunc{declineAll}, continueStream, nil, false, true, moves{[]string{"b1"}, []string{"b1false"}}},
+		{"target has gone", []http.HandlerFunc{nil}, continueStream, nil, false, true, moves{[]string{"b1"}, []string{"b1false"}}},
+		{"source leaves", []http.HandlerFunc{declineAll}, continueStream, nil, true, true, moves{[]string{"b1"}, []string{"b1false"}}},
 		{"not copied to the end", []http.HandlerFunc{continueStream}, continueStream, &CopyError{Handle: "rest"}, false, true, moves{[]string{"b1"}, []string{"b1false"}}},
 		{"by all", []http.HandlerFunc{declineAll}, declineAll, nil, false, false, moves{[]string{"b1"}, []string{"b1false"}}},
 		{"target may have run it", []http.HandlerFunc{breakOff}, continueStream, nil, false, false, moves{[]string{"b1"}, []string{"b1false"}}},
+		{"by the first of two targets", []http.HandlerFunc{declineAll, continueStream}, nil, nil, true, true, moves{[]string{"b1", "b2"}, []string{"b1false", "b2true"}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -347,6 +347,7 @@
 	switch {
 	case err == nil:
 		result.handle, result.created = final.Handle, max(final.Events, first.Events)
+		result.targets = []route.Backend{target, source}
 	case errors.As(err, &copyErr) && copyErr.NoRun:
 		// The run has ended, and its stream delivers the rest, or an earlier order has stopped it.
 		result.pause.NotRun()
