relay: a run that goes on waits for one engine of several, and once

Callers: a gap of 1.6 s, or of 2.5 s, in a stream whose target begins a back-off while the last part of the run is copied, although the source would take it. Cause: each engine was waited for in turn, for up to maxPermitWait each. Change: the first of them that permits the request gets it, and the wait has one end for all.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -314,20 +314,30 @@
 	x.log.WithFields(fields).Info("the limit of a backend server, or its room while it is brittle, does not permit the request")
 }
 
-// awaitPermit waits some time for a permit, and for the end of a back-off, for a run that goes on, which would be lost without.
-func (x *exchange) awaitPermit(ctx context.Context, backend string) bool {
+// awaitPermitOfAny waits until a time for the first of some backend servers that permits the request, and wants requests at all, for a run that goes on, which
+// would be lost without. It returns the index of the backend server, or -1.
+func (x *exchange) awaitPermitOfAny(ctx context.Context, backends []route.Backend, giveUpAt time.Time) int {
 	o := &x.relay.options
-	for giveUpAt := o.Clock().Add(maxPermitWait); ; {
-		nextAt, backingOff := o.Fleet.BackoffUntil(backend)
-		if !backingOff {
-			permit := o.Limits.Permit(ctx, backend)
-			if permit.Granted() {
-				return true
+	for len(backends) > 0 {
+		var nextAt time.Time
+		for i, backend := range backends {
+			at, backingOff := o.Fleet.BackoffUntil(backend.ID)
+			if !backingOff {
+				permit := o.Limits.Permit(ctx, backend.ID)
+				if permit.Granted() {
+					return i
+				}
+				at = permit.RetryAt()
+			}
+			if i == 0 || at.Before(nextAt) {
+				nextAt = at
 			}
-			nextAt = permit.RetryAt()
 		}
 		if ctx.Err() != nil || o.Clock().After(giveUpAt) {
-			return !backingOff && x.permitted(ctx, backend)
+			return slices.IndexFunc(backends, func(b route.Backend) bool {
+				_, backingOff := o.Fleet.BackoffUntil(b.ID)
+				return !backingOff && x.permitted(ctx, b.ID)
+			})
 		}
 		delay := min(max(nextAt.Sub(o.Clock()), minPermitPause), maxPermitPause)
 		select {
@@ -335,6 +345,7 @@
 		case <-time.After(delay):
 		}
 	}
+	return -1
 }
 
 // refuseBackingOff refuses a request if the backend servers that are left want no requests at present, and reports whether
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -360,10 +361,15 @@
 	}
 	resumeStart := time.Now()
 	_ = s.current.Load().body().Close()
-	for _, target := range result.targets {
-		if s.x.forbids(target) != nil || !s.x.awaitPermit(ctx, target.ID) {
-			continue
+	targets, giveUpAt := slices.Clone(result.targets), s.x.relay.options.Clock().Add(maxPermitWait)
+	for {
+		targets = slices.DeleteFunc(targets, func(b route.Backend) bool { return s.x.forbids(b) != nil })
+		chosen := s.x.awaitPermitOfAny(ctx, targets, giveUpAt)
+		if chosen < 0 {
+			break
 		}
+		target := targets[chosen]
+		targets = slices.Delete(targets, chosen, chosen+1)
 		resume := &Resume{Holder: result.holder, Handle: result.handle}
 		a := s.x.send(s.sameWay(ctx), s.x.dispatch(target, resume))
 		if a.err == nil && a.resp.StatusCode == http.StatusOK {
