sched: an engine stays known while its last run moves

Callers: a run whose target declines it goes on at an engine that is no longer listed, nobody moves it again, and it is lost with that engine. Cause: a move counts the run on its target from the start; a retired engine without runs is removed, so that the end of the move finds no source. Change: a retired engine with a move in progress is kept. Measured: TestMoveDeclinedFromUnlistedEngine red before (counted on the target, no second move).

--- a/internal/sched/engine.go
+++ b/internal/sched/engine.go
@@ -320,7 +320,7 @@
 }
 
 // SetEngines replaces the list of engines. An engine that is missing from the list gets no new requests and is removed
-// when its last request ends.
+// when its last request ends or has moved.
 func (s *Scheduler) SetEngines(engines []Engine) {
 	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
 		if s.engines.Used(slot) {
@@ -339,9 +339,12 @@
 	s.dispatchDue = true
 }
 
+// idle reports whether the engine has no run, nor one that may come back because its move is declined.
+func (e *engine) idle() bool { return e.running == 0 && e.outgoing == 0 }
+
 func (s *Scheduler) removeRetired() {
 	for slot := table.Slot(0); slot < s.engines.Cap(); slot++ {
-		if s.engines.Used(slot) && s.engines.At(slot).retired && s.engines.At(slot).running == 0 {
+		if s.engines.Used(slot) && s.engines.At(slot).retired && s.engines.At(slot).idle() {
 			s.engines.Remove(s.engines.Key(slot))
 		}
 	}
--- /dev/null
+++ b/internal/sched/retired_move_test.go
@@ -0,0 +1,30 @@
+package sched
+
+import "testing"
+
+// TestMoveDeclinedFromUnlistedEngine guards against a run that goes on at its source, which is no longer listed, and is not moved again because it counts as one of
+// the target that declined it.
+func TestMoveDeclinedFromUnlistedEngine(t *testing.T) {
+	engines := testEngines(3, 34_000, 24)
+	s := newTestScheduler(copyPolicy(), engines...)
+	startRuns(t, s, engines[:1], 1)
+	s.SetEngines(engines[1:])
+	moves := tickMoves(s, epoch)
+	if len(moves) != 1 {
+		t.Fatalf("moves %+v, want one", moves)
+	}
+	s.SetEngines(engines[1:])
+	s.FinishMove(moves[0].ID, moves[0].Engine, false, epoch.Add(moveRetryDelay))
+	if on, _ := s.EngineOf(moves[0].ID); on != engines[0].Name {
+		t.Errorf("the run is counted on %s, want %s, its source", on, engines[0].Name)
+	}
+	again := tickMoves(s, epoch.Add(3*moveRetryDelay))
+	if len(again) != 1 || again[0].Engine == moves[0].Engine {
+		t.Fatalf("moves %+v after the declined one to %s, want one to the other target", again, moves[0].Engine)
+	}
+	s.FinishMove(again[0].ID, again[0].Engine, true, epoch.Add(4*moveRetryDelay))
+	s.SetEngines(engines[1:])
+	if _, listed := s.engines.Slot(engines[0].Name); listed {
+		t.Errorf("%s is kept without a run", engines[0].Name)
+	}
+}
