--- a/internal/relay/backoff_test.go
+++ b/internal/relay/backoff_test.go
@@ -172,8 +172,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			stop := make(chan struct{})
+			stoppedAt := make(chan time.Time, 1)
 			var bed *testBed
-			var stoppedAt time.Time
 			source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
 				if r.Header.Get("Handle") != "" {
 					writeEvent(w, 2)
@@ -191,14 +191,14 @@
 						bed.fleet.ApplySignal(id, fleet.Signal{Backoff: backoff}, fleet.SourceRequest)
 					}
 				}
-				stoppedAt = time.Now()
+				stoppedAt <- time.Now()
 				close(stop)
 			}
 			status, body := bed.post(t, "key")
 			if whole := status == http.StatusOK && body == eventsUntil(2); whole != test.wantWhole {
 				t.Errorf("status %d, %q, whole answer wanted: %t", status, body, test.wantWhole)
 			}
-			if took := time.Since(stoppedAt); took > test.wantBefore {
+			if took := time.Since(<-stoppedAt); took > test.wantBefore {
 				t.Errorf("the answer ends %v after the last copy, want less than %v", took, test.wantBefore)
 			}
 		})
--- a/internal/relay/evacuation_test.go
+++ b/internal/relay/evacuation_test.go
@@ -172,11 +172,17 @@
 			if whole := status == http.StatusOK && body == eventsUntil(2); whole != test.wantWhole {
 				t.Errorf("status %d, %q, whole answer wanted: %t", status, body, test.wantWhole)
 			}
-			if moved := target.requestCount() == 1; moved != test.wantMoved {
-				t.Errorf("%d requests at the target, moved wanted: %t", target.requestCount(), test.wantMoved)
+			count := func(further bool) int {
+				if further {
+					return 1
+				}
+				return 0
+			}
+			if n := target.requestCount(); n != count(test.wantMoved) {
+				t.Errorf("%d requests at the target, moved wanted: %t", n, test.wantMoved)
 			}
-			if stays := source.requestCount() == 2; stays != test.wantStays {
-				t.Errorf("%d requests at the source, resumption there wanted: %t", source.requestCount(), test.wantStays)
+			if n := source.requestCount(); n != 1+count(test.wantStays) {
+				t.Errorf("%d requests at the source, resumption there wanted: %t", n, test.wantStays)
 			}
 			if dropped := len(bed.copier.dropped) > 0; dropped != test.wantDrop {
 				t.Errorf("the first copy was freed: %t, want %t", dropped, test.wantDrop)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -545,10 +545,11 @@
 		copyErr  error
 		target   http.HandlerFunc
 		wantDone bool
+		wantRuns int // requests at the source
 	}{
-		{name: "moved", wantDone: true},
-		{name: "engine lost before the last copy", copyErr: io.ErrUnexpectedEOF, wantDone: true},
-		{name: "copy gone", target: respondNotRun},
+		{name: "moved", wantDone: true, wantRuns: 1},
+		{name: "engine lost before the last copy", copyErr: io.ErrUnexpectedEOF, wantDone: true, wantRuns: 1},
+		{name: "copy gone", target: respondNotRun, wantRuns: 2},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -585,6 +586,9 @@
 			if done := status == 200; done != test.wantDone {
 				t.Fatalf("status %d, complete response: %v, want %v", status, done, test.wantDone)
 			}
+			if runs := source.requestCount(); runs != test.wantRuns {
+				t.Errorf("%d requests at the source, want %d", runs, test.wantRuns)
+			}
 			if !test.wantDone {
 				return
 			}
