sched: an unlisted engine without runs is not chosen

Callers: none seen; each placement searches twice, and a long request may wait for an engine that takes none, while the last run of an unlisted engine moves. Cause: such an engine is kept since, is empty and may have been accepting when it left the list. Change: the search by bounds and the engine held for a long request leave out unlisted engines. Measured: TestUnlistedEngineIsNotChosen red before in both.

--- a/internal/sched/choose.go
+++ b/internal/sched/choose.go
@@ -56,7 +56,7 @@
 		if e.straggler == stragglerProbing {
 			return table.None, 0, false
 		}
-		if !e.accepting || e.straggler == stragglerAvoided || e.full(long, minTokens) {
+		if !e.accepting || e.retired || e.straggler == stragglerAvoided || e.full(long, minTokens) {
 			continue
 		}
 		if bound := e.minLoad(minTokens); bound < first {
@@ -157,8 +157,10 @@
 
 // holdEngine holds the least reserved engine that can run the request, unless an accepting engine is held already.
 func (s *Scheduler) holdEngine(slot table.Slot) {
-	if s.hold.request != table.None && s.engines.Used(s.hold.engine) && s.engines.At(s.hold.engine).accepting {
-		return
+	if s.hold.request != table.None && s.engines.Used(s.hold.engine) {
+		if held := s.engines.At(s.hold.engine); held.accepting && !held.retired {
+			return
+		}
 	}
 	r := s.requests.At(slot)
 	best, bestShare := table.None, 0.0
