relay: a target is waited for a moment before the source

Callers: a stream breaks off if its target wants no requests for 0.1 s and its source is asked instead and ends, or if the target declines after 1.5 s and the source would take the run 0.1 s later. Cause: takes the first engine that permits the request, and counts the answers of engines in the wait. Change: each engine is waited for in turn, 0.4 s first, then those that were not asked until 1.5 s after the pause began; an engine whose back-off ends later isn't waited for. TestResumptionBesideBackoffs replaces TestRunWaitsForNoBackoffWithSource: its rows and three more, with bounds from maxPermitWait and the gap of callers, and the engine where the run goes on.

--- a/internal/relay/backoff_test.go
+++ b/internal/relay/backoff_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -130,12 +131,12 @@
 func TestMoveTargetBackingOff(t *testing.T) {
 	stop := make(chan struct{})
 	var bed *testBed
-	source := newFakeBackend(t, declineResumption(func(w http.ResponseWriter, _ *http.Request) {
+	source := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 		writeEvent(w, 1)
 		bed.placer.moves <- pond.Move{Backend: "b1"}
 		<-stop
 		resetConnection(w, nil)
-	}))
+	})
 	var resumedAt, backoffEnds time.Time
 	target := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) {
 		resumedAt = time.Now()
@@ -156,51 +157,72 @@
 	}
 }
 
-// TestRunWaitsForNoBackoffWithSource guards against a run that waits for the back-offs of the engines that have its copy one after the other, or at all
-// while another one takes it.
-func TestRunWaitsForNoBackoffWithSource(t *testing.T) {
+// TestResumptionBesideBackoffs guards against a run that waits long for one of the engines that have its copy while the other one takes it, or that is lost
+// because it does not wait for the better one.
+func TestResumptionBesideBackoffs(t *testing.T) {
+	const far = 30 * time.Second
 	tests := []struct {
 		name           string
 		target, source time.Duration // back-offs from the last copy on
-		wantWhole      bool
-		wantBefore     time.Duration // from then on, the resumption at the source or the end of the answer
+		decline        time.Duration // time until the target declines; 0 if it takes the run
+		sourceBreaks   bool          // if it is asked
+		wantAt         string        // the engine where the run goes on; empty for none
+		wantBefore     time.Duration // the end of the answer, from the last copy on
 	}{
-		{"target", 30 * time.Second, 0, true, 500 * time.Millisecond},
-		{"target, and source for a moment", 30 * time.Second, 300 * time.Millisecond, true, time.Second},
-		{"both", 30 * time.Second, 2500 * time.Millisecond, false, 2 * time.Second},
+		{"target for a moment", 100 * time.Millisecond, 0, 0, true, "b1", 2 * time.Second},
+		{"target for long", far, 0, 0, false, "b0", maxPermitWait},
+		{"target for long, source for a moment", far, 300 * time.Millisecond, 0, false, "b0", maxPermitWait},
+		{"target for less long than the source", time.Second, far, 0, true, "b1", 2 * time.Second},
+		{"both for long", far, 2500 * time.Millisecond, 0, false, "", maxPermitWait},
+		{"target declines late, source for a moment", 0, maxPermitWait + 150*time.Millisecond, maxPermitWait + 50*time.Millisecond, false, "b0", 4 * time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			stop := make(chan struct{})
-			stoppedAt := make(chan time.Time, 1)
+			stop, copied := make(chan struct{}), make(chan time.Time, 1)
 			var bed *testBed
 			source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
-				if r.Header.Get("Handle") != "" {
+				switch {
+				case r.Header.Get("Handle") == "":
+					writeEvent(w, 1)
+					bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+					<-stop
+					resetConnection(w, r)
+				case test.sourceBreaks:
+					resetConnection(w, r)
+				default:
 					writeEvent(w, 2)
+				}
+			})
+			target := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				if test.decline > 0 {
+					time.Sleep(test.decline)
+					respondNotRun(w, r)
 					return
 				}
-				writeEvent(w, 1)
-				bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
-				<-stop
-				resetConnection(w, nil)
+				writeEvent(w, 2)
 			})
-			bed = newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, newFakeBackend(t, respondEvents))
+			bed = newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, target)
 			bed.copier.onLast = func() {
 				for id, backoff := range map[string]time.Duration{"b0": test.source, "b1": test.target} {
 					if backoff > 0 {
 						bed.fleet.ApplySignal(id, fleet.Signal{Backoff: backoff}, fleet.SourceRequest)
 					}
 				}
-				stoppedAt <- time.Now()
+				copied <- time.Now()
 				close(stop)
 			}
 			status, body := bed.post(t, "key")
-			if whole := status == http.StatusOK && body == eventsUntil(2); whole != test.wantWhole {
-				t.Errorf("status %d, %q, whole answer wanted: %t", status, body, test.wantWhole)
-			}
-			if took := time.Since(<-stoppedAt); took > test.wantBefore {
+			if took := time.Since(<-copied); took > test.wantBefore {
 				t.Errorf("the answer ends %v after the last copy, want less than %v", took, test.wantBefore)
 			}
+			if whole := status == http.StatusOK && body == eventsUntil(2); whole != (test.wantAt != "") {
+				t.Errorf("status %d, %q, want it to go on at %q", status, body, test.wantAt)
+			}
+			if test.wantAt != "" {
+				if reported, want := bed.placer.reportedMoves(), fmt.Sprint("b1", test.wantAt == "b1"); !slices.Equal(reported, []string{want}) {
+					t.Errorf("reported moves %v, want %s", reported, want)
+				}
+			}
 		})
 	}
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -41,11 +41,12 @@
 	// route counts only the others.
 	maxAttempts = 4
 
-	// maxPermitWait bounds the wait of a run that goes on for a permit. Callers leave after a gap of two seconds. The pauses
-	// between two questions are from minPermitPause to maxPermitPause.
-	maxPermitWait  = 1500 * time.Millisecond
-	minPermitPause = 20 * time.Millisecond
-	maxPermitPause = 200 * time.Millisecond
+	// maxPermitWait bounds the wait of a run that goes on for a permit. Callers leave after a gap of two seconds. Another engine that can go on is asked
+	// after firstPermitWait. The pauses between two questions are from minPermitPause to maxPermitPause.
+	maxPermitWait   = 1500 * time.Millisecond
+	firstPermitWait = 400 * time.Millisecond
+	minPermitPause  = 20 * time.Millisecond
+	maxPermitPause  = 200 * time.Millisecond
 )
 
 // errEndAtDeadline is the error of a body that ended in order when its server was to stop work.
@@ -314,30 +315,23 @@
 	x.log.WithFields(fields).Info("the limit of a backend server, or its room while it is brittle, does not permit the request")
 }
 
-// awaitPermitOfAny waits until a time for the first of some backend servers that permits the request, and wants requests at all, for a run that goes on, which
-// would be lost without. It returns the index of the backend server, or -1.
-func (x *exchange) awaitPermitOfAny(ctx context.Context, backends []route.Backend, giveUpAt time.Time) int {
+// awaitPermit waits until a time for a permit, and for the end of a back-off unless that is later, for a run that goes on, which would be lost without.
+func (x *exchange) awaitPermit(ctx context.Context, backend string, giveUpAt time.Time) bool {
 	o := &x.relay.options
-	for len(backends) > 0 {
-		var nextAt time.Time
-		for i, backend := range backends {
-			at, backingOff := o.Fleet.BackoffUntil(backend.ID)
-			if !backingOff {
-				permit := o.Limits.Permit(ctx, backend.ID)
-				if permit.Granted() {
-					return i
-				}
-				at = permit.RetryAt()
-			}
-			if i == 0 || at.Before(nextAt) {
-				nextAt = at
+	for {
+		nextAt, backingOff := o.Fleet.BackoffUntil(backend)
+		if backingOff && nextAt.After(giveUpAt) {
+			return false
+		}
+		if !backingOff {
+			permit := o.Limits.Permit(ctx, backend)
+			if permit.Granted() {
+				return true
 			}
+			nextAt = permit.RetryAt()
 		}
 		if ctx.Err() != nil || o.Clock().After(giveUpAt) {
-			return slices.IndexFunc(backends, func(b route.Backend) bool {
-				_, backingOff := o.Fleet.BackoffUntil(b.ID)
-				return !backingOff && x.permitted(ctx, b.ID)
-			})
+			return !backingOff && x.permitted(ctx, backend)
 		}
 		delay := min(max(nextAt.Sub(o.Clock()), minPermitPause), maxPermitPause)
 		select {
@@ -345,7 +339,6 @@
 		case <-time.After(delay):
 		}
 	}
-	return -1
 }
 
 // refuseBackingOff refuses a request if the backend servers that are left want no requests at present, and reports whether
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -359,47 +358,66 @@
 	if !ok {
 		return false
 	}
-	resumeStart := time.Now()
+	began := time.Now()
 	_ = s.current.Load().body().Close()
-	targets, giveUpAt := slices.Clone(result.targets), s.x.relay.options.Clock().Add(maxPermitWait)
-	for {
-		targets = slices.DeleteFunc(targets, func(b route.Backend) bool { return s.x.forbids(b) != nil })
-		chosen := s.x.awaitPermitOfAny(ctx, targets, giveUpAt)
-		if chosen < 0 {
-			break
-		}
-		target := targets[chosen]
-		targets = slices.Delete(targets, chosen, chosen+1)
-		resume := &Resume{Holder: result.holder, Handle: result.handle}
-		a := s.x.send(s.sameWay(ctx), s.x.dispatch(target, resume))
-		if a.err == nil && a.resp.StatusCode == http.StatusOK {
-			s.logMove(target, result, time.Since(resumeStart))
-			s.switchSource(newEngineRun(target, a))
-			s.sequence.sourceChanged(changeContinued)
-			s.created = max(s.created, result.created)
-			s.pause.GivenUp(time.Now())
-			s.stall, s.pause = nil, result.pause
-			s.moves++
-			replaced := result.placement != nil && target.ID == result.move.Backend
-			if replaced {
-				s.mover.stop() // Before the next move of this placement could begin.
+	clock := s.x.relay.options.Clock
+	lastGiveUp := clock().Add(maxPermitWait)
+	busy := result.targets
+	for _, last := range []bool{false, true} {
+		targets := busy
+		busy = nil
+		for _, target := range targets {
+			if s.x.forbids(target) != nil {
+				continue
 			}
-			s.mover.finish(result, target.ID)
-			if replaced {
-				s.changePlacement(ctx, result.placement)
+			giveUpAt := clock().Add(firstPermitWait)
+			if last {
+				giveUpAt = lastGiveUp
+			}
+			if !s.x.awaitPermit(ctx, target.ID, giveUpAt) {
+				busy = append(busy, target)
+				continue
+			}
+			resumed, notRun := s.resumeAt(ctx, target, result, began)
+			if resumed {
+				return true
+			}
+			if !notRun {
+				s.mover.finish(result, "")
+				return false
 			}
-			return true
 		}
+	}
+	s.mover.finish(result, "")
+	return false
+}
+
+// resumeAt asks an engine to continue the run, which paused at a time. If it doesn't, notRun tells whether another one may be asked.
+func (s *stream) resumeAt(ctx context.Context, target route.Backend, result moveResult, pausedAt time.Time) (resumed, notRun bool) {
+	a := s.x.send(s.sameWay(ctx), s.x.dispatch(target, &Resume{Holder: result.holder, Handle: result.handle}))
+	if a.err != nil || a.resp.StatusCode != http.StatusOK {
 		if a.rest != nil {
 			_ = a.rest.Close()
 		}
 		s.x.logAttempt(target.ID, 1, a)
-		if !a.notRun {
-			break
-		}
+		return false, a.notRun
 	}
-	s.mover.finish(result, "")
-	return false
+	s.logMove(target, result, time.Since(pausedAt))
+	s.switchSource(newEngineRun(target, a))
+	s.sequence.sourceChanged(changeContinued)
+	s.created = max(s.created, result.created)
+	s.pause.GivenUp(time.Now())
+	s.stall, s.pause = nil, result.pause
+	s.moves++
+	replaced := result.placement != nil && target.ID == result.move.Backend
+	if replaced {
+		s.mover.stop() // Before the next move of this placement could begin.
+	}
+	s.mover.finish(result, target.ID)
+	if replaced {
+		s.changePlacement(ctx, result.placement)
+	}
+	return true, false
 }
 
 // changePlacement goes on under the placement of the rest of the run.
