calls: a dial that is reset shows that the replica has ended

Cause: after a close-delimited answer the replica is asked by a further connection. If it takes that connection and ends at once, the reset may arrive before the dial returns, which then fails with ECONNRESET or EPIPE. Only ECONNREFUSED counted, so that the first part of an answer passed for the whole.

Change: a reset in the dial counts as one after it does.

Two of the four new rows of TestUnconfirmedEnd, which need no race, fail on the code before.

--- a/internal/calls/close_delimited_test.go
+++ b/internal/calls/close_delimited_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -128,15 +129,20 @@
 }
 
 // TestUnconfirmedEnd guards against whole answers that are lost because the replica could not be asked, and against one that counts as whole although the
-// time for its call was over before that was known.
+// time for its call was over, or the dial showed that the replica had ended, before that was known.
 func TestUnconfirmedEnd(t *testing.T) {
 	tests := []struct {
 		name string
-		ends bool // the context, while the replica is asked
+		err  error // of the dial that asks
+		ends bool  // the context, while the replica is asked
 		want pond.Outcome
 	}{
-		{"no connection", false, pond.OutcomeAnswered},
-		{"context ends", true, pond.OutcomeMaybeSent},
+		{"no connection", errors.New("no way to the replica"), false, pond.OutcomeAnswered},
+		{"context ends", errors.New("no way to the replica"), true, pond.OutcomeMaybeSent},
+		{"no time to connect", syscall.ETIMEDOUT, false, pond.OutcomeAnswered},
+		{"refused", syscall.ECONNREFUSED, false, pond.OutcomeMaybeSent},
+		{"reset before the dial returns", syscall.ECONNRESET, false, pond.OutcomeMaybeSent},
+		{"closed and reset before the dial returns", syscall.EPIPE, false, pond.OutcomeMaybeSent},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -152,7 +158,7 @@
 				if test.ends {
 					cancel()
 				}
-				return nil, errors.New("no way to the replica")
+				return nil, &net.OpError{Op: "dial", Net: network, Err: test.err}
 			}
 			call := &pond.Call{Method: "GET", Path: "/x"}
 			answer, outcome, err := newUnpooledSender(dial, bound.NewBudget(1<<20)).send(ctx, replica.address(), call, func() error { return nil })
--- a/internal/calls/confirm.go
+++ b/internal/calls/confirm.go
@@ -19,6 +19,11 @@
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
 }
 
+// isRefusedOrReset reports whether the kernel of the replica refused a connection, or closed it before the dial had returned.
+func isRefusedOrReset(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // confirmEnd returns an error if a replica that has ended a connection in order has ended too: the kernel refuses the next connection, or closes it with
 // the process. Other failures prove nothing, but at the end of ctx the answer is not known to be whole.
 func confirmEnd(ctx context.Context, dial engine.DialFunc, address string) error {
@@ -29,7 +34,7 @@
 			_ = conn.Close() // Nothing was sent on it.
 		}
 		return errors.Wrap(ctx.Err(), "ask whether the replica still runs")
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case isRefusedOrReset(err):
 		return errors.Wrap(err, "the replica has ended within its answer")
 	case err != nil:
 		return nil
