relay: the detour of a run is no retry

Callers saw streams break off when the instance that carries them shut down, although an engine had room for them. Cause: the rest of a run was placed with its source under Avoid, as an engine that had failed it, so that the scheduler charged the account's budget for retries.

Change: the source and the engines that had failed the run are under Exclude, which costs no budget.

Measured: the new check of TestHelperEndsDuringStream fails on the code before (1 placement counted as a retry, 0 now).

--- a/internal/naive/placer.go
+++ b/internal/naive/placer.go
@@ -49,7 +49,8 @@
 		return b.Kind() != spec.BackendEngine || model != req.Model ||
 			req.Version != "" && version != req.Version ||
 			req.Adapter != "" && !slices.Contains(b.Adapters(), req.Adapter) ||
-			!req.Regions.Allows(b.Region()) || b.Leaving() || slices.Contains(req.Avoid, b.Name()) || !p.backends.Accepting(b.Name())
+			!req.Regions.Allows(b.Region()) || b.Leaving() || slices.Contains(req.Avoid, b.Name()) ||
+			slices.Contains(req.Exclude, b.Name()) || !p.backends.Accepting(b.Name())
 	})
 }
 
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -81,7 +82,7 @@
 	}
 }
 
-// placeRest places the rest of the run on another engine.
+// placeRest places the rest of the run on another engine. It repeats nothing, so that it needs no budget for retries.
 func (m *mover) placeRest(ctx context.Context, source string, delivered int, latest time.Time) (pond.Placement, error) {
 	if by := time.Now().Add(detourPlaceTimeout); by.Before(latest) {
 		latest = by
@@ -89,5 +90,7 @@
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
 	x := m.stream.x
-	return x.relay.options.Placer.Place(ctx, x.placeRequestFor(append([]string{source}, m.avoid...), delivered))
+	req := x.placeRequestFor(nil, delivered)
+	req.Exclude = slices.Concat(req.Exclude, []string{source}, m.avoid)
+	return x.relay.options.Placer.Place(ctx, req)
 }
--- a/internal/relay/helper_test.go
+++ b/internal/relay/helper_test.go
@@ -231,10 +231,11 @@
 		left      time.Duration // until the end of the helper
 		wantDone  bool
 		wantEnds  []bool // of the placements: whether they are complete
+		retries   int    // placements that need budget
 	}{
-		{"moved", false, 5 * time.Second, true, []bool{false, true}},
-		{"started again", true, 300 * time.Millisecond, true, []bool{false, true}},
-		{"lost", false, 300 * time.Millisecond, false, []bool{false}},
+		{"moved", false, 5 * time.Second, true, []bool{false, true}, 0},
+		{"started again", true, 300 * time.Millisecond, true, []bool{false, true}, 1},
+		{"lost", false, 300 * time.Millisecond, false, []bool{false}, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -294,6 +295,9 @@
 			if len(bed.placer.reported) > 0 {
 				t.Errorf("moves %v are reported to a placer that has not ordered any", bed.placer.reported)
 			}
+			if bed.placer.retries != test.retries {
+				t.Errorf("%d placements count as retries, want %d", bed.placer.retries, test.retries)
+			}
 		})
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -437,6 +437,7 @@
 	excluded []string // by the newest request
 	full     bool     // no engine has room
 	refusal  error    // of every generation; nil for none
+	retries  int      // requests that count as retries
 }
 
 func (p *fakePlacer) Place(ctx context.Context, req pond.PlaceRequest) (pond.Placement, error) {
@@ -451,6 +452,9 @@
 	defer p.mu.Unlock()
 	p.placed++
 	p.excluded = req.Exclude
+	if len(req.Avoid) > 0 {
+		p.retries++
+	}
 	return p, nil
 }
 
