--- a/internal/relay/sequence.go
+++ b/internal/relay/sequence.go
@@ -11,6 +11,8 @@
 	errOtherRun      = errors.New("the events of another run follow")
 )
 
+//go:generate go tool enumer -type=sourceChange -trimprefix=change -transform=title-lower -output=sourcechange_enumer.go
+
 const irregularStep = -1
 
 // sequence checks that the events which a caller gets are those of one run, each once, also where the run goes on at another engine.
