relay: a moved run waits for each engine that has its copy

A target with a limit that was asked in both counted as two of the three engines that may deny a generation, so that a resumable stream broke off with an engine left. And if a target took its time to decline in the second round, the source was not waited for any more.

Change: the denial of an engine is recorded once; each engine of the second round is waited for as long as in the first one at least.

--- a/internal/relay/backoff_test.go
+++ b/internal/relay/backoff_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflypond/dragonflypond/internal/feed"
 	"github.com/dragonflypond/dragonflypond/internal/fleet"
+	"github.com/dragonflypond/dragonflypond/internal/quota"
 	"github.com/dragonflypond/dragonflypond/internal/route"
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
@@ -174,6 +175,7 @@
 		{"target for long, source for a moment", far, 300 * time.Millisecond, 0, false, "b0", maxPermitWait},
 		{"target for less long than the source", time.Second, far, 0, true, "b1", 2 * time.Second},
 		{"both for long", far, 2500 * time.Millisecond, 0, false, "", maxPermitWait},
+		{"target for a moment, declines late, source for a moment", 500 * time.Millisecond, 1800 * time.Millisecond, 1200 * time.Millisecond, false, "b0", 4 * time.Second},
 		{"target declines late, source for a moment", 0, maxPermitWait + 150*time.Millisecond, maxPermitWait + 50*time.Millisecond, false, "b0", 4 * time.Second},
 	}
 	for _, test := range tests {
@@ -227,6 +229,31 @@
 	}
 }
 
+// TestRestartBesideDenials guards against a resumable stream that breaks off because one engine with a limit, which is asked twice, counts as two.
+func TestRestartBesideDenials(t *testing.T) {
+	stop := make(chan struct{})
+	var bed *testBed
+	source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+		writeEvent(w, 1)
+		bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+		<-stop
+		resetConnection(w, r)
+	})
+	other := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, 2) })
+	bed = newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, newFakeBackend(t, respondNotRun), other)
+	bed.placer.spread, bed.callerWait = true, callerPatience
+	bed.setResumable(callerPatience, 2)
+	bed.copier.onLast = func() {
+		bed.relay.options.Limits.Observe("b1", quota.LimitOf(0.2), time.Now())
+		bed.fleet.ApplySignal("b0", fleet.Signal{Backoff: 30 * time.Second}, fleet.SourceRequest)
+		close(stop)
+	}
+	status, body := bed.post(t, "key")
+	if status != http.StatusOK || body != eventsUntil(2) || other.requestCount() != 1 {
+		t.Errorf("status %d, %q, %d requests at the engine that is left; want a whole answer from there", status, body, other.requestCount())
+	}
+}
+
 // TestMoveTargetLeaving guards against a run that is moved to an engine which has said to this instance that it leaves. The home of the
 // pool that orders the move may be another instance, which the engine has not told.
 func TestMoveTargetLeaving(t *testing.T) {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -315,23 +315,27 @@
 	x.log.WithFields(fields).Info("the limit of a backend server, or its room while it is brittle, does not permit the request")
 }
 
-// awaitPermit waits until a time for a permit, and for the end of a back-off unless that is later, for a run that goes on, which would be lost without.
+// awaitPermit waits until a time for a permit, and for the end of a back-off unless that is later, for a run that goes on, which would be lost without. It
+// may be called again for the same backend server, whose denial is recorded once.
 func (x *exchange) awaitPermit(ctx context.Context, backend string, giveUpAt time.Time) bool {
 	o := &x.relay.options
 	for {
+		var permit quota.Permit
 		nextAt, backingOff := o.Fleet.BackoffUntil(backend)
 		if backingOff && nextAt.After(giveUpAt) {
 			return false
 		}
 		if !backingOff {
-			permit := o.Limits.Permit(ctx, backend)
-			if permit.Granted() {
+			if permit = o.Limits.Permit(ctx, backend); permit.Granted() {
 				return true
 			}
 			nextAt = permit.RetryAt()
 		}
 		if ctx.Err() != nil || o.Clock().After(giveUpAt) {
-			return !backingOff && x.permitted(ctx, backend)
+			if !backingOff && !slices.Contains(x.denied, backend) {
+				x.recordDenial(backend, permit)
+			}
+			return false
 		}
 		delay := min(max(nextAt.Sub(o.Clock()), minPermitPause), maxPermitPause)
 		select {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -371,7 +371,7 @@
 				continue
 			}
 			giveUpAt := clock().Add(firstPermitWait)
-			if last {
+			if last && giveUpAt.Before(lastGiveUp) {
 				giveUpAt = lastGiveUp
 			}
 			if !s.x.awaitPermit(ctx, target.ID, giveUpAt) {
