relay: an engine whose limit denies a generation was not tried

Callers got 503, "the retry budget is used up", although an engine had room. Cause: an engine whose limit does not permit a generation went into the list of those that failed it, so that the next placement was charged as a retry. Such an engine got nothing.

Change: these engines are under Exclude. At most three deny one generation, as before. The stand-ins of TestColdEngines and TestAllEnginesCold for the placer look at Exclude too.

--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -43,11 +43,11 @@
 	}
 	bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, engines...)
 	bed.limitCold("b0", "b1", "b2")
-	var avoided [][]string
+	var excluded [][]string
 	bed.relay.options.Placer = pond.PlacerFunc(func(ctx context.Context, req pond.PlaceRequest) (pond.Placement, error) {
-		avoided = append(avoided, slices.Clone(req.Avoid))
+		excluded = append(excluded, req.Exclude)
 		bed.placer.next = 0
-		for slices.Contains(req.Avoid, "b"+string(rune('0'+bed.placer.next))) {
+		for slices.Contains(req.Exclude, "b"+string(rune('0'+bed.placer.next))) {
 			bed.placer.next++
 		}
 		return bed.placer.Place(ctx, req)
@@ -60,18 +60,18 @@
 	if cold, warm := engines[0].requestCount(), engines[3].requestCount(); cold != 1 || warm != 2 {
 		t.Errorf("%d requests at the cold engine, %d at the warm one, want 1 and 2", cold, warm)
 	}
-	if len(avoided) != 5 || len(avoided[2]) != 3 {
-		t.Errorf("the placements avoid %v, want all cold engines after a denial", avoided)
+	if len(excluded) != 5 || len(excluded[2]) != 3 {
+		t.Errorf("the placements exclude %v, want all cold engines after a denial", excluded)
 	}
 }
 
-// TestAllEnginesCold guards against a generation for which all engines are avoided because all are cold.
+// TestAllEnginesCold guards against a generation for which all engines are excluded because all are cold.
 func TestAllEnginesCold(t *testing.T) {
 	engines := []*fakeBackend{newFakeBackend(t, continueStream), newFakeBackend(t, continueStream)}
 	bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, engines...)
 	bed.limitCold("b0", "b1")
 	bed.relay.options.Placer = pond.PlacerFunc(func(ctx context.Context, req pond.PlaceRequest) (pond.Placement, error) {
-		bed.placer.next = len(req.Avoid)
+		bed.placer.next = len(req.Exclude)
 		return bed.placer.Place(ctx, req)
 	})
 	for range 2 {
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -90,7 +89,5 @@
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
 	x := m.stream.x
-	req := x.placeRequestFor(nil, delivered)
-	req.Exclude = slices.Concat(req.Exclude, []string{source}, m.avoid)
-	return x.relay.options.Placer.Place(ctx, req)
+	return x.relay.options.Placer.Place(ctx, x.placeRequestFor(nil, append([]string{source}, m.avoid...), delivered))
 }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -37,6 +37,8 @@
 	runs int
 	// avoid names the engines that failed the generation.
 	avoid []string
+	// excluded names the engines whose limits did not permit the generation. They got nothing, so that another placement is no retry.
+	excluded []string
 	// position is the ID of the last event that the caller has; empty for none. deliveredTokens counts the tokens that
 	// this instance has forwarded.
 	position        string
@@ -108,7 +110,7 @@
 			if len(x.denied) >= maxDeniedEngines {
 				return startedRun{}, func() { x.giveUpLimited(ctx) }
 			}
-			x.avoidDenied(name)
+			x.excludeDenied(name)
 			continue
 		}
 		backend, known := r.options.Fleet.Backend(name)
@@ -164,15 +166,15 @@
 	}
 }
 
-// avoidDenied avoids an engine whose limit did not permit the generation. One that is cold stands for all that are: the others would deny too, and
+// excludeDenied excludes an engine whose limit did not permit the generation. One that is cold stands for all that are: the others would deny too, and
 // each costs a question.
-func (x *exchange) avoidDenied(name string) {
+func (x *exchange) excludeDenied(name string) {
 	fleet := x.relay.options.Fleet
 	cold := fleet.ColdBackends(x.service.Name)
 	if !slices.Contains(cold, name) || len(cold) >= len(fleet.AcceptingBackends(x.service.Name)) {
 		cold = []string{name}
 	}
-	x.run.avoid = append(x.run.avoid, cold...)
+	x.run.excluded = append(x.run.excluded, cold...)
 }
 
 // place waits for an engine, for as long as the generation can still be sent in time.
@@ -308,18 +310,18 @@
 }
 
 func (x *exchange) placeRequest() pond.PlaceRequest {
-	return x.placeRequestFor(x.run.avoid, x.run.deliveredTokens)
+	return x.placeRequestFor(x.run.avoid, x.run.excluded, x.run.deliveredTokens)
 }
 
 // placeRequestFor returns the request to place what is left of a generation of which the caller has a number of tokens.
-func (x *exchange) placeRequestFor(avoid []string, deliveredTokens int) pond.PlaceRequest {
-	req := x.describeRequest(avoid, deliveredTokens)
+func (x *exchange) placeRequestFor(avoid, exclude []string, deliveredTokens int) pond.PlaceRequest {
+	req := x.describeRequest(avoid, exclude, deliveredTokens)
 	req.Generation = x.relay.generationID(x.call.ID)
 	return req
 }
 
 // describeRequest returns the request to place without an ID.
-func (x *exchange) describeRequest(avoid []string, deliveredTokens int) pond.PlaceRequest {
+func (x *exchange) describeRequest(avoid, exclude []string, deliveredTokens int) pond.PlaceRequest {
 	req := pond.PlaceRequest{
 		Account:  x.account,
 		Model:    x.service.Name,
@@ -330,7 +332,7 @@
 
 		LatencyTarget: x.route.LatencyTarget,
 	}
-	req.Exclude = x.relay.options.Fleet.Unwilling(x.service.Name)
+	req.Exclude = slices.Concat(exclude, x.relay.options.Fleet.Unwilling(x.service.Name))
 	if p := x.call.Prompt; p != nil {
 		// What the caller already has is read again like a prompt.
 		req.PromptTokens, req.PrefixHash = p.Tokens+deliveredTokens, p.PrefixHash
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -63,6 +63,23 @@
 	}
 }
 
+// TestDeniedEngineIsNoRetry guards against generations that are refused for lack of retry budget because the limits of engines did not permit them: these
+// engines never received the generation.
+func TestDeniedEngineIsNoRetry(t *testing.T) {
+	first, second := newFakeBackend(t, respondOK), newFakeBackend(t, continueStream)
+	bed := newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, first, second)
+	bed.placer.spread = true
+	bed.relay.options.Limits.Observe("b0", quota.LimitOf(0.5), time.Now())
+	if status, _ := bed.post(t, "key"); status != http.StatusOK || first.requestCount() != 0 || second.requestCount() != 1 {
+		t.Errorf("status %d, %d and %d requests at the engines; want one at the second", status, first.requestCount(), second.requestCount())
+	}
+	bed.placer.mu.Lock()
+	defer bed.placer.mu.Unlock()
+	if bed.placer.retries != 0 {
+		t.Errorf("%d placements need budget for retries, want 0", bed.placer.retries)
+	}
+}
+
 // TestBrittleReplica guards against a brittle replica whose room is used up by requests that have ended, and against one that gets more
 // requests at a time than it has room for.
 func TestBrittleReplica(t *testing.T) {
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -53,7 +53,7 @@
 	cancel    context.CancelFunc
 	// cause tells why the last move was ordered, a constant of package metric.
 	cause string
-	// avoid names the engines that failed the generation.
+	// avoid names the engines that failed the generation or whose limits did not permit it.
 	avoid []string
 	// resumed holds a value after a move has ended.
 	resumed chan struct{}
@@ -67,7 +67,7 @@
 }
 
 func newMover(s *stream, ctx context.Context) *mover {
-	m := &mover{stream: s, cancel: func() {}, cause: metric.MoveLeaving, avoid: slices.Clone(s.x.run.avoid), resumed: make(chan struct{}, 1)}
+	m := &mover{stream: s, cancel: func() {}, cause: metric.MoveLeaving, avoid: slices.Concat(s.x.run.avoid, s.x.run.excluded), resumed: make(chan struct{}, 1)}
 	placement, ok := s.placement.(pond.MovablePlacement)
 	if !ok {
 		return m
--- a/internal/relay/where.go
+++ b/internal/relay/where.go
@@ -179,7 +179,7 @@
 func (x *exchange) explainGeneration(ctx context.Context, answer *peerpb.WhereService) {
 	o := &x.relay.options
 	for {
-		pools, err := o.Explain(ctx, x.describeRequest(x.run.avoid, 0))
+		pools, err := o.Explain(ctx, x.describeRequest(x.run.avoid, x.run.excluded, 0))
 		x.annotate(pools)
 		answer.Pools = append(answer.Pools, pools...)
 		var refusal *pond.Refusal
@@ -205,7 +205,7 @@
 			answer.Decision = "not sent to " + backend.ID + ": " + x.forbids(backend).Error()
 		case o.Limits.Exhausted(backend.ID):
 			x.denied = append(x.denied, backend.ID)
-			x.avoidDenied(backend.ID)
+			x.excludeDenied(backend.ID)
 			if len(x.denied) < maxDeniedEngines {
 				continue
 			}
