--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -45,6 +45,8 @@
 	ranOn           []*backend // all that have run it
 	handles         map[string]bool
 	releasedAt      time.Time // when a backend server last stopped generating it
+	// formerDeclined is true if a backend server declined to go on with it for a process of the former release, which then loses it.
+	formerDeclined bool
 }
 
 func newRecorder() *recorder {
@@ -85,6 +87,7 @@
 	disturbedSince func(address string, since time.Time) bool
 	storeReturned  func(at time.Time) bool // whether the store has come back from an older copy lately
 	releaseAt      func(ip string) string
+	isFormer       func(ip string) bool
 	// cold is the latest time for which the backend server is cold; nil for none. Protected by recorder.mu.
 	cold *coldPhase
 	// storeFailed reports whether the store, or the way of the instance to it, has had a fault since a time.
@@ -191,8 +194,7 @@
 	}
 	if backoff > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(backoff.Seconds(), 'f', 2, 64))
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		b.decline(w, r, client)
 		return
 	}
 	var phase *brittlePhase
@@ -217,8 +219,7 @@
 	}
 	state, ok := b.startOrResume(id, r, string(body))
 	if !ok {
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		b.decline(w, r, client)
 		return
 	}
 	w.Header().Set("X-Replica-Seal", "seal-"+b.id)
@@ -242,6 +243,19 @@
 	b.generate(w, r, state)
 }
 
+// decline answers that a request of an instance did not run.
+func (b *backend) decline(w http.ResponseWriter, r *http.Request, client string) {
+	if r.Header.Get("Kv-From") != "" && b.isFormer(client) {
+		b.recorder.mu.Lock()
+		if state := b.recorder.requests[r.Header.Get("X-Attempt-Id")]; state != nil {
+			state.formerDeclined = true
+		}
+		b.recorder.mu.Unlock()
+	}
+	w.Header().Set("X-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // startOrResume starts a request, or resumes one that was moved. It returns false if the request cannot be resumed: the
 // handle of its copy is unknown or another backend server still runs it.
 func (b *backend) startOrResume(id string, r *http.Request, body string) (*requestState, bool) {
