relay: denials of a resumption don't count against the restart

If both engines that have the copy of a resumable run have used up their limits, the source got another 0.4 s after the target had been waited for in vain, so that the stream paused for 2.0 s, after which callers leave (1.6 s before). And both denials counted as two of the three that a placement may meet, as on earlier landings, so that the stream broke off with an engine left.

Change: only an engine that took its time to decline extends the wait for the next one. The start of a run counts its own denials.

--- a/internal/relay/backoff_test.go
+++ b/internal/relay/backoff_test.go
@@ -229,28 +229,49 @@
 	}
 }
 
-// TestRestartBesideDenials guards against a resumable stream that breaks off because one engine with a limit, which is asked twice, counts as two.
+// TestRestartBesideDenials guards against a resumable stream that breaks off, or pauses for longer than callers wait, because the limits of the engines that
+// have its copy deny it.
 func TestRestartBesideDenials(t *testing.T) {
-	stop := make(chan struct{})
-	var bed *testBed
-	source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
-		writeEvent(w, 1)
-		bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
-		<-stop
-		resetConnection(w, r)
-	})
-	other := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, 2) })
-	bed = newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, newFakeBackend(t, respondNotRun), other)
-	bed.placer.spread, bed.callerWait = true, callerPatience
-	bed.setResumable(callerPatience, 2)
-	bed.copier.onLast = func() {
-		bed.relay.options.Limits.Observe("b1", quota.LimitOf(0.2), time.Now())
-		bed.fleet.ApplySignal("b0", fleet.Signal{Backoff: 30 * time.Second}, fleet.SourceRequest)
-		close(stop)
-	}
-	status, body := bed.post(t, "key")
-	if status != http.StatusOK || body != eventsUntil(2) || other.requestCount() != 1 {
-		t.Errorf("status %d, %q, %d requests at the engine that is left; want a whole answer from there", status, body, other.requestCount())
+	const callersLeaveAfter = 2 * time.Second
+	for _, test := range []struct {
+		name          string
+		sourceBackoff time.Duration // zero if the source has a limit too
+	}{{"target", 30 * time.Second}, {"target and source", 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			stop := make(chan struct{})
+			var bed *testBed
+			source := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				writeEvent(w, 1)
+				bed.placer.moves <- pond.Move{From: "b0", Backend: "b1"}
+				<-stop
+				resetConnection(w, r)
+			})
+			var copiedAt, restartedAt time.Time
+			other := newFakeBackend(t, func(w http.ResponseWriter, _ *http.Request) {
+				restartedAt = time.Now()
+				writeEvent(w, 2)
+			})
+			bed = newTestBed(t, route.KindStream, &route.EngineSpec{EventTokens: 4}, source, newFakeBackend(t, respondNotRun), other)
+			bed.placer.spread, bed.callerWait = true, callerPatience
+			bed.setResumable(callerPatience, 2)
+			bed.copier.onLast = func() {
+				bed.relay.options.Limits.Observe("b1", quota.LimitOf(0.2), time.Now())
+				if test.sourceBackoff > 0 {
+					bed.fleet.ApplySignal("b0", fleet.Signal{Backoff: test.sourceBackoff}, fleet.SourceRequest)
+				} else {
+					bed.relay.options.Limits.Observe("b0", quota.LimitOf(0.2), time.Now())
+				}
+				copiedAt = time.Now()
+				close(stop)
+			}
+			status, body := bed.post(t, "key")
+			if status != http.StatusOK || body != eventsUntil(2) || other.requestCount() != 1 {
+				t.Errorf("status %d, %q, %d requests at the engine that is left; want a whole answer from there", status, body, other.requestCount())
+			}
+			if pause := restartedAt.Sub(copiedAt); pause >= callersLeaveAfter {
+				t.Errorf("the stream pauses for %v, want less than %v", pause, callersLeaveAfter)
+			}
+		})
 	}
 }
 
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -91,6 +91,7 @@
 // returns a function that sends the final response to a caller who has received nothing yet.
 func (x *exchange) startRun(ctx context.Context) (run startedRun, respond func()) {
 	r := x.relay
+	denials := 0
 	for placements := 1; ; placements++ {
 		placement, err := x.place(ctx)
 		if err != nil {
@@ -107,7 +108,7 @@
 		}
 		if !x.permitted(ctx, name) {
 			placement.Done(pond.PlacementEnd{}, time.Now())
-			if len(x.denied) >= maxDeniedEngines {
+			if denials++; denials >= maxDeniedEngines {
 				return startedRun{}, func() { x.giveUpLimited(ctx) }
 			}
 			x.excludeDenied(name)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -371,7 +371,7 @@
 				continue
 			}
 			giveUpAt := clock().Add(firstPermitWait)
-			if last && giveUpAt.Before(lastGiveUp) {
+			if last {
 				giveUpAt = lastGiveUp
 			}
 			if !s.x.awaitPermit(ctx, target.ID, giveUpAt) {
@@ -386,6 +386,9 @@
 				s.mover.finish(result, "")
 				return false
 			}
+			if later := clock().Add(firstPermitWait); later.After(lastGiveUp) {
+				lastGiveUp = later // It took its time to decline.
+			}
 		}
 	}
 	s.mover.finish(result, "")
