--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -45,8 +45,9 @@
 	ranOn           []*backend // all that have run it
 	handles         map[string]bool
 	releasedAt      time.Time // when a backend server last stopped generating it
-	// formerDeclined is true if a backend server declined to go on with it for a process of the former release, which then loses it.
-	formerDeclined bool
+	// declinedFormer is the address of the process of the former release for which a backend server declined to go on with it; empty if it went on since.
+	// That release loses it.
+	declinedFormer string
 }
 
 func newRecorder() *recorder {
@@ -248,7 +249,7 @@
 	if r.Header.Get("Kv-From") != "" && b.isFormer(client) {
 		b.recorder.mu.Lock()
 		if state := b.recorder.requests[r.Header.Get("X-Attempt-Id")]; state != nil {
-			state.formerDeclined = true
+			state.declinedFormer = client
 		}
 		b.recorder.mu.Unlock()
 	}
@@ -270,6 +271,7 @@
 		delete(state.handles, handle)
 		lastEventID, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		state.generatedEvents, state.runningOn, state.ranOn = lastEventID, b, append(state.ranOn, b)
+		state.declinedFormer = ""
 		return state, true
 	}
 	crashes := b.recorder.recordCrashPart(id, r.Header.Get("X-Prompt-Prefix"), body)
@@ -282,6 +284,7 @@
 		b.recorder.requests[id] = state
 	}
 	state.starts++
+	state.declinedFormer = ""
 	state.runningOn, state.ranOn = b, append(state.ranOn, b)
 	return state, true
 }
