--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -352,7 +352,8 @@
 	}
 }
 
-// resumeFromCopy continues the run on an engine that has a copy of its KV cache, if there is one.
+// resumeFromCopy continues the run on an engine that has a copy of its KV cache, if there is one. Its first round waits for a moment only, so that an engine which
+// is busy doesn't hold up the other one; the second round waits longer for those that were busy.
 func (s *stream) resumeFromCopy(ctx context.Context) bool {
 	result, ok := s.mover.result(ctx)
 	if !ok {
