relay: a status that promises "not run" needs the proof

Cause: whether a request ran was decided by the proof, what the caller was told by the status, on paths that never met. Ruled out: the decoder, which knows that the answer is no proof (notRun false in the log), and a refusal of the instance itself.

A counter by service and status.

--- a/internal/metric/requests.go
+++ b/internal/metric/requests.go
@@ -1,6 +1,7 @@
 package metric
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -27,6 +28,7 @@
 	limited           *prometheus.CounterVec
 	backoffs          *prometheus.CounterVec
 	cuts              *prometheus.CounterVec
+	unproven          *prometheus.CounterVec
 	accounts          labelSet
 }
 
@@ -91,10 +93,12 @@
 			"service", "outcome"),
 		backoffs: newCounter("backoffs_total", "Back-offs that backend servers asked for, and requests under them, by service and event.", "service", "event"),
 		cuts:     newCounter("requests_cut_total", "Requests that the end of a shutdown cut off, by the stage that they had reached.", "stage"),
+		unproven: newCounter("unproven_rejections_total",
+			"Answers of backend servers whose status says that the request was not run although they do not state so, by service and status.", "service", "status"),
 		accounts: labelSet{limit: maxAccounts, other: otherAccounts},
 	}
 	m.registry.MustRegister(
-		r.ended, r.duration, r.durationByAccount, r.firstEventTime, r.moves, r.moveDelay, r.copyTime, r.pauseTime, r.limited, r.backoffs, r.cuts)
+		r.ended, r.duration, r.durationByAccount, r.firstEventTime, r.moves, r.moveDelay, r.copyTime, r.pauseTime, r.limited, r.backoffs, r.cuts, r.unproven)
 	return r
 }
 
@@ -138,3 +142,8 @@
 func (r *Requests) CountLimited(service, outcome string) {
 	r.limited.WithLabelValues(service, outcome).Inc()
 }
+
+// CountUnprovenRejection counts an answer of a backend server whose status says that the request was not run although the server does not state so.
+func (r *Requests) CountUnprovenRejection(service string, status int) {
+	r.unproven.WithLabelValues(service, strconv.Itoa(status)).Inc()
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -84,6 +84,11 @@
 
 func (a attempt) ok() bool { return a.err == nil && a.resp.StatusCode < http.StatusInternalServerError }
 
+// answered reports whether the response is that of the backend server to the request, whatever its status.
+func (a attempt) answered() bool {
+	return a.err == nil || errors.As(a.err, new(*unprovenRejectionError))
+}
+
 // endSend records in the history how long the backend server took.
 func (a attempt) endSend(sent *drain.Send) {
 	switch {
@@ -122,7 +127,7 @@
 		}
 		tried = append(tried, backend.ID)
 		a := x.tryReplica(ctx, backend, attemptNumber, runs)
-		if a.err == nil {
+		if a.answered() {
 			x.recordAnswered(a.weightsVersion)
 		}
 		if a.ok() {
@@ -508,6 +513,10 @@
 	case !reply.Genuine:
 		_ = resp.Body.Close()
 		return attempt{resp: resp, err: errForeignResponse}
+	case promisesNotRun(resp.StatusCode):
+		_ = resp.Body.Close()
+		x.relay.options.Metrics.CountUnprovenRejection(x.service.Name, resp.StatusCode)
+		return attempt{resp: resp, weightsVersion: reply.WeightsVersion, err: &unprovenRejectionError{status: resp.StatusCode}}
 	}
 	return attempt{
 		resp: resp, leaving: reply.Leaving, rest: resp.Body, via: via, weightsVersion: reply.WeightsVersion,
--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -81,7 +81,7 @@
 // mayBeCrash reports whether an error of an answer may come from the end of its engine. Answers that are spoiled, or that this
 // instance has cut because they stalled or because the instance that carries them ends, do not.
 func mayBeCrash(err error) bool {
-	return !slices.ContainsFunc(noCrashes, func(target error) bool { return errors.Is(err, target) })
+	return !errors.As(err, new(*unprovenRejectionError)) && !slices.ContainsFunc(noCrashes, func(target error) bool { return errors.Is(err, target) })
 }
 
 // recordBreak records that an engine broke off a generation that it had hardly begun to answer. writing is true if the head
