--- a/internal/calls/handle_test.go
+++ b/internal/calls/handle_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -344,3 +345,46 @@
 		}
 	})
 }
+
+// TestStatusOfServiceIsNoRefusal guards against a call that runs again, or whose caller is told that it has not run, because its service ran it and answered
+// with a status that elsewhere promises the contrary.
+func TestStatusOfServiceIsNoRefusal(t *testing.T) {
+	tests := []struct {
+		status int
+		idempotentAnswer bool // whether the caller of an idempotent call gets the answer
+	}{
+		{http.StatusRequestTimeout, true},
+		{http.StatusMisdirectedRequest, true},
+		{http.StatusTooManyRequests, true},
+		{http.StatusServiceUnavailable, false},
+	}
+	for _, test := range tests {
+		t.Run(strconv.Itoa(test.status), func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int32
+			answer := func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				w.WriteHeader(test.status)
+				_, _ = io.WriteString(w, "ran")
+			}
+			x, y := startPair(t, manifestOf(t, 100, 0, serveHTTP(t, answer), serveHTTP(t, answer)))
+			call := chargeCall(x.Issue(testAccount, time.Now())+":1", "body")
+			for _, executor := range []*Executor{x, y, x} {
+				got, err := executor.Handle(t.Context(), call)
+				if err != nil || got.Status != test.status || string(got.Body) != "ran" {
+					t.Errorf("status %d, body %q, error %v, want the answer of the service", got.Status, got.Body, err)
+				}
+			}
+			if got := runs.Load(); got != 1 {
+				t.Errorf("the call ran %d times, want once", got)
+			}
+			got, err := x.Handle(t.Context(), pond.Call{Account: testAccount, Service: "shop", Method: http.MethodGet, Path: "/status"})
+			if test.idempotentAnswer != (err == nil && got.Status == test.status) {
+				t.Errorf("idempotent: status %d, error %v", got.Status, err)
+			}
+			if err != nil {
+				wantRefusal(t, err, pond.ReasonBackendFailed, pond.RunUnknown)
+			}
+		})
+	}
+}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -67,6 +68,11 @@
 	unavailable503 = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 )
 
+// emptyResponse returns a raw response with a status and no body.
+func emptyResponse(status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
+}
+
 // TestStartOutcome guards against reporting a start as not sent or not run although it may have reached the engine, and
 // against the opposite error, which would prevent a safe retry.
 func TestStartOutcome(t *testing.T) {
@@ -84,6 +90,13 @@
 		{name: "unavailable", response: unavailable503, outcome: pond.OutcomeAnswered},
 		{name: "exists", response: conflict409, outcome: pond.OutcomeAnswered},
 		{name: "unknown", response: notFound404, outcome: pond.OutcomeAnswered, notRun: true, gone: true},
+		{name: "invalid", response: emptyResponse(http.StatusBadRequest), outcome: pond.OutcomeAnswered, notRun: true},
+		{name: "too large", response: emptyResponse(http.StatusRequestEntityTooLarge), outcome: pond.OutcomeAnswered, notRun: true},
+		{name: "too many", response: emptyResponse(http.StatusTooManyRequests), outcome: pond.OutcomeAnswered, notRun: true},
+		{name: "timeout", response: emptyResponse(http.StatusRequestTimeout), outcome: pond.OutcomeAnswered},
+		{name: "misdirected", response: emptyResponse(http.StatusMisdirectedRequest), outcome: pond.OutcomeAnswered},
+		{name: "failed", response: emptyResponse(http.StatusInternalServerError), outcome: pond.OutcomeAnswered},
+		{name: "bad gateway", response: emptyResponse(http.StatusBadGateway), outcome: pond.OutcomeAnswered},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -25,6 +25,7 @@
 	requests   map[string]*requestState
 	violations []string
 	limits     []*rateLimit // all that were named in the run
+	unproven   []*unprovenPhase
 	backoffs   []*backoffPhase
 	crashParts map[string]*crashPart
 	brittle    []*brittlePhase
@@ -98,6 +99,8 @@
 	plainRunning int
 	shortages    []shortage
 	crashed      bool
+	// unproven is set while the backend server answers runs as not run; nil otherwise. Protected by recorder.mu.
+	unproven *unprovenPhase
 	// silentUntil is the time until which the backend server stands still. Protected by recorder.mu.
 	silentUntil time.Time
 }
@@ -238,9 +241,16 @@
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
+		if b.rejectAfterRun(w, id) {
+			return
+		}
 		fmt.Fprintf(w, "answer to %s", id)
 		return
 	}
+	if b.rejectAfterRun(w, id) {
+		b.release(state)
+		return
+	}
 	b.generate(w, r, state)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -386,6 +387,11 @@
 		time.Sleep(time.Duration(500+random.IntN(7000)) * time.Millisecond)
 		end()
 	}},
+	{"backend answers runs as not run", func(c *cluster, random *rand.Rand) {
+		end := c.anyBackend(random).rejectAfterRuns(anyUnprovenStatus(random))
+		time.Sleep(time.Duration(500+random.IntN(6000)) * time.Millisecond)
+		end()
+	}},
 }
 
 func (c *cluster) anyInstance(random *rand.Rand) *instance {
@@ -452,8 +458,7 @@
 		if o.kind != kindLookup && state != nil && state.starts > 1 {
 			t.Errorf("request %s was started %d times", o.id, state.starts)
 		}
-		if (o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests) &&
-			state != nil && o.kind != kindLookup {
+		if slices.Contains(rejectionStatuses, o.status) && state != nil && o.kind != kindLookup {
 			t.Errorf("request %s ran although status %d says that it did not", o.id, o.status)
 		}
 		if o.endedAt.Sub(o.sentAt) > callerLimit {
