--- a/internal/calls/handle_test.go
+++ b/internal/calls/handle_test.go
@@ -350,7 +350,7 @@
 // with a status that elsewhere promises the contrary.
 func TestStatusOfServiceIsNoRefusal(t *testing.T) {
 	tests := []struct {
-		status int
+		status           int
 		idempotentAnswer bool // whether the caller of an idempotent call gets the answer
 	}{
 		{http.StatusRequestTimeout, true},
