relay: a run whose detour is declined goes on at its source

What callers saw: a stream that leads through an instance which shuts down breaks off when the target of its detour declines it, seconds before that instance ends, although the source keeps the run.

The next detour leaves the target out that declined the last one, once, so that a single other engine is asked every second time.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -63,6 +63,8 @@
 	Holder string
 	// Handle identifies the copy on the holder.
 	Handle string
+	// untilNextMove is true if a connection through another instance will do that ends before the run does, but leaves time to move it again.
+	untilNextMove bool
 }
 
 // Reply is what a Protocol found in the status and header of a response.
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -88,6 +88,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
+	exclude := append([]string{source}, m.avoid...)
+	if m.declined != "" {
+		exclude, m.declined = append(exclude, m.declined), ""
+	}
 	x := m.stream.x
-	return x.relay.options.Placer.Place(ctx, x.placeRequestFor(nil, append([]string{source}, m.avoid...), delivered))
+	return x.relay.options.Placer.Place(ctx, x.placeRequestFor(nil, exclude, delivered))
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -474,7 +474,9 @@
 	if !x.awaitsWayUntil.IsZero() {
 		ctx = reach.PreferHelper(ctx)
 	}
-	ctx, cancel := context.WithCancelCause(reach.WithFit(ctx, func(endsAt time.Time) bool { return x.fits(work, endsAt) }))
+	ctx, cancel := context.WithCancelCause(reach.WithFit(ctx, func(endsAt time.Time) bool {
+		return x.fits(work, endsAt) || d.Resume != nil && d.Resume.untilNextMove && x.movesBefore(endsAt)
+	}))
 	var via tunnel
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if via, _ = bound.NetConn(info.Conn).(tunnel); via != nil {
--- a/internal/relay/helper.go
+++ b/internal/relay/helper.go
@@ -50,6 +50,11 @@
 	return !time.Now().After(drain.NewPlan(endsAt).LatestStart(x.relay.expected(w)))
 }
 
+// movesBefore reports whether a run that goes on through an instance which ends at a time can move again before.
+func (x *exchange) movesBefore(endsAt time.Time) bool {
+	return !time.Now().After(drain.NewPlan(endsAt).LatestMove(x.relay.history.Move(x.service.Name, time.Now()), true))
+}
+
 // mayAwaitWay reports whether the request can wait until a helper that ends at a time serves again, and no other instance could serve it before.
 func (x *exchange) mayAwaitWay(w workload, endsAt time.Time) bool {
 	backBy, latestSend := endsAt.Add(maxHelperRestart), x.deadline.Add(-x.relay.expected(w))
--- a/internal/relay/mover.go
+++ b/internal/relay/mover.go
@@ -55,6 +55,9 @@
 	cause string
 	// avoid names the engines that failed the generation or whose limits did not permit it.
 	avoid []string
+	// declined names the target of the latest detour if the run does not go on there; the next detour asks for another one. Set before the end of
+	// the move, read between moves.
+	declined string
 	// resumed holds a value after a move has ended.
 	resumed chan struct{}
 
@@ -229,6 +232,9 @@
 	resumed, moved := resumedAt != "", resumedAt == result.move.Backend
 	m.mu.Lock()
 	m.finishedMove, m.resuming, m.streamEnded = nil, false, !resumed
+	if result.placement != nil && !moved {
+		m.declined = result.move.Backend
+	}
 	m.mu.Unlock()
 	select {
 	case m.resumed <- struct{}{}:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -398,7 +398,13 @@
 
 // resumeAt asks an engine to continue the run, which paused at a time. If it doesn't, notRun tells whether another one may be asked.
 func (s *stream) resumeAt(ctx context.Context, target route.Backend, result moveResult, pausedAt time.Time) (resumed, notRun bool) {
-	a := s.x.send(s.sameWay(ctx), s.x.dispatch(target, &Resume{Holder: result.holder, Handle: result.handle}))
+	resume := &Resume{Holder: result.holder, Handle: result.handle}
+	a := s.x.send(s.sameWay(ctx), s.x.dispatch(target, resume))
+	if target.Address == result.holder && errors.As(a.err, new(*reach.EndsError)) {
+		// No instance that lasts leads to the source, which keeps the run: it goes on there until it can move to another engine.
+		resume.untilNextMove = true
+		a = s.x.send(s.sameWay(ctx), s.x.dispatch(target, resume))
+	}
 	if a.err != nil || a.resp.StatusCode != http.StatusOK {
 		if a.rest != nil {
 			_ = a.rest.Close()
