--- a/internal/relay/rejection_test.go
+++ b/internal/relay/rejection_test.go
@@ -189,6 +189,33 @@
 	}
 }
 
+// TestBackoffInUnprovenRejection guards against further requests to a backend server that asks for a back-off while it answers a run as not run, and
+// against callers who are not told when to come back although nothing of theirs has run.
+func TestBackoffInUnprovenRejection(t *testing.T) {
+	for _, kind := range []route.Kind{route.KindAtMostOnce, route.KindIdempotent} {
+		t.Run(kind.String(), func(t *testing.T) {
+			backend := newFakeBackend(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Rest", "3s")
+				respondUnproven(http.StatusServiceUnavailable, "3")(w, r)
+			})
+			bed := newTestBed(t, kind, nil, backend)
+			for _, want := range []int{http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusServiceUnavailable} {
+				resp, err := http.DefaultTransport.RoundTrip(bed.request(t, "key", ""))
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = resp.Body.Close()
+				if advised := resp.Header.Get("Retry-After") != ""; resp.StatusCode != want || advised != (want == http.StatusServiceUnavailable) {
+					t.Errorf("status %d, advised to come back later: %t, want %d", resp.StatusCode, advised, want)
+				}
+			}
+			if requests := backend.requestCount(); requests != 1 {
+				t.Errorf("%d requests at the backend server, want one", requests)
+			}
+		})
+	}
+}
+
 // TestUnprovenRejectionInLog guards against a failure whose log does not tell why the status of the backend server is not that of the response.
 func TestUnprovenRejectionInLog(t *testing.T) {
 	err := error(&unprovenRejectionError{status: http.StatusServiceUnavailable})
