relay, soak, metric: terms of rejections

Change: isRejection, "status of a rejection", "callers may repeat any request"; a list of its own for the statuses that need the header. No change of behaviour.

--- a/internal/metric/requests.go
+++ b/internal/metric/requests.go
@@ -94,7 +94,7 @@
 		backoffs: newCounter("backoffs_total", "Back-offs that backend servers asked for, and requests under them, by service and event.", "service", "event"),
 		cuts:     newCounter("requests_cut_total", "Requests that the end of a shutdown cut off, by the stage that they had reached.", "stage"),
 		unproven: newCounter("unproven_rejections_total",
-			"Answers of backend servers whose status says that the request was not run although they do not state so, by service and status.", "service", "status"),
+			"Answers of backend servers with the status of a rejection that do not state that the request was not run, by service and status.", "service", "status"),
 		accounts: labelSet{limit: maxAccounts, other: otherAccounts},
 	}
 	m.registry.MustRegister(
@@ -143,7 +143,7 @@
 	r.limited.WithLabelValues(service, outcome).Inc()
 }
 
-// CountUnprovenRejection counts an answer of a backend server whose status says that the request was not run although the server does not state so.
+// CountUnprovenRejection counts an answer of a backend server with the status of a rejection that does not state that the request was not run.
 func (r *Requests) CountUnprovenRejection(service string, status int) {
 	r.unproven.WithLabelValues(service, strconv.Itoa(status)).Inc()
 }
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -515,7 +515,7 @@
 	case !reply.Genuine:
 		_ = resp.Body.Close()
 		return attempt{resp: resp, err: errForeignResponse}
-	case promisesNotRun(resp.StatusCode):
+	case isRejection(resp.StatusCode):
 		_ = resp.Body.Close()
 		x.relay.options.Metrics.CountUnprovenRejection(x.service.Name, resp.StatusCode)
 		return attempt{resp: resp, weightsVersion: reply.WeightsVersion, err: &unprovenRejectionError{status: resp.StatusCode}}
--- a/internal/relay/rejection_test.go
+++ b/internal/relay/rejection_test.go
@@ -13,7 +13,7 @@
 	"github.com/dragonflypond/dragonflypond/pkg/pond"
 )
 
-// respondUnproven returns a handler that runs the request and answers with a status that says that it did not.
+// respondUnproven returns a handler that runs the request and answers with the status of a rejection.
 func respondUnproven(status int, retryAfter string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -23,7 +23,7 @@
 	}
 }
 
-// rejectionStatuses are the statuses by which callers learn that their request has not run and never will.
+// rejectionStatuses are the statuses after which callers may repeat any request.
 var rejectionStatuses = []int{
 	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
 }
--- a/internal/soak/unproven_test.go
+++ b/internal/soak/unproven_test.go
@@ -11,13 +11,16 @@
 // unprovenShare is the share of the requests that a backend server in this trouble answers so.
 const unprovenShare = 0.45
 
-// rejectionStatuses are the statuses that promise the caller that its request has not run and never will.
+// rejectionStatuses are the statuses after which callers may repeat any request.
 var rejectionStatuses = []int{
 	http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest,
 }
 
-// unprovenPhase is a time in which a backend server runs a part of its requests and answers them with a status that promises that they were not run. It does
-// not say X-Not-Executed. The platform takes 421 alone as such a word, so that it is left out.
+// unprovenStatuses are those of them that prove nothing without the header. 421 alone is a proof on the platform.
+var unprovenStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
+// unprovenPhase is a time in which a backend server runs a part of its requests and answers them with the status of a rejection, without the header that
+// proves one.
 type unprovenPhase struct {
 	backend string
 	status  int
@@ -54,8 +57,10 @@
 	return true
 }
 
-// anyUnprovenStatus returns one of the statuses that prove nothing without X-Not-Executed.
-func anyUnprovenStatus(random *rand.Rand) int { return rejectionStatuses[random.IntN(3)] }
+// anyUnprovenStatus returns a status of a rejection that proves nothing without the header.
+func anyUnprovenStatus(random *rand.Rand) int {
+	return unprovenStatuses[random.IntN(len(unprovenStatuses))]
+}
 
 // TestRunsAnsweredAsNotRun guards against callers who are told that their requests have not run, although a backend server has run them and answers with
 // such a status, and against requests that are lost because of it while other servers run them.
